--- a/flintrun/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""flintrun: the decisions of a quota-keeping gateway, as a library without I/O."""
--- a/flintrun/benchlink.py
+++ b/millfront/benchlink.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import Any, BinaryIO, TypeVar
 
-from flintrun import interface as api
-from flintrun.choice import Gateway
+from millfront import interface as api
+from millfront.choice import Gateway
 
 OUTCOMES = {
     100: api.Outcome.OK,
@@ -291,7 +291,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except Malformed as fault:
-        print(f"flintrun: malformed input: {fault}", file=sys.stderr)
+        print(f"millfront: malformed input: {fault}", file=sys.stderr)
         return 1
     return 0
 
--- a/flintrun/choice.py
+++ b/millfront/choice.py
@@ -1,4 +1,4 @@
-"""Every decision of the gateway; its settings, events and actions are in flintrun/interface.py.
+"""Every decision of the gateway; its settings, events and actions are in millfront/interface.py.
 
 In the order a request meets them: quota price and bucket, ceiling, congestion, choice of backend,
 outcome, further attempts; then what runs by itself: the beat, the counter, the list of backends.
@@ -9,7 +9,7 @@
 import random
 from dataclasses import dataclass, field
 
-from flintrun import interface as api
+from millfront import interface as api
 
 # Time, in microseconds
 SECOND = 1_000_000
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from flintrun import benchlink
-from flintrun import interface as api
+from millfront import benchlink
+from millfront import interface as api
 
 SETTINGS = {
     "Allowed": {
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from flintrun import choice
-from flintrun import interface as api
-from flintrun.choice import Gateway
+from millfront import choice
+from millfront import interface as api
+from millfront.choice import Gateway
 
 SECOND = 1_000_000
 START = 5 * SECOND
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -4,7 +4,7 @@
 import sys
 from pathlib import Path
 
-SOURCE = Path(__file__).parent.parent / "flintrun" / "choice.py"
+SOURCE = Path(__file__).parent.parent / "millfront" / "choice.py"
 
 
 def test_module_is_short_and_narrow() -> None:
@@ -20,8 +20,8 @@
             imported |= {alias.name for alias in node.names}
         elif isinstance(node, ast.ImportFrom):
             imported.add(node.module or "")
-            if node.module == "flintrun":
+            if node.module == "millfront":
                 assert [alias.name for alias in node.names] == ["interface"]
     outside = {name for name in imported if name.split(".")[0] not in sys.stdlib_module_names}
-    assert outside == {"flintrun"}
+    assert outside == {"millfront"}
     assert not imported & {"time", "os", "socket", "threading", "sys", "asyncio", "datetime"}
