--- a/millfront/benchlink.py
+++ b/millfront/benchlink.py
@@ -1,6 +1,5 @@
 """The bench's wire: frames in, one isolated Gateway per instance, frames out. Translates, decides nothing."""
 
-import json
 import struct
 import sys
 from collections.abc import Callable
@@ -8,6 +7,7 @@
 
 from millfront import interface as api
 from millfront.choice import Gateway
+from millfront.settings import SettingsError, settings_from
 
 OUTCOMES = {
     100: api.Outcome.OK,
@@ -57,74 +57,6 @@
         raise Malformed(f"unknown {what}: {value!r}") from None
 
 
-def settings_from(text: bytes) -> api.Settings:
-    """The start settings; unknown keys are ignored, a missing or mistyped one is malformed."""
-    try:
-        info = json.loads(text)
-        return _settings(info)
-    except KeyError as missing:
-        raise Malformed(f"settings lack {missing.args[0]}") from None
-    except (TypeError, ValueError, AttributeError) as wrong:
-        raise Malformed(f"settings unreadable: {wrong}") from None
-
-
-def _settings(info: dict[str, Any]) -> api.Settings:
-    allowed, rules, family = info["Allowed"], info["Rules"], info["FamilyInfo"]
-    return api.Settings(
-        me=int(info["Me"]),
-        peers=int(info["PeersTotal"]),
-        zone=int(info["MyZone"]),
-        classes=tuple(_class(entry) for entry in info["Classes"]),
-        plans=tuple(_plan(entry) for entry in info["Packages"]),
-        allowed=api.Allowed(
-            probes=bool(allowed["Probes"]),
-            cancel=bool(allowed["Cancel"]),
-            second_copies=bool(allowed["SecondCopies"]),
-            retry_after=bool(allowed["RetryAfter"]),
-            max_attempts=int(allowed["MostTries"]),
-            max_retry_after_us=int(allowed["MaxRetryAfterUs"]),
-        ),
-        rules=api.Rules(
-            drain_grace_us=int(rules["DrainGraceUs"]),
-            cold_from=float(rules["ColdFrom"]),
-            ramp_us=int(rules["RampTimeUs"]),
-            fall_multiple=float(rules["FallMultiple"]),
-            fall_us=int(rules["FallUs"]),
-        ),
-        weights_known=info["Weights"] != "none",
-        list_on_request=info["Discovery"] == "on_request",
-        counter=bool(family["SharedCounter"]),
-        counter_timeout_us=int(family["CountWaitUs"]),
-    )
-
-
-def _class(entry: dict[str, Any]) -> api.RequestClass:
-    return api.RequestClass(
-        aim_us=int(entry["AimUs"]),
-        deadline_us=int(entry["HardLimitUs"]),
-        worth=float(entry["Worth"]),
-        late_worth=float(entry["LateValue"]),
-        repeat=api.Repeat(entry["Repeat"]),
-        group=api.Group(entry["Group"]),
-        window_us=int(entry["WindowUs"]),
-        stream=bool(entry["Stream"]),
-    )
-
-
-def _plan(entry: dict[str, Any]) -> api.Plan:
-    return api.Plan(
-        rate=float(entry["Refill"]),
-        burst=float(entry["MostAtOnce"]),
-        open_limit=int(entry["Concurrency"]),
-        worth_factor=float(entry["WorthFactor"]),
-        over_worth=float(entry["ExtraWorth"]),
-        over_cost=float(entry["OverrunCost"]),
-        ceiling_rate=float(entry["CeilingRate"]),
-        ceiling_burst=float(entry["CapDepth"]),
-        ceiling_slack=float(entry["CeilingSlack"]),
-    )
-
-
 def catalog_rows(reader: Reader, count: int) -> tuple[api.BackendEntry, ...]:
     rows = []
     for _ in range(count):
@@ -238,10 +170,9 @@
         (instance,) = reader.take("I")
         if code == CONFIGURE:
             seed, size = reader.take("QI")
-            settings = settings_from(reader.raw(size))
             try:
-                self.gateways[instance] = Gateway(settings, seed)
-            except ValueError as wrong:
+                self.gateways[instance] = Gateway(settings_from(reader.raw(size)), seed)
+            except (SettingsError, ValueError) as wrong:
                 raise Malformed(str(wrong)) from None
             return instance, self.gateways[instance].handle(now, api.Started())
         if code == DOWN:
--- /dev/null
+++ b/millfront/node/__init__.py
@@ -0,0 +1,1 @@
+"""The real gatekeeper: sockets, timers and clocks round the decision module."""
--- /dev/null
+++ b/millfront/node/clients.py
@@ -0,0 +1,281 @@
+"""The client side: the virtual server, its connections, and the answers that go out on them."""
+
+import errno
+import logging
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import h11
+from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskStatus
+
+from millfront.node.config import Address
+from millfront.node.endings import Ended
+from millfront.node.host import Clock, Host, OpenRequest
+from millfront.node.http import MOST_BODY, MOST_HEAD, Message, Wire
+from millfront.node.stages import relay
+from millfront.node.stages.admit import Admit
+from millfront.node.stages.take_in import NotTaken, TakeIn
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 1024
+READY_PATH = b"/healthz"
+PARTIAL_US = 10_000_000  # a request begun and not whole by then is given up: guards against slow senders
+PARTIAL_LAST_US = 500_000  # the same while the gatekeeper ends
+LINGER_S = 2.0  # for the client to read a last answer: closed at once, a reset could overtake it
+NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+NO_ROOM_S = 0.05
+
+
+class ClientConnection(Wire):
+    """One client's connection: requests one after another, each with one answer. Two tasks: one reads all the
+    time, for that is how a client's leaving shows, the other writes."""
+
+    def __init__(self, server: "VirtualServer", stream: SocketStream) -> None:
+        super().__init__(stream, h11.SERVER)
+        self.server = server
+        self.scope = anyio.CancelScope()
+        self.opened: OpenRequest | None = None
+        self.busy = False  # from a request's last byte to its answer's
+        self.deaf = False  # nothing more is taken on it
+        self.begun_us = 0  # first byte of a request that is not whole yet
+        self._request: h11.Request | None = None
+        self._body = bytearray()
+        self._answer: Message | None = None
+        self._answered = anyio.Event()
+        self._written = anyio.Event()
+
+    async def serve(self) -> None:
+        try:
+            with self.scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._write_answers, tasks.cancel_scope)
+                    await self._read_requests()
+                    tasks.cancel_scope.cancel()
+        finally:
+            if self.opened is not None:
+                self.server.host.leave(self.opened)
+            await self.close()
+
+    # ---- in ----------------------------------------------------------------------------------
+
+    async def _read_requests(self) -> None:
+        """Returns when the client has closed or broken the connection: it has gone away."""
+        while True:
+            try:
+                data = await self.read()
+            except Ended:
+                return
+            if not data:
+                return
+            if self.deaf:
+                continue
+            if not self.begun_us:
+                self.begun_us = self.server.clock.now()
+            self.h11.receive_data(data)
+            self.advance()
+            while self.busy and len(self.h11.trailing_data[0]) > MOST_HEAD + MOST_BODY:
+                await self._written.wait()  # guards the buffer against a client that sends on and on
+
+    def advance(self) -> None:
+        """Take what is whole; ends at the first request, until its answer is written."""
+        try:
+            while not self.busy and not self.deaf:
+                event = self.h11.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                    return
+                self._take(event)
+        except h11.RemoteProtocolError as wrong:
+            self._refuse(wrong.error_status_hint, str(wrong))
+        except NotTaken as wrong:
+            self._refuse(wrong.status, str(wrong))
+
+    def _take(self, event: Any) -> None:
+        if isinstance(event, h11.Request):
+            self._request = event
+            length = next((value for name, value in event.headers if name == b"content-length"), b"0")
+            if int(length) > MOST_BODY:
+                raise NotTaken(413, "body too long")
+        elif isinstance(event, h11.Data):
+            self._body += event.data
+            if len(self._body) > MOST_BODY:
+                raise NotTaken(413, "body too long")
+        elif isinstance(event, h11.EndOfMessage) and self._request is not None:
+            request, body = self._request, bytes(self._body)
+            came_us, self.begun_us = self.begun_us, 0
+            self._request, self._body = None, bytearray()
+            self.busy = True
+            fields, raw = list(request.headers), request.headers.raw_items()
+            self._whole(Message((request.method, request.target), fields, raw, body), came_us)
+
+    def _whole(self, message: Message, came_us: int) -> None:
+        if message.start in ((b"GET", READY_PATH), (b"HEAD", READY_PATH)):
+            self._give(relay.own(200, b"ready\n") if self.server.ready() else relay.own(503, b"not ready\n"))
+            return
+        try:
+            arrival = self.server.take_in(message, came_us)
+        except NotTaken as wrong:
+            self._give(relay.own(wrong.status, f"{wrong}\n".encode()))
+            return
+        self.opened = self.server.admit(arrival, self)
+
+    def _refuse(self, status: int, why: str) -> None:
+        """A message that can't be read to its end: say so, and take nothing more from this connection."""
+        self.deaf = True
+        self.busy = True
+        self._give(relay.own(status, f"{why}\n".encode()))
+
+    def expire(self, before_us: int) -> None:
+        if self.begun_us and self.begun_us < before_us and not self.busy:
+            self._refuse(408, "request not finished in time")
+
+    # ---- out: what the host calls ------------------------------------------------------------
+
+    def served(self, answer: Any) -> None:
+        self._give(relay.served(answer))
+
+    def rejected(self, retry_after_us: int) -> None:
+        self._give(relay.rejected(retry_after_us))
+
+    def failed(self) -> None:
+        self._give(relay.failed())
+
+    def _give(self, answer: Message) -> None:
+        self._answer = answer
+        self._answered.set()
+
+    async def _write_answers(self, scope: anyio.CancelScope) -> None:
+        while True:
+            await self._answered.wait()
+            self._answered = anyio.Event()
+            answer, self._answer, self.opened = self._answer, None, None
+            assert answer is not None
+            try:
+                await self._write(answer)
+            except (Ended, h11.LocalProtocolError):
+                break
+            if self.h11.our_state is not h11.DONE or self.h11.their_state is not h11.DONE:
+                await self._linger()
+                break
+            self.h11.start_next_cycle()
+            self.busy = False
+            self._written.set()
+            self._written = anyio.Event()
+            self.server.rested(self)
+            if self.h11.trailing_data[0]:
+                self.begun_us = self.begun_us or self.server.clock.now()
+                self.advance()
+        scope.cancel()
+
+    async def _write(self, answer: Message) -> None:
+        assert isinstance(answer.start, int)
+        fields = [*answer.raw, (b"Content-Length", b"%d" % len(answer.body))]
+        if self.server.closing or self.deaf:
+            fields.append((b"Connection", b"close"))
+        head = h11.Response(status_code=answer.start, headers=fields)
+        await self.write(head, h11.Data(data=answer.body), h11.EndOfMessage())
+
+    async def _linger(self) -> None:
+        """Say that nothing more comes and let the client close first. Reading goes on meanwhile."""
+        self.deaf = True
+        try:
+            await self.stream.send_eof()
+            await anyio.sleep(LINGER_S)
+        except (OSError, anyio.ClosedResourceError, anyio.BrokenResourceError):
+            pass
+
+
+class VirtualServer:
+    """Listens for clients, and holds their connections within bounds."""
+
+    def __init__(
+        self, clock: Clock, host: Host, take_in: TakeIn, admit: Admit, ready: Callable[[], bool], most: int
+    ) -> None:
+        self.clock = clock
+        self.host = host
+        self.take_in = take_in
+        self.admit = admit
+        self.ready = ready
+        self.most = most
+        self.closing = False  # answers say Connection: close
+        self.address: Address | None = None
+        self._accepting = anyio.CancelScope()
+        self._connections: OrderedDict[ClientConnection, None] = OrderedDict()  # the longest at rest first
+
+    async def run(self, address: Address, *, task_status: TaskStatus[Address]) -> None:
+        """Accept until stop_accepting(), then serve what is there until nobody is left."""
+        listeners = await anyio.create_tcp_listener(
+            local_host=address.host, local_port=address.port, backlog=BACKLOG
+        )
+        listener = listeners.listeners[0]
+        assert isinstance(listener, SocketListener)
+        self.address = Address(address.host, listener.extra(SocketAttribute.local_port))
+        task_status.started(self.address)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._sweep, tasks.cancel_scope)
+            with self._accepting:
+                while True:
+                    await self._room()
+                    if (stream := await self._accept(listener)) is not None:
+                        connection = ClientConnection(self, stream)
+                        self._connections[connection] = None
+                        tasks.start_soon(self._serve, connection)
+            await listeners.aclose()
+
+    async def _accept(self, listener: SocketListener) -> SocketStream | None:
+        try:
+            return await listener.accept()
+        except (
+            OSError
+        ) as wrong:  # out of descriptors, or a client gone before it was accepted: neither ends us
+            if wrong.errno in NO_ROOM:
+                log.warning("accept: %s", wrong.strerror)
+                self._close_one_at_rest()
+                await anyio.sleep(NO_ROOM_S)
+            return None
+
+    async def _room(self) -> None:
+        while len(self._connections) >= self.most:
+            self._close_one_at_rest()
+            await anyio.sleep(NO_ROOM_S / 10)
+
+    def _close_one_at_rest(self) -> None:
+        for connection in self._connections:
+            if not connection.busy and not connection.begun_us:
+                connection.scope.cancel()
+                return
+
+    async def _serve(self, connection: ClientConnection) -> None:
+        try:
+            await connection.serve()
+        except Exception:  # one connection's fault is its own
+            log.exception("a client connection failed")
+        finally:
+            self._connections.pop(connection, None)
+
+    def rested(self, connection: ClientConnection) -> None:
+        if connection in self._connections:
+            self._connections.move_to_end(connection)
+
+    async def _sweep(self, scope: anyio.CancelScope) -> None:
+        while not (self.closing and self._accepting.cancel_called and not self._connections):
+            await anyio.sleep(0.05 if self.closing else 1.0)
+            for connection in list(self._connections):
+                connection.expire(self.clock.now() - (PARTIAL_LAST_US if self.closing else PARTIAL_US))
+        scope.cancel()
+
+    # ---- a planned end -----------------------------------------------------------------------
+
+    def stop_accepting(self) -> None:
+        self._accepting.cancel()
+
+    def close_at_rest(self) -> None:
+        for connection in list(self._connections):
+            if not connection.busy and not connection.begun_us:
+                connection.scope.cancel()
+
+    def unanswered(self) -> int:
+        """Connections with a request that was taken, or is just coming."""
+        return sum(1 for c in self._connections if (c.busy or c.begun_us) and not c.deaf)
--- /dev/null
+++ b/millfront/node/config.py
@@ -0,0 +1,120 @@
+"""What the platform tells a node: NODE_* and the JSON file that NODE_CONFIG names."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from millfront import interface as api
+from millfront.settings import NodeSettings, SettingsError, node_settings_from, settings_from
+
+SPARE_SOCKETS = (
+    48  # of the limit: standard streams, the loop's own, the pool's, the counter's, an accept at hand
+)
+
+
+class ConfigError(Exception):
+    """The configuration can't be used; the text names the field."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: object, field: str) -> "Address":
+        host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+        if not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
+            raise ConfigError(f"{field}: {text!r} is not HOST:PORT")
+        return cls(host.strip("[]"), int(port))
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    counter: Address | None
+    seed: int
+    sockets: int
+    known: dict[str, Any]
+    settings: api.Settings
+    node: NodeSettings
+
+    @property
+    def most_clients(self) -> int:
+        """Client connections held at once: three fifths of what is not spare."""
+        return max(1, (self.sockets - SPARE_SOCKETS) * 3 // 5)
+
+    @property
+    def most_flows(self) -> int:
+        """Connections to pool members held at once: the rest."""
+        return max(1, self.sockets - SPARE_SOCKETS - self.most_clients)
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    path = environment.get("NODE_CONFIG")
+    if not path:
+        raise ConfigError("NODE_CONFIG: is not set")
+    try:
+        data = json.loads(Path(path).read_bytes())
+    except OSError as wrong:
+        raise ConfigError(f"NODE_CONFIG: {path}: {wrong.strerror}") from None
+    except ValueError as wrong:
+        raise ConfigError(f"NODE_CONFIG: {path} is not JSON: {wrong}") from None
+    if not isinstance(data, dict):
+        raise ConfigError(f"NODE_CONFIG: {path} holds no object")
+    for field in ("name", "listen", "discovery"):
+        data[field] = environment.get(f"NODE_{field.upper()}") or data.get(field)
+    return from_json(data)
+
+
+def from_json(data: dict[str, Any]) -> Config:
+    """The file's object, checked field by field; unknown fields are ignored."""
+    settings = _object(data, "settings")
+    limits = _object(data, "limits")
+    known = data.get("known") or {"seq": 0, "whole": True, "hosts": []}
+    if not isinstance(known, dict):
+        raise ConfigError("known: is not an object")
+    try:
+        module, node = settings_from(json.dumps(settings).encode()), node_settings_from(settings)
+    except SettingsError as wrong:
+        raise ConfigError(f"settings: {wrong}") from None
+    sockets = limits.get("sockets")
+    if not isinstance(sockets, int) or sockets <= SPARE_SOCKETS + 2:
+        raise ConfigError(f"limits.sockets: {sockets!r} is no whole number above {SPARE_SOCKETS + 2}")
+    counter = None
+    if data.get("counter") is not None:
+        counter = Address.parse(data["counter"], "counter")
+    elif module.counter:
+        raise ConfigError("counter: is missing, and the settings have SharedCounter")
+    return Config(
+        name=str(data.get("name") or "node"),
+        listen=Address.parse(data.get("listen"), "listen"),
+        discovery=Address.parse(data.get("discovery"), "discovery"),
+        counter=counter,
+        seed=_seed(data.get("seed")),
+        sockets=sockets,
+        known=known,
+        settings=module,
+        node=node,
+    )
+
+
+def _object(data: dict[str, Any], field: str) -> dict[str, Any]:
+    value = data.get(field)
+    if not isinstance(value, dict):
+        raise ConfigError(f"{field}: is missing or not an object")
+    return value
+
+
+def _seed(value: object) -> int:
+    try:
+        return int(value, 16) if isinstance(value, str) else int(str(value))
+    except ValueError:
+        raise ConfigError(f"seed: {value!r} is not a hex number") from None
--- /dev/null
+++ b/millfront/node/counter.py
@@ -0,0 +1,149 @@
+"""The counter (tally desk): calls pipelined on one connection, answers matched in order."""
+
+import logging
+import math
+from collections import deque
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import SocketStream
+
+from millfront import interface as api
+from millfront.node.config import Address
+from millfront.node.endings import COUNT_OUTCOMES, Ended, Ending
+from millfront.node.host import Host
+from millfront.node.http import dial
+
+log = logging.getLogger(__name__)
+
+MOST_LINE = 256
+LOST_US = (
+    1_000_000  # an answer so late after its call ended: the counter is cut off, a new connection may not be
+)
+IDLE_US = (
+    3_000_000  # the counter closes after some seconds: a call that crossed the close might be added or not
+)
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    name: int
+    line: bytes
+    made_us: int
+    ended: bool = False
+
+
+class Counter:
+    def __init__(self, host: Host, address: Address, wait_us: int, connect_us: int) -> None:
+        self.host = host
+        self.address = address
+        self.wait_us = wait_us
+        self.connect_us = connect_us
+        self._queued: deque[Call] = deque()  # not written yet
+        self._written: deque[Call] = deque()  # in the order of their answers, also those that ended before
+        self._more = anyio.Event()
+        self._used_us = 0
+
+    def call(self, count: api.Count) -> None:
+        ttl_ms = max(1, -(-count.ttl_us // 1000))
+        line = f"add {count.name:x} {count.amount:.10g} {ttl_ms}\r\n".encode()
+        call = Call(count.name, line, self.host.clock.now())
+        self._queued.append(call)
+        self._more.set()
+        self.host.timers.after(self.wait_us, lambda: self._late(call))
+
+    def _late(self, call: Call) -> None:
+        """Past its time. Written, it may have been added, and its answer is still to be consumed."""
+        if call.ended:
+            return
+        if call in self._queued:
+            self._queued.remove(call)
+            self._end(call, Ending.UNCONNECTED)
+        else:
+            self._end(call, Ending.TIMED_OUT)
+
+    def _end(self, call: Call, ending: Ending, total: float = 0.0) -> None:
+        if not call.ended:
+            call.ended = True
+            self.host.tell(api.CounterAnswered(call.name, COUNT_OUTCOMES[ending], total))
+
+    async def run(self) -> None:
+        """Connect when there are calls, for ever."""
+        while True:
+            await self._wait_for_calls()
+            try:
+                stream = await dial(self.address, self.connect_us)
+            except Ended:
+                while self._queued:
+                    self._end(self._queued.popleft(), Ending.UNCONNECTED)
+                continue
+            try:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._read, stream, tasks.cancel_scope)
+                    await self._write(stream)
+                    tasks.cancel_scope.cancel()
+            finally:
+                await anyio.aclose_forcefully(stream)
+                while self._written:
+                    self._end(self._written.popleft(), Ending.BROKEN)
+
+    async def _wait_for_calls(self) -> None:
+        while not self._queued:
+            self._more = anyio.Event()
+            await self._more.wait()
+
+    async def _write(self, stream: SocketStream) -> None:
+        self._used_us = self.host.clock.now()
+        while True:
+            with anyio.move_on_after(IDLE_US / 1e6):
+                await self._wait_for_calls()
+            now = self.host.clock.now()
+            if not self._queued and not self._written and now - self._used_us >= IDLE_US:
+                return  # idle: closed from this side, before the counter does
+            if self._written and now - self._written[0].made_us > self.wait_us + LOST_US:
+                return
+            calls = list(self._queued)
+            self._queued.clear()
+            self._written.extend(calls)
+            if not calls:
+                continue
+            self._used_us = now
+            try:
+                await stream.send(b"".join(call.line for call in calls))
+            except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+                for call in calls:  # failed before their last byte was written: nothing added
+                    self._end(call, Ending.UNCONNECTED)
+                return
+
+    async def _read(self, stream: SocketStream, scope: anyio.CancelScope) -> None:
+        rest = b""
+        try:
+            while True:
+                *lines, rest = (rest + await stream.receive()).split(b"\n")
+                for line in lines:
+                    self._answer(line.strip())
+                if len(rest) > MOST_LINE:
+                    raise Ended(Ending.MALFORMED, "a line too long")
+        except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+            pass
+        except Ended as ended:
+            log.warning("counter: %s", ended)
+        scope.cancel()
+
+    def _answer(self, line: bytes) -> None:
+        if not self._written:
+            raise Ended(Ending.MALFORMED, f"an answer to no call: {line[:40]!r}")
+        word, _, total = line.partition(b" ")
+        ending, value = Ending.TURNED_AWAY, 0.0
+        if word == b"ok":
+            try:
+                ending, value = Ending.SERVED, float(total)
+            except ValueError:
+                value = math.nan
+            if not math.isfinite(value):
+                raise Ended(Ending.MALFORMED, f"no total: {line[:40]!r}")
+        elif word == b"error":
+            ending = Ending.ERRORED
+        elif word != b"busy":
+            raise Ended(Ending.MALFORMED, f"no answer: {line[:40]!r}")
+        self._end(self._written.popleft(), ending, value)
--- /dev/null
+++ b/millfront/node/endings.py
@@ -0,0 +1,53 @@
+"""Every way in which a connection, or one exchange on it, can end; and what each means to the module."""
+
+from enum import Enum
+
+from millfront.interface import Outcome
+
+
+class Ending(Enum):
+    SERVED = "answered well"
+    ERRORED = "answered with an error"
+    TURNED_AWAY = "answered that it was never started"
+    UNCONNECTED = "did not come up, or broke before the last byte was written"
+    BROKEN = "broke or ended after the last byte was written"
+    MALFORMED = "answered with something that is no answer"
+    TIMED_OUT = "did not answer in time"
+    CANCELLED = "given up by the module"
+    NOT_SENT = "never tried: the request was over, its time was up, or nobody was there to send it to"
+    LEFT = "left by the client"
+    CLOSED = "closed between exchanges"
+
+
+# 500, a reset and a time-out may have run: FULL, CONNECT_FAILED and MOOT are for what certainly never did.
+FLOW_OUTCOMES = {
+    Ending.SERVED: Outcome.OK,
+    Ending.ERRORED: Outcome.ERROR,
+    Ending.TURNED_AWAY: Outcome.FULL,
+    Ending.UNCONNECTED: Outcome.CONNECT_FAILED,
+    Ending.BROKEN: Outcome.RESET,
+    Ending.MALFORMED: Outcome.RESET,
+    Ending.TIMED_OUT: Outcome.TIMEOUT,
+    Ending.CANCELLED: Outcome.CANCELLED,
+    Ending.NOT_SENT: Outcome.MOOT,
+    Ending.CLOSED: Outcome.RESET,
+}
+# A call that may have been added must read TIMEOUT: the module tells every other failed amount again.
+COUNT_OUTCOMES = {
+    Ending.SERVED: Outcome.OK,
+    Ending.ERRORED: Outcome.ERROR,
+    Ending.TURNED_AWAY: Outcome.FULL,
+    Ending.UNCONNECTED: Outcome.CONNECT_FAILED,
+    Ending.BROKEN: Outcome.TIMEOUT,
+    Ending.MALFORMED: Outcome.TIMEOUT,
+    Ending.TIMED_OUT: Outcome.TIMEOUT,
+    Ending.CLOSED: Outcome.TIMEOUT,
+}
+
+
+class Ended(Exception):
+    """A connection has ended, and how."""
+
+    def __init__(self, ending: Ending, detail: str = "") -> None:
+        super().__init__(f"{ending.value}: {detail}" if detail else ending.value)
+        self.ending = ending
--- /dev/null
+++ b/millfront/node/host.py
@@ -0,0 +1,270 @@
+"""What hosts the decisions: the Gateway, its clock, timers and ids. Knows no protocol.
+
+Requests come in through arrive() and leave through their Caller; attempts and counter calls go out through
+the two ports and come back as events. Nothing else calls Gateway.handle().
+"""
+
+import heapq
+import itertools
+import logging
+import math
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+import anyio
+
+from millfront import interface as api
+from millfront.choice import Gateway
+
+log = logging.getLogger(__name__)
+
+OVERDUE_US = (
+    15_000  # past its deadline: the module had its time-out by then, and the rule's slack is still ahead
+)
+
+
+class Clock:
+    """Unix time in µs, read once and advanced by the monotonic clock: gatekeepers must agree on the counter's
+    epochs, and a step of the system's clock must not move timers."""
+
+    def __init__(self) -> None:
+        self._offset_ns = time.time_ns() - time.monotonic_ns()
+
+    def now(self) -> int:
+        return (time.monotonic_ns() + self._offset_ns) // 1000
+
+
+class Timers:
+    """Callbacks by due time, run by one task."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self._heap: list[tuple[int, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._sooner = anyio.Event()
+
+    def after(self, delay_us: int, call: Callable[[], None]) -> None:
+        entry = (self.clock.now() + delay_us, next(self._order), call)
+        heapq.heappush(self._heap, entry)
+        if self._heap[0] is entry:
+            self._sooner.set()
+
+    async def run(self) -> None:
+        while True:
+            self._sooner = anyio.Event()
+            while self._heap and self._heap[0][0] <= self.clock.now():
+                call = heapq.heappop(self._heap)[2]
+                try:
+                    call()
+                except Exception:  # one bad callback must not stop the beat of all others
+                    log.exception("a timer's callback failed")
+            wait = (self._heap[0][0] - self.clock.now()) / 1e6 if self._heap else math.inf
+            with anyio.move_on_after(max(0.0, wait)):
+                await self._sooner.wait()
+
+
+class Caller(Protocol):
+    """Whoever brought a request in; is told its final answer once."""
+
+    def served(self, answer: Any) -> None: ...
+    def rejected(self, retry_after_us: int) -> None: ...
+    def failed(self) -> None: ...
+
+
+class Flow(Protocol):
+    """One attempt under way."""
+
+    def cancel(self) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request as the decisions need it, and as it came."""
+
+    cls: int
+    plan: int
+    customer: int
+    units: float
+    spread: int
+    first: int
+    came_us: int
+    timeout_us: int
+    message: Any = None
+
+
+@dataclass(slots=True, eq=False)
+class OpenRequest:
+    id: int
+    arrival: Arrival
+    caller: Caller
+    over: bool = False
+    sends: int = 0
+    flows: dict[int, Flow] = field(default_factory=dict)
+
+    @property
+    def deadline_us(self) -> int:
+        return self.arrival.came_us + self.arrival.timeout_us
+
+
+class Host:
+    def __init__(self, settings: api.Settings, seed: int, clock: Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.timers = Timers(clock)
+        self.open: dict[int, OpenRequest] = {}
+        self.owed = 0  # requests without their final answer
+        self.start_flow: Callable[[OpenRequest, int, api.Send], None]
+        self.start_count: Callable[[api.Count], None]
+        self.close_idle: Callable[[int], None]
+        self._gateway = Gateway(settings, seed)
+        self._ids = itertools.count(1)
+        self._events: deque[api.Event] = deque()
+        self._telling = False
+
+    def tell(self, event: api.Event) -> None:
+        """One event at a time: what comes up while actions are carried out waits its turn."""
+        self._events.append(event)
+        if self._telling:
+            return
+        self._telling = True
+        try:
+            while self._events:
+                self._handle(self._events.popleft())
+        finally:
+            self._telling = False
+
+    def _handle(self, event: api.Event) -> None:
+        try:
+            actions = self._gateway.handle(self.clock.now(), event)
+        except Exception:  # a fault on one event must not take the program and all other requests down
+            log.exception("the module failed on %s", type(event).__name__)
+            if isinstance(event, api.TimerFired):  # a beat lost once would be lost for good
+                self._carry_out(api.SetTimer(self.settings.counter_timeout_us or 20_000, event.token))
+            return
+        for action in actions:
+            try:
+                self._carry_out(action)
+            except Exception:
+                log.exception("%s could not be carried out", type(action).__name__)
+
+    def _carry_out(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._send(action)
+            case api.Refuse(request, retry_after_us):
+                if opened := self._finish(request):
+                    opened.caller.rejected(min(retry_after_us, self.settings.allowed.max_retry_after_us))
+            case api.Fail(request):
+                if opened := self._finish(request):
+                    opened.caller.failed()
+            case api.Cancel(request, attempt):
+                if (opened := self.open.get(request)) and attempt in opened.flows:
+                    opened.flows[attempt].cancel()
+            case api.SetTimer(delay_us, token):
+                self.timers.after(delay_us, lambda: self.tell(api.TimerFired(token)))
+            case api.Count():
+                self.start_count(action)
+            case api.CloseIdle(backend):
+                self.close_idle(backend)
+            case api.Log(text):
+                log.info("%s", text)
+            case api.Watch() | api.FetchList():
+                pass  # the pool is always watched here
+            case api.Probe() | api.Tell():
+                log.warning("%s is not possible on this platform", type(action).__name__)
+
+    # ---- requests ----------------------------------------------------------------------------
+
+    def start(self) -> None:
+        self.tell(api.Started())
+
+    def arrive(self, arrival: Arrival, caller: Caller) -> OpenRequest:
+        opened = OpenRequest(next(self._ids), arrival, caller)
+        self.open[opened.id] = opened
+        self.owed += 1
+        left_us = opened.deadline_us - self.clock.now()
+        self.timers.after(left_us + OVERDUE_US, lambda: self._overdue(opened))
+        self.tell(
+            api.RequestArrived(
+                opened.id,
+                arrival.cls,
+                arrival.plan,
+                arrival.customer,
+                max(1, left_us),
+                arrival.units,
+                arrival.spread,
+                arrival.first,
+            )
+        )
+        return opened
+
+    def leave(self, opened: OpenRequest) -> None:
+        """The client went away: no answer is owed any more."""
+        if self._finish(opened.id):
+            self.tell(api.RequestGone(opened.id))
+
+    def _overdue(self, opened: OpenRequest) -> None:
+        """Guards the one final answer against a module that forgot the request."""
+        if self._finish(opened.id):
+            log.error("request unanswered at its deadline")
+            opened.caller.failed()
+            self.tell(api.RequestGone(opened.id))
+
+    def _finish(self, request: int) -> OpenRequest | None:
+        """The request, if its final answer was still owed."""
+        opened = self.open.get(request)
+        if opened is None or opened.over:
+            return None
+        opened.over = True
+        self.owed -= 1
+        self._forget(opened)
+        return opened
+
+    def _forget(self, opened: OpenRequest) -> None:
+        if opened.over and not opened.flows:
+            self.open.pop(opened.id, None)
+
+    # ---- attempts ----------------------------------------------------------------------------
+
+    def _send(self, send: api.Send) -> None:
+        opened = self.open.get(send.request)
+        number = opened.sends if opened else 0
+        if opened:
+            opened.sends += 1
+        late = opened is None or opened.over or self.clock.now() >= opened.deadline_us
+        if opened is None or late or number >= self.settings.allowed.max_attempts:
+            self._ended(send.request, number, send.backend, api.Outcome.MOOT, opened is None or opened.over)
+            return
+        self.start_flow(opened, number, send)
+
+    def flow_ended(
+        self,
+        opened: OpenRequest,
+        number: int,
+        send: api.Send,
+        outcome: api.Outcome,
+        latency_us: int,
+        answer: Any = None,
+        units: float = 0.0,
+    ) -> None:
+        """The one event of an attempt; a first good answer is the request's final one."""
+        opened.flows.pop(number, None)
+        if outcome is api.Outcome.OK and self._finish(opened.id):
+            opened.caller.served(answer)
+        self._forget(opened)
+        self._ended(opened.id, number, send.backend, outcome, opened.over, latency_us, units)
+
+    def _ended(
+        self,
+        request: int,
+        number: int,
+        backend: int,
+        outcome: api.Outcome,
+        closed: bool,
+        latency_us: int = 0,
+        units: float = 0.0,
+    ) -> None:
+        self.tell(api.AttemptEnded(request, number, backend, outcome, closed, latency_us, units))
--- /dev/null
+++ b/millfront/node/members.py
@@ -0,0 +1,137 @@
+"""The pool members (page servers): who they are, and the connections to them."""
+
+import logging
+import select
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+import anyio
+import h11
+from anyio.abc import SocketAttribute, SocketStream
+
+from millfront.node.config import Address
+from millfront.node.endings import Ended, Ending
+from millfront.node.host import Clock
+from millfront.node.http import Wire, dial
+
+log = logging.getLogger(__name__)
+
+IDLE_SHARE = 0.5  # of KeepaliveUs: a request written after the member closed would count as a reset
+SWEEP_S = 1.0
+
+
+@dataclass(eq=False, slots=True)
+class PoolMember:
+    id: int
+    host: str
+    dial: Address
+    ready: bool = True  # not told draining or gone
+    idle: "list[MemberConnection]" = field(default_factory=list)  # the last used at the end
+
+
+class MemberConnection(Wire):
+    """One connection, one request at a time."""
+
+    def __init__(self, member: PoolMember, stream: SocketStream) -> None:
+        super().__init__(stream, h11.CLIENT)
+        self.member = member
+        self.address = member.dial
+        self.idle_since_us = 0
+
+    def quiet(self) -> bool:
+        """Still up, and with nothing to read: an idle one that can be read has been ended by the member."""
+        poll = select.poll()
+        poll.register(self.stream.extra(SocketAttribute.raw_socket).fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+
+class Members:
+    def __init__(self, clock: Clock, connect_timeout_us: int, keepalive_us: int, most: int) -> None:
+        self.clock = clock
+        self.connect_timeout_us = connect_timeout_us
+        self.idle_us = int(keepalive_us * IDLE_SHARE)
+        self.most = most
+        self.connections = 0
+        self._by_id: dict[int, PoolMember] = {}
+        self._idle: OrderedDict[MemberConnection, None] = (
+            OrderedDict()
+        )  # of all members, the longest idle first
+
+    # ---- the pool tells ----------------------------------------------------------------------
+
+    def get(self, member: int) -> PoolMember | None:
+        return self._by_id.get(member)
+
+    def listed(self, member: int, host: str, address: Address) -> None:
+        known = self._by_id.get(member)
+        if known is None:
+            self._by_id[member] = PoolMember(member, host, address)
+            return
+        known.ready = True
+        known.dial = address  # connections to the old address are not taken up again
+
+    def stopped(self, member: int) -> None:
+        if known := self._by_id.get(member):
+            known.ready = False
+
+    def any_ready(self) -> bool:
+        return any(member.ready for member in self._by_id.values())
+
+    # ---- connections -------------------------------------------------------------------------
+
+    async def connection(self, member: PoolMember) -> MemberConnection:
+        """The idle one used last, or a new one."""
+        while member.idle:
+            found = member.idle.pop()
+            del self._idle[found]
+            if found.address == member.dial and found.quiet():
+                return found
+            await self.drop(found)
+        while (
+            self.connections >= self.most and self._idle
+        ):  # descriptors are bounded: the longest idle gives way
+            await self._drop_idle(next(iter(self._idle)))
+        if self.connections >= self.most:
+            raise Ended(Ending.NOT_SENT, "all connections are in use")
+        self.connections += 1
+        try:
+            return MemberConnection(member, await dial(member.dial, self.connect_timeout_us))
+        except BaseException:
+            self.connections -= 1
+            raise
+
+    async def release(self, connection: MemberConnection) -> None:
+        """Back to the idle ones, or closed if it can't carry another request."""
+        member = connection.member
+        if not member.ready or connection.address != member.dial or not connection.reusable():
+            await self.drop(connection)
+            return
+        connection.idle_since_us = self.clock.now()
+        member.idle.append(connection)
+        self._idle[connection] = None
+
+    async def drop(self, connection: MemberConnection) -> None:
+        self.connections -= 1
+        await connection.close()
+
+    async def _drop_idle(self, connection: MemberConnection) -> None:
+        del self._idle[connection]
+        connection.member.idle.remove(connection)
+        await self.drop(connection)
+
+    async def close_idle(self, member: PoolMember) -> None:
+        for connection in list(member.idle):
+            if connection in self._idle:
+                await self._drop_idle(connection)
+
+    async def run(self) -> None:
+        """Close what has been idle for long, what a member has ended, and what leads to one that stopped."""
+        while True:
+            await anyio.sleep(SWEEP_S)
+            too_long = self.clock.now() - self.idle_us
+            for connection in list(self._idle):
+                gone = not connection.member.ready or connection.address != connection.member.dial
+                if connection in self._idle and (gone or connection.idle_since_us < too_long):
+                    await self._drop_idle(connection)
+            for member in [m for m in self._by_id.values() if not m.ready]:
+                await self.close_idle(member)
--- /dev/null
+++ b/millfront/node/pool.py
@@ -0,0 +1,127 @@
+"""The pool: discovery's list of page servers, as it was known and as it changes."""
+
+import json
+import logging
+from typing import Any
+
+import anyio
+import h11
+
+from millfront import interface as api
+from millfront.node.config import Address, ConfigError
+from millfront.node.endings import Ended, Ending
+from millfront.node.host import Host
+from millfront.node.http import Wire, dial
+from millfront.node.members import Members
+from millfront.settings import NodeSettings
+
+log = logging.getLogger(__name__)
+
+STATES = {
+    "Ready": api.BackendState.READY,
+    "Terminating": api.BackendState.DRAINING,
+    "Gone": api.BackendState.GONE,
+}
+FIRST_WAIT_S, MOST_WAIT_S = 0.05, 1.0
+SILENT_S = 5.0  # a watch brings a line every 2 s: silent for longer, it may be cut off without a word
+MOST_LINE = 4 * 1024 * 1024
+CONNECT_US = 1_000_000
+
+
+class Pool:
+    def __init__(self, host: Host, members: Members, node: NodeSettings) -> None:
+        self.host = host
+        self.members = members
+        self.connect_us = node.connect_timeout_us or CONNECT_US
+        self.seq = 0
+        self._ids: dict[str, int] = {}  # hosts are names, the module's backends numbers
+        self._zones = dict(node.zones)
+        self._kinds = dict(node.kinds)
+
+    def take(self, told: Any, cached: bool = False) -> None:
+        """One object of discovery, whole or changes: to the members first, which guard the drain rule."""
+        try:
+            whole, seq = bool(told["whole"]), int(told["seq"])
+            entries = [(self._entry(row), row["host"], self._dial(row)) for row in told["hosts"]]
+        except (KeyError, TypeError, ValueError, AttributeError, ConfigError) as wrong:
+            raise Ended(Ending.MALFORMED, f"a list that can't be read: {wrong!r}") from None
+        if whole:
+            listed = {entry.backend for entry, _, _ in entries}
+            for backend in self._ids.values():
+                if backend not in listed:
+                    self.members.stopped(backend)
+        for entry, name, address in entries:
+            if entry.state is api.BackendState.READY:
+                self.members.listed(entry.backend, name, address)
+            else:
+                self.members.stopped(entry.backend)
+        self.seq = seq
+        kind = api.ListKind.CACHED if cached else api.ListKind.FULL if whole else api.ListKind.DELTA
+        self.host.tell(api.BackendList(kind, tuple(entry for entry, _, _ in entries)))
+
+    def _entry(self, row: dict[str, Any]) -> api.BackendEntry:
+        return api.BackendEntry(
+            backend=self._ids.setdefault(row["host"], len(self._ids) + 1),
+            zone=self._zones.setdefault(str(row.get("site")), len(self._zones)),
+            kind=self._kinds.setdefault(str(row.get("class")), len(self._kinds)),
+            cell=int(row.get("block", 0)),
+            state=STATES[row["health"]],
+            weight=float(row.get("share", 1.0)),
+            started_us=int(row.get("born_ms", 0)) * 1000,
+        )
+
+    def _dial(self, row: dict[str, Any]) -> Address:
+        if row["health"] == "Gone":
+            return Address("", 0)  # nothing is sent there any more
+        return Address.parse(row["dial"], "dial")
+
+    async def watch(self, discovery: Address) -> None:
+        """Follow the changes for ever; a watch that ends is asked for anew, later each time in vain."""
+        wait_s = FIRST_WAIT_S
+        while True:
+            before = self.seq
+            try:
+                await self._watch_once(discovery)
+            except Ended as ended:
+                level = logging.WARNING if ended.ending is Ending.MALFORMED else logging.INFO
+                log.log(level, "discovery: %s", ended)
+            except Exception:  # whatever discovery sent, the gatekeeper goes on with the list it has
+                log.exception("discovery: the watch failed")
+            wait_s = FIRST_WAIT_S if self.seq != before else min(wait_s * 2, MOST_WAIT_S)
+            await anyio.sleep(wait_s)
+
+    async def _watch_once(self, discovery: Address) -> None:
+        wire = Wire(await dial(discovery, self.connect_us), h11.CLIENT)
+        try:
+            target = f"/v1/servers?watch=1&after={self.seq}"
+            request = h11.Request(method="GET", target=target, headers=[("Host", str(discovery))])
+            await wire.write(request, h11.EndOfMessage())
+            line = bytearray()
+            while True:
+                with anyio.move_on_after(SILENT_S):
+                    event = await wire.next_event()
+                    self._event(event, line)
+                    if isinstance(event, h11.EndOfMessage):
+                        return
+                    continue
+                raise Ended(Ending.TIMED_OUT)
+        finally:
+            await wire.close()
+
+    def _event(self, event: h11.Event, line: bytearray) -> None:
+        if isinstance(event, h11.Response) and event.status_code != 200:
+            raise Ended(Ending.ERRORED, f"status {event.status_code}")
+        if not isinstance(event, h11.Data):
+            return
+        line += event.data
+        if len(line) > MOST_LINE:
+            raise Ended(Ending.MALFORMED, f"a line of over {MOST_LINE} bytes")
+        *whole, rest = bytes(line).split(b"\n")
+        line[:] = rest
+        for text in whole:
+            if text.strip():
+                try:
+                    told = json.loads(text)
+                except ValueError as wrong:
+                    raise Ended(Ending.MALFORMED, str(wrong)) from None
+                self.take(told)
--- /dev/null
+++ b/millfront/node/service.py
@@ -0,0 +1,105 @@
+"""A node put together: the peers round the host, and its planned end."""
+
+import logging
+
+import anyio
+from anyio.abc import TaskGroup, TaskStatus
+
+from millfront import interface as api
+from millfront.node.clients import VirtualServer
+from millfront.node.config import Address, Config
+from millfront.node.counter import Counter
+from millfront.node.endings import Ended
+from millfront.node.host import Clock, Host, OpenRequest
+from millfront.node.members import Members
+from millfront.node.pool import Pool
+from millfront.node.stages.admit import Admit
+from millfront.node.stages.book import Book
+from millfront.node.stages.route import Route
+from millfront.node.stages.send import Send, ServerSideFlow
+from millfront.node.stages.take_in import TakeIn
+
+log = logging.getLogger(__name__)
+
+# After SIGTERM: the front brings new connections for up to 0.4 s, and keeps the ones it has until told.
+ACCEPT_S = 0.42
+CLOSE_AT_REST_S = 0.1  # later: answers have said Connection: close meanwhile
+
+
+class Node:
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        settings, node = config.settings, config.node
+        self.clock = Clock()
+        self.host = Host(settings, config.seed, self.clock)
+        self.members = Members(self.clock, node.connect_timeout_us, node.keepalive_us, config.most_flows)
+        self.pool = Pool(self.host, self.members, node)
+        self.send = Send(self.clock, self.members, Route(self.members))
+        self.book = Book(self.host)
+        admit = Admit(self.host, min(node.max_open, config.most_clients))
+        take_in = TakeIn(settings, node)
+        self.server = VirtualServer(self.clock, self.host, take_in, admit, self.ready, config.most_clients)
+        self._tasks: TaskGroup
+        self._stop = anyio.Event()
+
+    def ready(self) -> bool:
+        """Able to serve: a pool member is known, and no end is planned."""
+        return self.members.any_ready() and not self._stop.is_set()
+
+    def stop(self) -> None:
+        self._stop.set()
+
+    async def run(self, *, task_status: TaskStatus[Address] = anyio.TASK_STATUS_IGNORED) -> None:
+        """Serve until stop() and everything taken is answered."""
+        config = self.config
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            self.host.start_flow = self._start_flow
+            self.host.close_idle = self._close_idle
+            self.host.start_count = self._no_counter
+            if config.counter is not None:
+                wait_us = config.settings.counter_timeout_us
+                counter = Counter(self.host, config.counter, wait_us, config.node.connect_timeout_us)
+                self.host.start_count = counter.call
+                tasks.start_soon(counter.run)
+            tasks.start_soon(self.host.timers.run)
+            tasks.start_soon(self.members.run)
+            self.host.start()
+            try:
+                self.pool.take(config.known, cached=True)
+            except Ended as ended:
+                log.warning("known: %s", ended)
+            tasks.start_soon(self.pool.watch, config.discovery)
+            address = await tasks.start(self.server.run, config.listen)
+            log.info("%s serves at %s", config.name, address)
+            task_status.started(address)
+            await self._stop.wait()
+            await self._wind_down()
+            tasks.cancel_scope.cancel()
+
+    async def _wind_down(self) -> None:
+        await anyio.sleep(ACCEPT_S)
+        self.server.closing = True
+        self.server.stop_accepting()
+        await anyio.sleep(CLOSE_AT_REST_S)
+        while self.server.unanswered():
+            self.server.close_at_rest()
+            await anyio.sleep(0.02)
+        self.server.close_at_rest()
+        await anyio.sleep(0.05)
+
+    def _start_flow(self, opened: OpenRequest, number: int, send: api.Send) -> None:
+        flow = ServerSideFlow(opened, number, send, self.clock.now())
+        opened.flows[number] = flow
+        self._tasks.start_soon(self._flow, flow)
+
+    async def _flow(self, flow: ServerSideFlow) -> None:
+        ending, answer = await self.send(flow)
+        self.book(flow, ending, answer)
+
+    def _close_idle(self, backend: int) -> None:
+        if member := self.members.get(backend):
+            self._tasks.start_soon(self.members.close_idle, member)
+
+    def _no_counter(self, count: api.Count) -> None:
+        self.host.tell(api.CounterAnswered(count.name, api.Outcome.CONNECT_FAILED, 0.0))
--- /dev/null
+++ b/millfront/node/stages/book.py
@@ -0,0 +1,28 @@
+"""Book: an ended flow becomes the module's one event for it."""
+
+import math
+
+from millfront.node.endings import FLOW_OUTCOMES, Ending
+from millfront.node.host import Host
+from millfront.node.http import Message
+from millfront.node.stages.send import ServerSideFlow
+
+
+class Book:
+    def __init__(self, host: Host) -> None:
+        self.host = host
+
+    def __call__(self, flow: ServerSideFlow, ending: Ending, answer: Message | None) -> None:
+        latency_us = self.host.clock.now() - flow.started_us
+        units = billed(answer) if answer is not None and ending is Ending.SERVED else 0.0
+        outcome = FLOW_OUTCOMES[ending]
+        self.host.flow_ended(flow.opened, flow.number, flow.send, outcome, latency_us, answer, units)
+
+
+def billed(answer: Message) -> float:
+    """The true units, where the answer tells them; a figure that makes no sense counts as none."""
+    try:
+        units = float(answer.field(b"billed-units") or 0.0)
+    except ValueError:
+        return 0.0
+    return units if math.isfinite(units) and units > 0 else 0.0
--- /dev/null
+++ b/millfront/node/stages/relay.py
@@ -0,0 +1,25 @@
+"""Relay: the final answer as the client gets it, a pool member's as it came or one of ours."""
+
+from millfront.node.http import Fields, Message, passed_on
+
+REASONS = {503: b"refused: try again later\n", 502: b"failed\n"}
+
+
+def served(answer: Message) -> Message:
+    fields = passed_on(answer)
+    return Message(200, fields, fields, answer.body)
+
+
+def rejected(retry_after_us: int) -> Message:
+    """A reject: trying again is harmless."""
+    fields: Fields = [(b"Retry-After", b"%.3f" % (retry_after_us / 1e6))] if retry_after_us > 0 else []
+    return own(503, REASONS[503], fields)
+
+
+def failed() -> Message:
+    return own(502, REASONS[502])
+
+
+def own(status: int, text: bytes, more: Fields | None = None) -> Message:
+    fields = [(b"Content-Type", b"text/plain"), *(more or [])]
+    return Message(status, fields, fields, text)
--- /dev/null
+++ b/millfront/node/stages/take_in.py
@@ -0,0 +1,69 @@
+"""Take in: from a client's message, what the decisions need; or why it can't be taken."""
+
+import re
+
+from millfront import interface as api
+from millfront.node.host import Arrival
+from millfront.node.http import Message
+from millfront.settings import NodeSettings
+
+CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
+MOST_CUSTOMER = 1 << 33
+REQUEST_ID = re.compile(rb"[0-9a-fA-F]{1,16}")
+TIMEOUT = re.compile(rb"([0-9]{1,10})([mu])")
+QUOTA = re.compile(rb"\s*(units|spread|first)=([0-9]{1,6}(?:\.[0-9]{1,6})?)\s*")
+MICROSECONDS = {b"m": 1000, b"u": 1}
+
+
+class NotTaken(Exception):
+    """A reject before any decision: the request is not what the protocol allows."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+class TakeIn:
+    def __init__(self, settings: api.Settings, node: NodeSettings) -> None:
+        self.settings = settings
+        self.classes = {name.encode(): position for name, position in node.classes.items()}
+        self.plans = {name.encode(): position for name, position in node.plans.items()}
+
+    def __call__(self, message: Message, came_us: int) -> Arrival:
+        assert isinstance(message.start, tuple)
+        method, target = message.start
+        parts = target.partition(b"?")[0].split(b"/")
+        if len(parts) < 3 or parts[0] or parts[1] not in self.classes:
+            raise NotTaken(404, "no such class")
+        cls = self.classes[parts[1]]
+        if not CUSTOMER.fullmatch(parts[-1]) or (customer := int(parts[-1], 16)) >= MOST_CUSTOMER:
+            raise NotTaken(404, "no such customer")
+        self._check_method(cls, method, message)
+        plan = self.plans.get(message.field(b"plan") or b"")
+        if plan is None:
+            raise NotTaken(400, "Plan: unknown")
+        if not REQUEST_ID.fullmatch(message.field(b"request-id") or b""):
+            raise NotTaken(400, "Request-Id: not 64 bits in hex")
+        timeout = TIMEOUT.fullmatch(message.field(b"request-timeout") or b"")
+        if timeout is None:
+            raise NotTaken(400, "Request-Timeout: not a number and m or u")
+        units, spread, first = self._quota(message.field(b"quota-info") or b"")
+        timeout_us = min(int(timeout[1]) * MICROSECONDS[timeout[2]], self.settings.classes[cls].deadline_us)
+        return Arrival(cls, plan, customer, units, spread, first, came_us, timeout_us, message)
+
+    def _check_method(self, cls: int, method: bytes, message: Message) -> None:
+        repeat = self.settings.classes[cls].repeat
+        if method != (b"GET" if repeat is api.Repeat.SAFE else b"POST"):
+            raise NotTaken(405, "not this class's method")
+        if repeat is api.Repeat.KEYED and not message.field(b"idempotency-key"):
+            # sent on without its key, a repeat of it would run twice
+            raise NotTaken(400, "Idempotency-Key: missing")
+
+    def _quota(self, text: bytes) -> tuple[float, int, int]:
+        values = {}
+        for part in text.split(b","):
+            if pair := QUOTA.fullmatch(part):
+                values[pair[1]] = float(pair[2])
+        if len(values) != 3 or values[b"units"] <= 0 or values[b"spread"] < 1:
+            raise NotTaken(400, "Quota-Info: needs units, spread and first")
+        return values[b"units"], int(values[b"spread"]), int(values[b"first"])
