Sleep in whole ms between timers: a scope's deadline spins on uvloop

The profile showed 350,000 calls of anyio's CancelScope._timeout in 24 s: uvloop rounds timers to ms and fires up to 1 ms early, the scope finds its deadline not reached and asks again for 0 ms. At fault was move_on_after() in Timers.run, passed 50 times a second for the beat.

--- a/millfront/node/host.py
+++ b/millfront/node/host.py
@@ -7,7 +7,6 @@
 import heapq
 import itertools
 import logging
-import math
 import time
 from collections import deque
 from collections.abc import Callable
@@ -21,6 +20,7 @@
 
 log = logging.getLogger(__name__)
 
+MOST_SLEEP_US = 1_000_000
 OVERDUE_US = (
     15_000  # past its deadline: the module had its time-out by then, and the rule's slack is still ahead
 )
@@ -44,26 +44,27 @@
         self.clock = clock
         self._heap: list[tuple[int, int, Callable[[], None]]] = []
         self._order = itertools.count()
-        self._sooner = anyio.Event()
+        self._sleep = anyio.CancelScope()
 
     def after(self, delay_us: int, call: Callable[[], None]) -> None:
         entry = (self.clock.now() + delay_us, next(self._order), call)
         heapq.heappush(self._heap, entry)
         if self._heap[0] is entry:
-            self._sooner.set()
+            self._sleep.cancel()
 
     async def run(self) -> None:
         while True:
-            self._sooner = anyio.Event()
             while self._heap and self._heap[0][0] <= self.clock.now():
                 call = heapq.heappop(self._heap)[2]
                 try:
                     call()
                 except Exception:  # one bad callback must not stop the beat of all others
                     log.exception("a timer's callback failed")
-            wait = (self._heap[0][0] - self.clock.now()) / 1e6 if self._heap else math.inf
-            with anyio.move_on_after(max(0.0, wait)):
-                await self._sooner.wait()
+            wait_us = self._heap[0][0] - self.clock.now() if self._heap else MOST_SLEEP_US
+            # In whole ms, rounded up, and without a deadline: uvloop's timers come up to 1 ms early, and a
+            # scope's deadline (or a sleep of what is left) would spin until it is really past.
+            with anyio.CancelScope() as self._sleep:
+                await anyio.sleep(max(1, -(-wait_us // 1000)) / 1000)
 
 
 class Caller(Protocol):
@@ -186,7 +187,8 @@
         self.open[opened.id] = opened
         self.owed += 1
         left_us = opened.deadline_us - self.clock.now()
-        self.timers.after(left_us + OVERDUE_US, lambda: self._overdue(opened))
+        number = opened.id  # alone: the timer must not keep the message until then
+        self.timers.after(left_us + OVERDUE_US, lambda: self._overdue(number))
         self.tell(
             api.RequestArrived(
                 opened.id,
@@ -206,9 +208,9 @@
         if self._finish(opened.id):
             self.tell(api.RequestGone(opened.id))
 
-    def _overdue(self, opened: OpenRequest) -> None:
+    def _overdue(self, request: int) -> None:
         """Guards the one final answer against a module that forgot the request."""
-        if self._finish(opened.id):
+        if opened := self._finish(request):
             log.error("request unanswered at its deadline")
             opened.caller.failed()
             self.tell(api.RequestGone(opened.id))
