Tell the node's stories over loopback sockets against scripted peers

Found on the way: an accept that failed for want of descriptors closed the connection that had just come, whose first request was on its way; only one at rest for 0.2 s gives way now. Answers carry a reason phrase.

--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -4,6 +4,7 @@
 import logging
 from collections import OrderedDict
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any
 
 import anyio
@@ -24,7 +25,9 @@
 READY_PATH = b"/healthz"
 PARTIAL_US = 10_000_000  # a request begun and not whole by then is given up: guards against slow senders
 PARTIAL_LAST_US = 500_000  # the same while the gatekeeper ends
+RESTED_US = 200_000  # before one gives way to another when there is no room
 LINGER_S = 2.0  # for the client to read a last answer: closed at once, a reset could overtake it
+REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 NO_ROOM_S = 0.05
 
@@ -40,6 +43,7 @@
         self.opened: OpenRequest | None = None
         self.busy = False  # from a request's last byte to its answer's
         self.deaf = False  # nothing more is taken on it
+        self.rests_since_us = server.clock.now()
         self.begun_us = 0  # first byte of a request that is not whole yet
         self._request: h11.Request | None = None
         self._body = bytearray()
@@ -161,6 +165,7 @@
                 break
             self.h11.start_next_cycle()
             self.busy = False
+            self.rests_since_us = self.server.clock.now()
             self._written.set()
             self._written = anyio.Event()
             self.server.rested(self)
@@ -174,7 +179,7 @@
         fields = [*answer.raw, (b"Content-Length", b"%d" % len(answer.body))]
         if self.server.closing or self.deaf:
             fields.append((b"Connection", b"close"))
-        head = h11.Response(status_code=answer.start, headers=fields)
+        head = h11.Response(status_code=answer.start, headers=fields, reason=REASONS.get(answer.start, b""))
         await self.write(head, h11.Data(data=answer.body), h11.EndOfMessage())
 
     async def _linger(self) -> None:
@@ -242,8 +247,10 @@
             await anyio.sleep(NO_ROOM_S / 10)
 
     def _close_one_at_rest(self) -> None:
+        """Not one that has just come: its first request is on the way."""
+        rested = self.clock.now() - RESTED_US
         for connection in self._connections:
-            if not connection.busy and not connection.begun_us:
+            if not connection.busy and not connection.begun_us and connection.rests_since_us < rested:
                 connection.scope.cancel()
                 return
 
--- a/millfront/node/stages/relay.py
+++ b/millfront/node/stages/relay.py
@@ -2,8 +2,6 @@
 
 from millfront.node.http import Fields, Message, passed_on
 
-REASONS = {503: b"refused: try again later\n", 502: b"failed\n"}
-
 
 def served(answer: Message) -> Message:
     fields = passed_on(answer)
@@ -13,11 +11,11 @@
 def rejected(retry_after_us: int) -> Message:
     """A reject: trying again is harmless."""
     fields: Fields = [(b"Retry-After", b"%.3f" % (retry_after_us / 1e6))] if retry_after_us > 0 else []
-    return own(503, REASONS[503], fields)
+    return own(503, b"refused: try again later\n", fields)
 
 
 def failed() -> Message:
-    return own(502, REASONS[502])
+    return own(502, b"failed\n")
 
 
 def own(status: int, text: bytes, more: Fields | None = None) -> Message:
--- /dev/null
+++ b/tests/peers.py
@@ -0,0 +1,271 @@
+"""Scripted peers on loopback sockets, and a node to put between them."""
+
+from collections import deque
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import Any
+
+import anyio
+from anyio.abc import SocketAttribute, SocketListener, SocketStream
+
+from millfront.node import config
+from millfront.node.service import Node
+
+PAST = 5.0  # seconds after which a test that waits for an event has failed
+CLASSES = (("page-fetch", "safe"), ("issue-buy", "keyed"), ("code-redeem", "unsafe"))
+
+
+def settings(**allowed: object) -> dict[str, Any]:
+    plan: dict[str, object] = {
+        "CapDepth": 0,
+        "CeilingRate": 0,
+        "CeilingSlack": 0,
+        "Concurrency": 0,
+        "ExtraWorth": 0,
+    }
+    plan |= {"MostAtOnce": 500.0, "OverrunCost": 0.6, "Refill": 100.0, "WorthFactor": 1}
+    return {
+        "Allowed": {
+            "Cancel": True,
+            "ConnectTimeoutUs": 250_000,
+            "KeepaliveUs": 30_000_000,
+            "MaxOpen": 100,
+            "MaxRetryAfterUs": 2_000_000,
+            "MostTries": 4,
+            "Probes": False,
+            "RetryAfter": True,
+            "SecondCopies": False,
+        }
+        | allowed,
+        "Classes": [
+            {
+                "AimUs": 1_000_000,
+                "Group": "all",
+                "HardLimitUs": 4_000_000,
+                "LateValue": 0.2,
+                "Name": name,
+                "Repeat": repeat,
+                "Stream": False,
+                "WindowUs": 8_000_000,
+                "Worth": 1.0,
+            }
+            for name, repeat in CLASSES
+        ],
+        "Discovery": "pushed",
+        "FamilyInfo": {"CountWaitUs": 80_000, "SharedCounter": False},
+        "Kinds": ["quad-fast"],
+        "Me": 0,
+        "MyZone": 0,
+        "Packages": [plan | {"Name": "casual"}, plan | {"Name": "spent", "Refill": 0.1, "MostAtOnce": 0.1}],
+        "PeersTotal": 2,
+        "Rules": {
+            "ColdFrom": 0.2,
+            "DrainGraceUs": 500_000,
+            "FallMultiple": 3,
+            "FallUs": 3e6,
+            "RampTimeUs": 18e6,
+        },
+        "Weights": "none",
+        "Zones": ["east-wing"],
+    }
+
+
+class Peer:
+    """Listens on port 0 and plays one step of its script for each message; keeps all that came."""
+
+    def __init__(self, *script: "Step") -> None:
+        self.script = deque(script)
+        self.seen: list[bytes] = []
+        self.connections = 0
+        self.closed = 0  # connections that the other side ended
+        self.changed = anyio.Event()
+        self.address = ""
+
+    def note(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def until(self, condition: Callable[["Peer"], bool]) -> None:
+        with anyio.fail_after(PAST):
+            while not condition(self):
+                await self.changed.wait()
+
+    async def play(self, stream: SocketStream) -> None:
+        self.connections += 1
+        async with stream:
+            try:
+                while True:
+                    self.seen.append(await self.read(stream))
+                    step = self.script.popleft() if self.script else self.otherwise
+                    self.note()
+                    await step(stream)
+            except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+                self.closed += 1
+                self.note()
+
+    async def read(self, stream: SocketStream) -> bytes:
+        return await read_message(stream)
+
+    async def otherwise(self, stream: SocketStream) -> None:
+        await answer(200, b"page")(stream)
+
+
+Step = Callable[[SocketStream], Awaitable[None]]
+
+
+def answer(status: int, body: bytes = b"", *fields: bytes) -> Step:
+    async def step(stream: SocketStream) -> None:
+        head = [b"HTTP/1.1 %d X" % status, b"Content-Length: %d" % len(body), *fields]
+        await stream.send(b"\r\n".join(head) + b"\r\n\r\n" + body)
+
+    return step
+
+
+def says(data: bytes) -> Step:
+    async def step(stream: SocketStream) -> None:
+        await stream.send(data)
+
+    return step
+
+
+async def breaks(stream: SocketStream) -> None:
+    await anyio.aclose_forcefully(stream)
+    raise anyio.ClosedResourceError
+
+
+async def silent(stream: SocketStream) -> None:
+    """Until the other side gives up."""
+    await stream.receive()
+
+
+class Discovery(Peer):
+    """Every watch stays open; tell() sends a line on the newest."""
+
+    stream: SocketStream
+    watches = 0
+
+    async def otherwise(self, stream: SocketStream) -> None:
+        await stream.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.stream = stream
+        self.watches += 1
+        self.note()
+        await stream.receive()
+
+    async def tell(self, line: bytes) -> None:
+        await self.stream.send(b"%x\r\n%s\r\n" % (len(line), line))
+
+
+async def read_message(stream: SocketStream) -> bytes:
+    """Head and body; the answer to no request may end early."""
+    data = await stream.receive()
+    while b"\r\n\r\n" not in data:
+        data += await stream.receive()
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = next((int(v) for k, _, v in fields_of(head) if k == b"content-length"), 0)
+    while len(body) < length:
+        body += await stream.receive()
+    return head + b"\r\n\r\n" + body
+
+
+def fields_of(head: bytes) -> list[tuple[bytes, bytes, bytes]]:
+    parts = [line.partition(b": ") for line in head.partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]]
+    return [(name.lower(), mark, value) for name, mark, value in parts]
+
+
+def row(name: str, address: str, health: str = "Ready") -> dict[str, Any]:
+    where = {"site": "east-wing", "class": "quad-fast", "block": 1, "share": 1.0, "born_ms": 0}
+    return {"host": name, "dial": address, "health": health} | where
+
+
+def request(cls: str = "page-fetch", **fields: str) -> bytes:
+    method = "GET" if cls == "page-fetch" else "POST"
+    body = b"" if method == "GET" else b"what is bought"
+    head = {
+        "Host": "origin.svc",
+        "Request-Id": "9b1f03aa5c7e2d41",
+        "Plan": "casual",
+        "Request-Timeout": "3000m",
+        "Quota-Info": "units=2,spread=2,first=1",
+    }
+    if cls == "issue-buy":
+        head["Idempotency-Key"] = "5c0f6e1a2b3d4c59"
+    head |= {name.replace("_", "-"): value for name, value in fields.items()}
+    if body:
+        head.setdefault("Content-Length", str(len(body)))
+    lines = [
+        f"{method} /{cls}/more/00000000b4d65521?a=%20b HTTP/1.1",
+        *(f"{k}: {v}" for k, v in head.items()),
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class Stage:
+    """A node between scripted peers."""
+
+    def __init__(self, node: Node, address: str, discovery: Discovery) -> None:
+        self.node = node
+        self.address = address
+        self.discovery = discovery
+        self.ended = anyio.Event()
+
+    async def client(self) -> SocketStream:
+        host, _, port = self.address.rpartition(":")
+        return await anyio.connect_tcp(host, int(port))
+
+    async def ask(self, data: bytes, stream: SocketStream | None = None) -> bytes:
+        with anyio.fail_after(PAST):
+            stream = stream or await self.client()
+            await stream.send(data)
+            return await read_message(stream)
+
+
+def status(message: bytes) -> int:
+    return int(message.split(b" ", 2)[1])
+
+
+@asynccontextmanager
+async def listening(*peers: Peer) -> AsyncIterator[None]:
+    async with AsyncExitStack() as stack, anyio.create_task_group() as tasks:
+        for peer in peers:
+            listener = await stack.enter_async_context(
+                await anyio.create_tcp_listener(local_host="127.0.0.1")
+            )
+            (inner,) = listener.listeners
+            assert isinstance(inner, SocketListener)
+            peer.address = f"127.0.0.1:{inner.extra(SocketAttribute.local_port)}"
+            tasks.start_soon(listener.serve, peer.play)
+        yield
+        tasks.cancel_scope.cancel()
+
+
+def configuration(known: list[dict[str, Any]], discovery: str, told: dict[str, Any]) -> dict[str, Any]:
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": discovery,
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"seq": 41, "whole": True, "hosts": known},
+        "settings": told,
+    }
+
+
+@asynccontextmanager
+async def stage(*members: Peer, gone: str = "", **allowed: object) -> AsyncIterator[Stage]:
+    """`gone`: the address of one more member, where nobody listens."""
+    discovery = Discovery()
+    async with listening(discovery, *members):
+        known = [row(f"s-{i}", member.address) for i, member in enumerate(members)]
+        known += [row("s-gone", gone)] if gone else []
+        node = Node(config.from_json(configuration(known, discovery.address, settings(**allowed))))
+        async with anyio.create_task_group() as tasks:
+            made = Stage(node, "", discovery)
+
+            async def run(*, task_status: Any) -> None:
+                await node.run(task_status=task_status)
+                made.ended.set()
+
+            made.address = str(await tasks.start(run))
+            await discovery.until(lambda _: discovery.watches > 0)
+            yield made
+            tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,306 @@
+"""Stories of a node between scripted peers: what each peer saw."""
+
+import errno
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import pytest
+from anyio.abc import SocketStream
+
+from millfront.node import http
+from millfront.node.host import Clock, Timers
+from tests.peers import (
+    CLASSES,
+    PAST,
+    Peer,
+    Step,
+    answer,
+    breaks,
+    fields_of,
+    request,
+    row,
+    says,
+    silent,
+    stage,
+    status,
+)
+
+pytestmark = pytest.mark.anyio
+NOT_STARTED = answer(503, b"", b"Not-Started: 1")
+
+
+@pytest.fixture
+def anyio_backend() -> tuple[str, dict[str, Any]]:
+    return "asyncio", {"use_uvloop": True}
+
+
+@pytest.mark.parametrize("cls", [name for name, _ in CLASSES])
+async def test_what_passes_on_is_what_came(cls: str) -> None:
+    member = Peer(answer(200, b"\x00a page\r\n", b"X-Kind: Sunday"))
+    async with stage(member) as on:
+        got = await on.ask(request(cls, X_Trace="As It Came", Connection="x-hop", X_Hop="1"))
+    (sent,) = member.seen
+    came = request(cls)
+    assert sent.split(b"\r\n")[0] == came.split(b"\r\n")[0]
+    assert sent.partition(b"\r\n\r\n")[2] == came.partition(b"\r\n\r\n")[2]
+    assert b"X-Trace: As It Came" in sent and b"X-Hop" not in sent
+    fields = {name: value for name, _, value in fields_of(sent)}
+    assert fields[b"request-id"] == b"9b1f03aa5c7e2d41"
+    assert 2_900_000 < int(fields[b"request-timeout"].removesuffix(b"u")) <= 3_000_000
+    assert status(got) == 200 and got.endswith(b"\r\n\r\n\x00a page\r\n") and b"X-Kind: Sunday" in got
+
+
+@pytest.mark.parametrize(
+    ("ends", "cls", "attempts", "final"),
+    [
+        (NOT_STARTED, "code-redeem", 2, 200),
+        (answer(504, b"", b"Not-Started: 1"), "code-redeem", 2, 200),
+        (answer(500), "code-redeem", 1, 502),
+        (answer(503), "code-redeem", 1, 502),  # without Not-Started it may have run
+        (breaks, "code-redeem", 1, 502),
+        (says(b"nonsense\r\n\r\n"), "code-redeem", 1, 502),
+        (says(b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70000), "code-redeem", 1, 502),
+        (answer(500), "page-fetch", 2, 200),
+        (breaks, "page-fetch", 2, 200),
+        (breaks, "issue-buy", 2, 200),
+    ],
+)
+async def test_only_what_never_ran_or_may_repeat_goes_out_again(
+    ends: Step, cls: str, attempts: int, final: int
+) -> None:
+    async def once(stream: SocketStream) -> None:  # whichever member is tried first
+        one.script.clear()
+        other.script.clear()
+        await ends(stream)
+
+    one, other = Peer(once), Peer(once)
+    async with stage(one, other) as on:
+        got = await on.ask(request(cls))
+        assert status(got) == final
+        assert len(one.seen) + len(other.seen) == attempts
+        assert status(await on.ask(request())) == 200
+
+
+async def test_a_refused_connection_never_ran() -> None:
+    spare = Peer()
+    async with stage(spare, gone="127.0.0.1:1") as on:
+        for _ in range(4):
+            assert status(await on.ask(request("code-redeem"))) == 200
+    assert len(spare.seen) == 4
+
+
+@pytest.mark.parametrize(
+    ("data", "says_status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 70000, 431),
+        (request("code-redeem", Content_Length="70000"), 413),
+        (request("code-redeem", Content_Length="junk"), 400),
+        (request("no-class"), 404),
+        (request().replace(b"00000000b4d65521", b"ffffffffffffffff"), 404),
+        (request().replace(b"GET", b"DELETE"), 405),
+        (request(Plan="no-plan"), 400),
+        (request(Request_Id="it's a name"), 400),
+        (request(Request_Timeout="soon"), 400),
+        (request(Quota_Info="units=-1,spread=2,first=0"), 400),
+        (request("issue-buy", Idempotency_Key=""), 400),
+        (request(Plan="spent").replace(b"b4d65521", b"b4d65522"), 503),
+    ],
+)
+async def test_bad_input_is_answered_and_others_go_on(data: bytes, says_status: int) -> None:
+    member = Peer()
+    async with stage(member) as on:
+        other = await on.client()
+        assert status(await on.ask(request(), other)) == 200
+        assert status(await on.ask(data)) == says_status
+        assert status(await on.ask(request(), other)) == 200
+    assert len(member.seen) == 2
+
+
+async def test_pipelined_requests_are_answered_in_turn() -> None:
+    member = Peer(answer(200, b"first"), answer(200, b"second"))
+    async with stage(member) as on, await on.client() as client:
+        assert (await on.ask(request() + request(), client)).endswith(b"first")
+        with anyio.fail_after(PAST):
+            assert (await client.receive()).endswith(b"second")
+
+
+async def test_at_the_deadline_the_answer_goes_out_and_the_attempt_is_closed() -> None:
+    member = Peer(silent)
+    async with stage(member) as on:
+        before = anyio.current_time()
+        got = await on.ask(request("code-redeem", Request_Timeout="200000u"))
+        took = anyio.current_time() - before
+        await member.until(lambda peer: peer.closed == 1)
+    assert status(got) == 502 and 0.19 < took < 0.4
+
+
+async def test_a_client_that_leaves_withdraws_its_attempt() -> None:
+    member = Peer(silent)
+    async with stage(member) as on:
+        client = await on.client()
+        await client.send(request())
+        await member.until(lambda peer: len(peer.seen) == 1)
+        await client.aclose()
+        await member.until(lambda peer: peer.closed == 1)
+        assert not on.node.host.open and not on.node.host.owed
+        assert status(await on.ask(request())) == 200
+
+
+async def test_too_many_open_requests_are_rejected() -> None:
+    member = Peer(silent)
+    async with stage(member, MaxOpen=1) as on:
+        client = await on.client()
+        await client.send(request())
+        await member.until(lambda peer: len(peer.seen) == 1)
+        assert status(await on.ask(request())) == 503
+    assert len(member.seen) == 1
+
+
+async def test_connections_are_reused_and_one_ended_by_the_member_is_not() -> None:
+    async def answers_and_ends(stream: SocketStream) -> None:
+        await answer(200, b"page")(stream)
+        await breaks(stream)
+
+    member = Peer(answer(200), answers_and_ends)
+    async with stage(member) as on:
+        for _ in range(2):
+            assert status(await on.ask(request("code-redeem"))) == 200
+        assert member.connections == 1
+        await member.until(lambda peer: peer.closed == 1)
+        assert status(await on.ask(request("code-redeem"))) == 200
+    assert member.connections == 2
+
+
+async def test_one_told_draining_gets_nothing_not_even_on_a_connection_being_set_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    member = Peer()
+    dial, dialling, go_on = http.dial, anyio.Event(), anyio.Event()
+
+    async def slow_dial(*args: Any) -> SocketStream:
+        stream = await dial(*args)
+        dialling.set()
+        await go_on.wait()
+        return stream
+
+    monkeypatch.setattr("millfront.node.members.dial", slow_dial)
+    async with stage(member) as on, await on.client() as client:
+        await client.send(request("code-redeem", Request_Timeout="500m"))
+        with anyio.fail_after(PAST):
+            await dialling.wait()
+        told = {"seq": 42, "whole": False, "hosts": [row("s-0", member.address, "Terminating")]}
+        await on.discovery.tell(json.dumps(told).encode() + b"\n")
+        with anyio.fail_after(PAST):
+            while on.node.pool.seq != 42:
+                await anyio.sleep(0.001)
+        go_on.set()
+        with anyio.fail_after(PAST):
+            assert status(await client.receive()) == 503
+        assert status(await on.ask(b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")) == 503
+    assert member.seen == []
+
+
+@pytest.mark.parametrize(
+    "line", [b"no json\n", b'{"seq":43}\n', b'{"seq":1,"whole":true,"hosts":[{"host":1}]}\n']
+)
+async def test_a_malformed_list_ends_the_watch_only_and_the_next_may_move_a_member(line: bytes) -> None:
+    first, second = Peer(), Peer()
+    async with stage(first, second) as on:
+        await on.discovery.tell(line)
+        await on.discovery.until(lambda _: on.discovery.watches == 2)
+        assert b"after=41" in on.discovery.seen[1]
+        told = {"seq": 44, "whole": True, "hosts": [row("s-0", second.address)]}
+        await on.discovery.tell(json.dumps(told).encode()[:20])
+        await on.discovery.tell(json.dumps(told).encode()[20:] + b"\n\n")
+        with anyio.fail_after(PAST):
+            while on.node.pool.seq != 44:
+                await anyio.sleep(0.001)
+        assert status(await on.ask(request())) == 200
+    assert (len(first.seen), len(second.seen)) == (0, 1)
+
+
+async def test_a_planned_end_takes_what_still_comes_and_loses_nothing() -> None:
+    finish = anyio.Event()
+
+    async def slow(stream: SocketStream) -> None:
+        await finish.wait()
+        await answer(200, b"slow")(stream)
+
+    member = Peer(slow)
+    async with stage(member) as on, await on.client() as waiting, await on.client() as resting:
+        await waiting.send(request())
+        await member.until(lambda peer: len(peer.seen) == 1)
+        on.node.stop()
+        await anyio.sleep(0.3)  # the front still brings new connections
+        late = await on.ask(request(), resting)
+        assert status(late) == 200
+        assert status(await on.ask(request())) == 200
+        with anyio.fail_after(PAST), pytest.raises(anyio.EndOfStream):
+            await resting.receive()
+        assert not on.ended.is_set()
+        finish.set()
+        with anyio.fail_after(PAST):
+            last = await waiting.receive()
+            await on.ended.wait()
+        assert status(last) == 200 and b"Connection: close" in last
+
+
+async def test_out_of_descriptors_is_survived(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with stage(Peer()) as on:
+        accept: Callable[..., Awaitable[Any]] = on.node.server._accept
+        failures = [OSError(errno.EMFILE, "Too many open files"), OSError(errno.ECONNABORTED, "Aborted")]
+
+        class Listener:
+            def __init__(self, inner: Any) -> None:
+                self.inner = inner
+
+            async def accept(self) -> SocketStream:
+                if failures:
+                    raise failures.pop()
+                return await self.inner.accept()  # type: ignore[no-any-return]
+
+        monkeypatch.setattr(on.node.server, "_accept", lambda listener: accept(Listener(listener)))
+        for _ in range(3):
+            assert status(await on.ask(request())) == 200
+        assert not failures
+
+
+async def test_the_module_failing_on_one_event_is_not_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with stage(Peer()) as on:
+        handle = on.node.host._gateway.handle
+        faults = [ZeroDivisionError()]
+
+        def fails_once(*args: Any) -> Any:
+            if faults:
+                raise faults.pop()
+            return handle(*args)
+
+        monkeypatch.setattr(on.node.host._gateway, "handle", fails_once)
+        with anyio.move_on_after(0.1):
+            await on.node._stop.wait()  # the beat fails, and beats again
+        assert not faults
+        assert status(await on.ask(request())) == 200
+        faults.append(ZeroDivisionError())
+        assert status(await on.ask(request(Request_Timeout="100m"))) in (200, 502)
+
+
+async def test_timers_do_not_spin_until_they_are_due() -> None:
+    class Counting(Clock):
+        asked = 0
+
+        def now(self) -> int:
+            self.asked += 1
+            return super().now()
+
+    clock, fired = Counting(), anyio.Event()
+    timers = Timers(clock)
+    timers.after(30_400, fired.set)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(timers.run)
+        with anyio.fail_after(PAST):
+            await fired.wait()
+        tasks.cancel_scope.cancel()
+    assert clock.asked < 12
