Tell the stories of the counter, the configuration and the run command

A call that may have been added ends as a time-out and its late answer is consumed; a bad field is named and the command ends with 2; SIGTERM ends it with 0.

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -135,7 +135,8 @@
 
 async def silent(stream: SocketStream) -> None:
     """Until the other side gives up."""
-    await stream.receive()
+    while True:
+        await stream.receive()
 
 
 class Discovery(Peer):
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,73 @@
+"""Start and end of the run command: a bad field is named, a good configuration serves until SIGTERM."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.peers import configuration, row, settings
+
+ROOT = Path(__file__).parent.parent
+
+
+def started(tmp_path: Path, data: object, **environment: str) -> subprocess.Popen[str]:
+    path = tmp_path / "config.json"
+    path.write_text(data if isinstance(data, str) else json.dumps(data))
+    given = os.environ | {"NODE_CONFIG": str(path)} | environment
+    command = [sys.executable, "-B", "-m", "millfront"]
+    return subprocess.Popen(command, cwd=ROOT, env=given, stderr=subprocess.PIPE, text=True)
+
+
+def good() -> dict[str, Any]:
+    return configuration([row("s-0", "127.0.0.1:1")], "127.0.0.1:1", settings())
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ({"listen": "nowhere"}, "listen: 'nowhere'"),
+        ({"discovery": None}, "discovery: None"),
+        ({"seed": "x"}, "seed: 'x'"),
+        ({"limits": {"sockets": 3}}, "limits.sockets: 3"),
+        ({"settings": settings() | {"Rules": {}}}, "settings: settings lack DrainGraceUs"),
+        ({"settings": settings(MaxOpen="many")}, "settings: settings unreadable"),
+        (
+            {"settings": settings() | {"FamilyInfo": {"CountWaitUs": 1, "SharedCounter": True}}},
+            "counter: is missing",
+        ),
+        ("{", "NODE_CONFIG"),
+        ("[]", "NODE_CONFIG"),
+    ],
+)
+def test_a_bad_field_is_named(tmp_path: Path, change: dict[str, Any] | str, named: str) -> None:
+    process = started(tmp_path, change if isinstance(change, str) else good() | change)
+    _, errors = process.communicate(timeout=20)
+    assert process.returncode == 2
+    assert named in errors and "Traceback" not in errors
+
+
+def test_no_configuration_is_named(tmp_path: Path) -> None:
+    process = started(tmp_path, {}, NODE_CONFIG="")
+    assert "NODE_CONFIG: is not set" in process.communicate(timeout=20)[1]
+    assert process.returncode == 2
+
+
+def test_the_run_command_serves_and_ends_on_sigterm(tmp_path: Path) -> None:
+    process = started(tmp_path, good(), NODE_NAME="n7")
+    assert process.stderr is not None
+    line = next(line for line in process.stderr if "serves at" in line)
+    assert "n7 serves at" in line
+    host, _, port = line.split()[-1].rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=5) as client:
+        client.sendall(b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert client.recv(100).startswith(b"HTTP/1.1 200 OK")
+        process.send_signal(signal.SIGTERM)
+        assert client.recv(100) == b""
+    assert process.communicate(timeout=20)[1].count("Traceback") == 0
+    assert process.returncode == 0
--- /dev/null
+++ b/tests/test_counter.py
@@ -0,0 +1,131 @@
+"""The counter's stories: what it was told, and what the host heard."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import anyio
+import pytest
+from anyio.abc import SocketStream
+
+from millfront import interface as api
+from millfront.interface import Outcome
+from millfront.node.config import Address
+from millfront.node.counter import Counter
+from millfront.node.host import Clock, Timers
+from tests.peers import PAST, Peer, Step, breaks, listening, says, silent
+
+pytestmark = pytest.mark.anyio
+WAIT_US = 80_000
+
+
+@pytest.fixture
+def anyio_backend() -> tuple[str, dict[str, Any]]:
+    return "asyncio", {"use_uvloop": True}
+
+
+class Desk(Peer):
+    async def read(self, stream: SocketStream) -> bytes:
+        return await stream.receive()
+
+    async def otherwise(self, stream: SocketStream) -> None:
+        await stream.send(b"ok 7\r\n")
+
+
+class Heard:
+    """A host that only listens."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.timers = Timers(self.clock)
+        self.answers: list[tuple[int, Outcome, float]] = []
+        self.changed = anyio.Event()
+
+    def tell(self, event: api.CounterAnswered) -> None:
+        self.answers.append((event.name, event.outcome, event.total))
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def until(self, count: int) -> None:
+        with anyio.fail_after(PAST):
+            while len(self.answers) < count:
+                await self.changed.wait()
+
+
+@asynccontextmanager
+async def calling(desk: Desk, address: str = "") -> AsyncIterator[tuple[Heard, Counter]]:
+    async with listening(desk):
+        heard = Heard()
+        counter = Counter(heard, Address.parse(address or desk.address, "counter"), WAIT_US, 250_000)  # type: ignore[arg-type]
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(heard.timers.run)
+            tasks.start_soon(counter.run)
+            yield heard, counter
+            tasks.cancel_scope.cancel()
+
+
+async def test_calls_are_pipelined_and_matched_in_order() -> None:
+    desk = Desk(says(b"ok 5\r\nbusy\r\nok 2.5e3\r\ner"), says(b"ror\r\nok -1\r\n"))
+    async with calling(desk) as (heard, counter):
+        for name in (0xABC, 2, 3):
+            counter.call(api.Count(name, 2.5, 4_000_500))
+        await desk.until(lambda peer: len(peer.seen) == 1)
+        assert desk.seen[0].splitlines()[0] == b"add abc 2.5 4001"
+        await heard.until(3)
+        for name in (4, 5):
+            counter.call(api.Count(name, -1.0, 1))
+        await heard.until(5)
+    assert [answer[0] for answer in heard.answers] == [0xABC, 2, 3, 4, 5]
+    assert [answer[2] for answer in heard.answers] == [5.0, 0.0, 2500.0, 0.0, -1.0]
+    assert [answer[1] for answer in heard.answers[1::2]] == [Outcome.FULL, Outcome.ERROR]
+    assert desk.connections == 1
+
+
+async def test_a_late_answer_is_consumed_and_not_taken_for_the_next_calls() -> None:
+    go_on = anyio.Event()
+
+    async def late(stream: SocketStream) -> None:
+        await go_on.wait()
+        await stream.send(b"ok 1\r\n")
+
+    desk = Desk(late, says(b"ok 2\r\n"))
+    async with calling(desk) as (heard, counter):
+        counter.call(api.Count(1, 1.0, 1000))
+        await heard.until(1)
+        counter.call(api.Count(2, 1.0, 1000))
+        go_on.set()
+        await heard.until(2)
+    assert heard.answers == [(1, Outcome.TIMEOUT, 0.0), (2, Outcome.OK, 2.0)]
+
+
+@pytest.mark.parametrize(
+    ("ends", "outcome"),
+    [
+        (breaks, Outcome.TIMEOUT),  # may have been added
+        (silent, Outcome.TIMEOUT),
+        (says(b"what?\r\n"), Outcome.TIMEOUT),
+        (says(b"ok nan\r\n"), Outcome.TIMEOUT),
+        (says(b"x" * 400), Outcome.TIMEOUT),
+        (says(b"busy\r\n"), Outcome.FULL),  # surely not added, as is what was never written
+    ],
+)
+async def test_how_a_call_ends_and_the_next_one_is_answered(ends: Step, outcome: Outcome) -> None:
+    desk = Desk(ends)
+    async with calling(desk) as (heard, counter):
+        counter.call(api.Count(1, 1.0, 1000))
+        await heard.until(1)
+        desk.script.clear()
+        for count in range(2, 60):  # a connection that fell silent is given up after a second
+            counter.call(api.Count(2, 1.0, 1000))
+            await heard.until(count)
+            if heard.answers[-1][1] is Outcome.OK:
+                break
+    assert heard.answers[0] == (1, outcome, 0.0)
+    assert heard.answers[-1] == (2, Outcome.OK, 7.0)
+
+
+async def test_nobody_there_means_nothing_added() -> None:
+    async with calling(Desk(), "127.0.0.1:1") as (heard, counter):
+        counter.call(api.Count(1, 1.0, 1000))
+        await heard.until(1)
+    assert heard.answers == [(1, Outcome.CONNECT_FAILED, 0.0)]
