--- a/millfront/__init__.py
+++ b/millfront/__init__.py
@@ -1,1 +1,1 @@
-"""millfront: the decisions of a quota-keeping gateway, as a library without I/O."""
+"""millfront: a quota-keeping HTTP gateway, round decisions that do no I/O."""
--- a/millfront/node/http.py
+++ b/millfront/node/http.py
@@ -49,11 +49,10 @@
 
 def passed_on(message: Message, *but: bytes) -> Fields:
     """The fields that go on to the next hop, as they came."""
-    stop = HOP_BY_HOP.union(but)
-    if named := message.field(b"connection"):
-        stop = stop.union(token.strip().lower() for token in named.split(b","))
+    named = message.field(b"connection")
+    hop = {token.strip().lower() for token in named.split(b",")} if named else ()
     pairs = zip(message.fields, message.raw, strict=True)
-    return [raw for (name, _), raw in pairs if name not in stop]
+    return [raw for (name, _), raw in pairs if name not in HOP_BY_HOP and name not in but and name not in hop]
 
 
 class Wire:
--- a/millfront/node/members.py
+++ b/millfront/node/members.py
@@ -37,12 +37,12 @@
         self.member = member
         self.address = member.dial
         self.idle_since_us = 0
+        self._poll = select.poll()
+        self._poll.register(stream.extra(SocketAttribute.raw_socket).fileno(), select.POLLIN)
 
     def quiet(self) -> bool:
         """Still up, and with nothing to read: an idle one that can be read has been ended by the member."""
-        poll = select.poll()
-        poll.register(self.stream.extra(SocketAttribute.raw_socket).fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not self._poll.poll(0)
 
 
 class Members:
--- a/millfront/node/stages/send.py
+++ b/millfront/node/stages/send.py
@@ -59,7 +59,7 @@
         whole = False
         try:
             self.route.check(member)
-            await connection.write(*self._request(flow))
+            await connection.write(*self._request(flow, member))
             answer = await connection.read_answer()
             whole = True
         finally:  # cancelled, timed out or broken: closing tells the member that the attempt is given up
@@ -72,11 +72,13 @@
         with anyio.CancelScope(shield=True):  # the answer is here: a cancel can't take it back
             await self.members.release(connection)
 
-    def _request(self, flow: ServerSideFlow) -> list[h11.Event]:
+    def _request(self, flow: ServerSideFlow, member: PoolMember) -> list[h11.Event]:
         message = flow.opened.arrival.message
         method, target = message.start
         left_us = max(1, flow.ends_us - self.clock.now())
         fields = passed_on(message, b"request-timeout")
+        if message.field(b"host") is None:  # HTTP/1.0 has none, and 1.1 must have one
+            fields.insert(0, (b"Host", str(member.dial).encode()))
         fields.append((b"Request-Timeout", b"%du" % left_us))
         if message.body or method == b"POST":
             fields.append((b"Content-Length", b"%d" % len(message.body)))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -119,6 +119,14 @@
     assert len(member.seen) == 2
 
 
+async def test_a_client_of_http_1_0_is_served() -> None:
+    member = Peer()
+    async with stage(member) as on:
+        data = request().replace(b"HTTP/1.1", b"HTTP/1.0").replace(b"Host: origin.svc\r\n", b"")
+        assert status(await on.ask(data)) == 200
+    assert b"Host: " in member.seen[0]
+
+
 async def test_pipelined_requests_are_answered_in_turn() -> None:
     member = Peer(answer(200, b"first"), answer(200, b"second"))
     async with stage(member) as on, await on.client() as client:
