--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -527,8 +527,8 @@
 ) -> None:
     allowed = replace(SETTINGS.allowed, retry_after=retry_after, max_retry_after_us=most_us)
     bench = Bench(replace(SETTINGS, allowed=allowed))
-    # The bucket starts with 4 units and fills at 2 a second. A try beyond costs half its worth, so that odds of
-    # a third are worth it: 9 units of 3 gateways need a bucket of 1, and an eighth of a second has passed.
+    # The bucket starts with 4 units and fills at 2 a second. A try beyond costs half its worth, so odds of a
+    # third are worth it: 9 units of 3 gateways need a bucket of 1, and an eighth of a second has passed.
     bench.ask(plan=1, customer=9, units=4.0, spread=3)
     bench.now += 125_000
     (refusal,) = bench.ask(plan=1, customer=9, units=9.0, spread=3)
