Guard the long run: tasks start anew, slow clients and old members are let go

Expect: 100-continue is answered. Endings of connections and flows are counted and logged once, at the end.

--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -2,7 +2,7 @@
 
 import errno
 import logging
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
@@ -12,7 +12,7 @@
 from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskStatus
 
 from millfront.node.config import Address
-from millfront.node.endings import Ended
+from millfront.node.endings import Ended, Ending
 from millfront.node.host import Clock, Host, OpenRequest
 from millfront.node.http import MOST_BODY, MOST_HEAD, Message, Wire
 from millfront.node.stages import relay
@@ -23,7 +23,9 @@
 
 BACKLOG = 1024
 READY_PATH = b"/healthz"
-PARTIAL_US = 10_000_000  # a request begun and not whole by then is given up: guards against slow senders
+PARTIAL_US = (
+    10_000_000  # a request or an answer begun and not whole by then is given up: guards against slow ones
+)
 PARTIAL_LAST_US = 500_000  # the same while the gatekeeper ends
 RESTED_US = 200_000  # before one gives way to another when there is no room
 LINGER_S = 2.0  # for the client to read a last answer: closed at once, a reset could overtake it
@@ -44,6 +46,8 @@
         self.busy = False  # from a request's last byte to its answer's
         self.deaf = False  # nothing more is taken on it
         self.rests_since_us = server.clock.now()
+        self.answering_us = 0  # since when an answer is being written
+        self.ending = Ending.CLOSED
         self.begun_us = 0  # first byte of a request that is not whole yet
         self._request: h11.Request | None = None
         self._body = bytearray()
@@ -60,7 +64,9 @@
                     tasks.cancel_scope.cancel()
         finally:
             if self.opened is not None:
+                self.ending = Ending.LEFT
                 self.server.host.leave(self.opened)
+            self.server.endings[self.ending] += 1
             await self.close()
 
     # ---- in ----------------------------------------------------------------------------------
@@ -70,7 +76,8 @@
         while True:
             try:
                 data = await self.read()
-            except Ended:
+            except Ended as ended:
+                self.ending = ended.ending
                 return
             if not data:
                 return
@@ -80,6 +87,8 @@
                 self.begun_us = self.server.clock.now()
             self.h11.receive_data(data)
             self.advance()
+            if self.h11.they_are_waiting_for_100_continue and not self.busy:
+                await self.write(h11.InformationalResponse(status_code=100, headers=[]))
             while self.busy and len(self.h11.trailing_data[0]) > MOST_HEAD + MOST_BODY:
                 await self._written.wait()  # guards the buffer against a client that sends on and on
 
@@ -129,11 +138,15 @@
         """A message that can't be read to its end: say so, and take nothing more from this connection."""
         self.deaf = True
         self.busy = True
+        self.ending = Ending.TIMED_OUT if status == HTTPStatus.REQUEST_TIMEOUT else Ending.MALFORMED
         self._give(relay.own(status, f"{why}\n".encode()))
 
     def expire(self, before_us: int) -> None:
         if self.begun_us and self.begun_us < before_us and not self.busy:
-            self._refuse(408, "request not finished in time")
+            self._refuse(HTTPStatus.REQUEST_TIMEOUT, "request not finished in time")
+        elif self.answering_us and self.answering_us < before_us:
+            self.ending = Ending.TIMED_OUT  # guards buffers and descriptors against clients that do not read
+            self.scope.cancel()
 
     # ---- out: what the host calls ------------------------------------------------------------
 
@@ -156,10 +169,13 @@
             self._answered = anyio.Event()
             answer, self._answer, self.opened = self._answer, None, None
             assert answer is not None
+            self.answering_us = self.server.clock.now()
             try:
                 await self._write(answer)
-            except (Ended, h11.LocalProtocolError):
+            except Ended as ended:
+                self.ending = ended.ending
                 break
+            self.answering_us = 0
             if self.h11.our_state is not h11.DONE or self.h11.their_state is not h11.DONE:
                 await self._linger()
                 break
@@ -204,6 +220,7 @@
         self.admit = admit
         self.ready = ready
         self.most = most
+        self.endings: Counter[Ending] = Counter()  # of client connections
         self.closing = False  # answers say Connection: close
         self.address: Address | None = None
         self._accepting = anyio.CancelScope()
@@ -283,6 +300,9 @@
             if not connection.busy and not connection.begun_us:
                 connection.scope.cancel()
 
+    def connected(self) -> int:
+        return len(self._connections)
+
     def unanswered(self) -> int:
         """Connections with a request that was taken, or is just coming."""
         return sum(1 for c in self._connections if (c.busy or c.begun_us) and not c.deaf)
--- a/millfront/node/members.py
+++ b/millfront/node/members.py
@@ -26,6 +26,7 @@
     host: str
     dial: Address
     ready: bool = True  # not told draining or gone
+    stopped_us: int = 0
     idle: "list[MemberConnection]" = field(default_factory=list)  # the last used at the end
 
 
@@ -71,8 +72,15 @@
         known.dial = address  # connections to the old address are not taken up again
 
     def stopped(self, member: int) -> None:
-        if known := self._by_id.get(member):
-            known.ready = False
+        known = self._by_id.get(member)
+        if known is not None and known.ready:
+            known.ready, known.stopped_us = False, self.clock.now()
+
+    def forget(self, before_us: int) -> None:
+        """Drop those that stopped before that time; flows still out keep theirs."""
+        for member in list(self._by_id.values()):
+            if not member.ready and member.stopped_us < before_us and not member.idle:
+                del self._by_id[member.id]
 
     def any_ready(self) -> bool:
         return any(member.ready for member in self._by_id.values())
--- a/millfront/node/pool.py
+++ b/millfront/node/pool.py
@@ -1,5 +1,6 @@
 """The pool: discovery's list of page servers, as it was known and as it changes."""
 
+import itertools
 import json
 import logging
 from typing import Any
@@ -24,6 +25,7 @@
 }
 FIRST_WAIT_S, MOST_WAIT_S = 0.05, 1.0
 SILENT_S = 5.0  # a watch brings a line every 2 s: silent for longer, it may be cut off without a word
+FORGET_US = 60_000_000  # after a member stopped: successors come under new names, and the table must not grow
 MOST_LINE = 4 * 1024 * 1024
 CONNECT_US = 1_000_000
 
@@ -34,6 +36,7 @@
         self.members = members
         self.connect_us = node.connect_timeout_us or CONNECT_US
         self.seq = 0
+        self._numbers = itertools.count(1)
         self._ids: dict[str, int] = {}  # hosts are names, the module's backends numbers
         self._zones = dict(node.zones)
         self._kinds = dict(node.kinds)
@@ -56,12 +59,14 @@
             else:
                 self.members.stopped(entry.backend)
         self.seq = seq
+        self.members.forget(self.host.clock.now() - FORGET_US)
+        self._ids = {name: backend for name, backend in self._ids.items() if self.members.get(backend)}
         kind = api.ListKind.CACHED if cached else api.ListKind.FULL if whole else api.ListKind.DELTA
         self.host.tell(api.BackendList(kind, tuple(entry for entry, _, _ in entries)))
 
     def _entry(self, row: dict[str, Any]) -> api.BackendEntry:
         return api.BackendEntry(
-            backend=self._ids.setdefault(row["host"], len(self._ids) + 1),
+            backend=self._id_of(row["host"]),
             zone=self._zones.setdefault(str(row.get("site")), len(self._zones)),
             kind=self._kinds.setdefault(str(row.get("class")), len(self._kinds)),
             cell=int(row.get("block", 0)),
@@ -70,6 +75,11 @@
             started_us=int(row.get("born_ms", 0)) * 1000,
         )
 
+    def _id_of(self, name: str) -> int:
+        if name not in self._ids:
+            self._ids[name] = next(self._numbers)
+        return self._ids[name]
+
     def _dial(self, row: dict[str, Any]) -> Address:
         if row["health"] == "Gone":
             return Address("", 0)  # nothing is sent there any more
@@ -85,8 +95,6 @@
             except Ended as ended:
                 level = logging.WARNING if ended.ending is Ending.MALFORMED else logging.INFO
                 log.log(level, "discovery: %s", ended)
-            except Exception:  # whatever discovery sent, the gatekeeper goes on with the list it has
-                log.exception("discovery: the watch failed")
             wait_s = FIRST_WAIT_S if self.seq != before else min(wait_s * 2, MOST_WAIT_S)
             await anyio.sleep(wait_s)
 
--- a/millfront/node/service.py
+++ b/millfront/node/service.py
@@ -1,6 +1,7 @@
 """A node put together: the peers round the host, and its planned end."""
 
 import logging
+from collections.abc import Awaitable, Callable
 
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
@@ -23,6 +24,8 @@
 
 # After SIGTERM: the front brings new connections for up to 0.4 s, and keeps the ones it has until told.
 ACCEPT_S = 0.42
+LAST_READ_S = 0.5
+AGAIN_S = 0.1  # before a task that failed is started anew
 CLOSE_AT_REST_S = 0.1  # later: answers have said Connection: close meanwhile
 
 
@@ -61,15 +64,15 @@
                 wait_us = config.settings.counter_timeout_us
                 counter = Counter(self.host, config.counter, wait_us, config.node.connect_timeout_us)
                 self.host.start_count = counter.call
-                tasks.start_soon(counter.run)
-            tasks.start_soon(self.host.timers.run)
-            tasks.start_soon(self.members.run)
+                tasks.start_soon(self._kept_up, counter.run)
+            tasks.start_soon(self._kept_up, self.host.timers.run)
+            tasks.start_soon(self._kept_up, self.members.run)
             self.host.start()
             try:
                 self.pool.take(config.known, cached=True)
             except Ended as ended:
                 log.warning("known: %s", ended)
-            tasks.start_soon(self.pool.watch, config.discovery)
+            tasks.start_soon(self._kept_up, self.pool.watch, config.discovery)
             address = await tasks.start(self.server.run, config.listen)
             log.info("%s serves at %s", config.name, address)
             task_status.started(address)
@@ -77,6 +80,15 @@
             await self._wind_down()
             tasks.cancel_scope.cancel()
 
+    async def _kept_up(self, task: Callable[..., Awaitable[None]], *args: object) -> None:
+        """Guards the task group: one task's fault must not end the others, nor itself for good."""
+        while True:
+            try:
+                await task(*args)
+            except Exception:
+                log.exception("a task failed and starts anew")
+            await anyio.sleep(AGAIN_S)
+
     async def _wind_down(self) -> None:
         await anyio.sleep(ACCEPT_S)
         self.server.closing = True
@@ -86,7 +98,13 @@
             self.server.close_at_rest()
             await anyio.sleep(0.02)
         self.server.close_at_rest()
-        await anyio.sleep(0.05)
+        with anyio.move_on_after(LAST_READ_S):  # clients are still reading their last answers
+            while self.server.connected():
+                await anyio.sleep(0.02)
+        for what, endings in (("client connections", self.server.endings), ("flows", self.book.endings)):
+            log.info(
+                "%s: %s", what, ", ".join(f"{n} {ending.value}" for ending, n in endings.items()) or "none"
+            )
 
     def _start_flow(self, opened: OpenRequest, number: int, send: api.Send) -> None:
         flow = ServerSideFlow(opened, number, send, self.clock.now())
@@ -94,8 +112,11 @@
         self._tasks.start_soon(self._flow, flow)
 
     async def _flow(self, flow: ServerSideFlow) -> None:
-        ending, answer = await self.send(flow)
-        self.book(flow, ending, answer)
+        try:
+            ending, answer = await self.send(flow)
+            self.book(flow, ending, answer)
+        except Exception:  # one flow's fault is its own
+            log.exception("a flow failed")
 
     def _close_idle(self, backend: int) -> None:
         if member := self.members.get(backend):
--- a/millfront/node/stages/book.py
+++ b/millfront/node/stages/book.py
@@ -1,6 +1,7 @@
 """Book: an ended flow becomes the module's one event for it."""
 
 import math
+from collections import Counter
 
 from millfront.node.endings import FLOW_OUTCOMES, Ending
 from millfront.node.host import Host
@@ -11,8 +12,10 @@
 class Book:
     def __init__(self, host: Host) -> None:
         self.host = host
+        self.endings: Counter[Ending] = Counter()
 
     def __call__(self, flow: ServerSideFlow, ending: Ending, answer: Message | None) -> None:
+        self.endings[ending] += 1
         latency_us = self.host.clock.now() - flow.started_us
         units = billed(answer) if answer is not None and ending is Ending.SERVED else 0.0
         outcome = FLOW_OUTCOMES[ending]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -127,6 +127,31 @@
     assert b"Host: " in member.seen[0]
 
 
+async def test_a_client_that_asks_first_is_told_to_go_on() -> None:
+    async with stage(Peer()) as on, await on.client() as client:
+        head, _, body = request("code-redeem", Expect="100-continue").partition(b"\r\n\r\n")
+        assert status(await on.ask(head + b"\r\n\r\n", client)) == 100
+        assert status(await on.ask(body, client)) == 200
+
+
+async def test_a_request_never_finished_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("millfront.node.clients.PARTIAL_US", 100_000)
+    async with stage(Peer()) as on, await on.client() as client:
+        assert status(await on.ask(request()[:-2], client)) == 408
+        with anyio.fail_after(PAST), pytest.raises(anyio.EndOfStream):
+            await client.receive()
+
+
+async def test_members_that_are_long_gone_are_forgotten(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("millfront.node.pool.FORGET_US", 0)
+    async with stage(Peer(), Peer()) as on:
+        pool = on.node.pool
+        for seq in (42, 43):
+            pool.take({"seq": seq, "whole": True, "hosts": [row("s-new", "127.0.0.1:1")]})
+            await anyio.sleep(0)
+        assert list(pool._ids) == ["s-new"] and not on.node.members.get(1)
+
+
 async def test_pipelined_requests_are_answered_in_turn() -> None:
     member = Peer(answer(200, b"first"), answer(200, b"second"))
     async with stage(member) as on, await on.client() as client:
