Keep a connection without waiting, and freeze what the imports made

The release is now plain code, and close() itself is shielded: it aborts and yields once. A full collection took 4 to 6 ms over 21,800 objects of the imports; frozen they cost nothing.

--- a/millfront/__main__.py
+++ b/millfront/__main__.py
@@ -1,5 +1,6 @@
 """The run command: one gatekeeper, configured by NODE_*, until SIGTERM or SIGINT."""
 
+import gc
 import logging
 import os
 import signal
@@ -32,6 +33,8 @@
     except config.ConfigError as wrong:
         print(f"millfront: {wrong}", file=sys.stderr)
         return 2
+    gc.collect()
+    gc.freeze()  # what the imports made stays: walking it again would stop the loop for 4 ms each time
     anyio.run(serve, settings, backend_options={"use_uvloop": True})
     return 0
 
--- a/millfront/node/http.py
+++ b/millfront/node/http.py
@@ -121,8 +121,9 @@
         return True
 
     async def close(self) -> None:
-        """At once, whatever is on the way."""
-        await anyio.aclose_forcefully(self.stream)
+        """At once, whatever is on the way. It never waits, so no cancel may cut in and lose an answer."""
+        with anyio.CancelScope(shield=True):
+            await self.stream.aclose()
 
 
 async def dial(address: Address, timeout_us: int) -> SocketStream:
--- a/millfront/node/members.py
+++ b/millfront/node/members.py
@@ -108,15 +108,15 @@
             self.connections -= 1
             raise
 
-    async def release(self, connection: MemberConnection) -> None:
-        """Back to the idle ones, or closed if it can't carry another request."""
+    def release(self, connection: MemberConnection) -> bool:
+        """Back to the idle ones; False if it can't carry another request."""
         member = connection.member
         if not member.ready or connection.address != member.dial or not connection.reusable():
-            await self.drop(connection)
-            return
+            return False
         connection.idle_since_us = self.clock.now()
         member.idle.append(connection)
         self._idle[connection] = None
+        return True
 
     async def drop(self, connection: MemberConnection) -> None:
         self.connections -= 1
--- a/millfront/node/stages/send.py
+++ b/millfront/node/stages/send.py
@@ -9,7 +9,7 @@
 from millfront.node.endings import Ended, Ending
 from millfront.node.host import Clock, OpenRequest
 from millfront.node.http import Message, passed_on
-from millfront.node.members import MemberConnection, Members, PoolMember
+from millfront.node.members import Members, PoolMember
 from millfront.node.stages.route import Route
 
 log = logging.getLogger(__name__)
@@ -56,22 +56,17 @@
 
     async def _attempt(self, flow: ServerSideFlow, member: PoolMember) -> tuple[Ending, Message | None]:
         connection = await self.members.connection(member)
-        whole = False
+        kept = False
         try:
             self.route.check(member)
             await connection.write(*self._request(flow, member))
             answer = await connection.read_answer()
-            whole = True
+            kept = self.members.release(connection)
         finally:  # cancelled, timed out or broken: closing tells the member that the attempt is given up
-            if not whole:
+            if not kept:
                 await self.members.drop(connection)
-        await self._release(connection)
         return ending_of(answer), answer
 
-    async def _release(self, connection: MemberConnection) -> None:
-        with anyio.CancelScope(shield=True):  # the answer is here: a cancel can't take it back
-            await self.members.release(connection)
-
     def _request(self, flow: ServerSideFlow, member: PoolMember) -> list[h11.Event]:
         message = flow.opened.arrival.message
         method, target = message.start
