Blame nobody for our own want of descriptors, and log a kind of warning once a second

Found in a review: EMFILE in connect_tcp (http.dial) ended the flow as UNCONNECTED, for which the module ejects the member; three such flows would have emptied the pool. It now ends as never tried. A member that answers nonsense wrote a line for each request. Decimal time-outs and long decimals of units are read.

--- a/millfront/__main__.py
+++ b/millfront/__main__.py
@@ -12,6 +12,23 @@
 from millfront.node.service import Node
 
 
+class Seldom(logging.Filter):
+    """One warning of a kind a second: guards the log against a line a request while a peer misbehaves."""
+
+    EVERY_S = 1.0
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._last: dict[tuple[str, str], float] = {}
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        kind = (record.name, str(record.msg))
+        if record.levelno < logging.WARNING or record.created - self._last.get(kind, 0.0) >= self.EVERY_S:
+            self._last[kind] = record.created
+            return True
+        return False
+
+
 async def serve(settings: config.Config) -> None:
     node = Node(settings)
     async with anyio.create_task_group() as tasks:
@@ -27,7 +44,10 @@
 
 
 def main() -> int:
-    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    handler = logging.StreamHandler()
+    handler.addFilter(Seldom())
+    form = "%(asctime)s %(levelname)s %(name)s: %(message)s"
+    logging.basicConfig(level=logging.INFO, format=form, handlers=[handler])
     try:
         settings = config.load(os.environ)
     except config.ConfigError as wrong:
--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -1,6 +1,5 @@
 """The client side: the virtual server, its connections, and the answers that go out on them."""
 
-import errno
 import logging
 from collections import Counter, OrderedDict
 from collections.abc import Callable
@@ -14,7 +13,7 @@
 from millfront.node.config import Address
 from millfront.node.endings import Ended, Ending
 from millfront.node.host import Clock, Host, OpenRequest
-from millfront.node.http import MOST_BODY, MOST_HEAD, Message, Wire
+from millfront.node.http import MOST_BODY, MOST_HEAD, NO_ROOM, Message, Wire
 from millfront.node.stages import relay
 from millfront.node.stages.admit import Admit
 from millfront.node.stages.take_in import NotTaken, TakeIn
@@ -30,7 +29,6 @@
 RESTED_US = 200_000  # before one gives way to another when there is no room
 LINGER_S = 2.0  # for the client to read a last answer: closed at once, a reset could overtake it
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
-NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 NO_ROOM_S = 0.05
 
 
--- a/millfront/node/http.py
+++ b/millfront/node/http.py
@@ -1,5 +1,6 @@
 """What the peers that speak HTTP share, over h11: limits, headers of one hop, reading and dialling."""
 
+import errno
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -14,6 +15,7 @@
 MOST_HEAD = 16 * 1024
 MOST_BODY = 64 * 1024
 READ_SIZE = 64 * 1024
+NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
 # RFC 9110, 7.6.1: these speak of one connection only. Content-Length is set anew with the framing.
 HOP_BY_HOP = frozenset(
@@ -132,4 +134,7 @@
         with anyio.fail_after(timeout_us / 1e6 if timeout_us else math.inf):
             return await anyio.connect_tcp(address.host, address.port)
     except (OSError, TimeoutError) as wrong:
-        raise Ended(Ending.UNCONNECTED, f"{address}: {wrong!r}") from None
+        cause = wrong.__cause__ or wrong  # anyio words the system's error anew
+        # Out of descriptors or ports is this machine's own want: the other side is not to blame for it
+        own = getattr(cause, "errno", None) in NO_ROOM
+        raise Ended(Ending.NOT_SENT if own else Ending.UNCONNECTED, f"{address}: {cause!r}") from None
--- a/millfront/node/pool.py
+++ b/millfront/node/pool.py
@@ -87,14 +87,15 @@
 
     async def watch(self, discovery: Address) -> None:
         """Follow the changes for ever; a watch that ends is asked for anew, later each time in vain."""
-        wait_s = FIRST_WAIT_S
+        wait_s, said = FIRST_WAIT_S, ""
         while True:
             before = self.seq
             try:
                 await self._watch_once(discovery)
             except Ended as ended:
-                level = logging.WARNING if ended.ending is Ending.MALFORMED else logging.INFO
-                log.log(level, "discovery: %s", ended)
+                if str(ended) != said:  # a discovery that is down for hours is said once
+                    log.warning("discovery: %s", ended)
+                said = str(ended)
             wait_s = FIRST_WAIT_S if self.seq != before else min(wait_s * 2, MOST_WAIT_S)
             await anyio.sleep(wait_s)
 
--- a/millfront/node/stages/take_in.py
+++ b/millfront/node/stages/take_in.py
@@ -10,8 +10,8 @@
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
 MOST_CUSTOMER = 1 << 33
 REQUEST_ID = re.compile(rb"[0-9a-fA-F]{1,16}")
-TIMEOUT = re.compile(rb"([0-9]{1,10})([mu])")
-QUOTA = re.compile(rb"\s*(units|spread|first)=([0-9]{1,6}(?:\.[0-9]{1,6})?)\s*")
+TIMEOUT = re.compile(rb"([0-9]{1,10}(?:\.[0-9]{1,20})?)([mu])")
+QUOTA = re.compile(rb"\s*(units|spread|first)=([0-9]{1,6}(?:\.[0-9]{1,20})?)\s*")
 MICROSECONDS = {b"m": 1000, b"u": 1}
 
 
@@ -48,7 +48,9 @@
         if timeout is None:
             raise NotTaken(400, "Request-Timeout: not a number and m or u")
         units, spread, first = self._quota(message.field(b"quota-info") or b"")
-        timeout_us = min(int(timeout[1]) * MICROSECONDS[timeout[2]], self.settings.classes[cls].deadline_us)
+        timeout_us = min(
+            int(float(timeout[1]) * MICROSECONDS[timeout[2]]), self.settings.classes[cls].deadline_us
+        )
         return Arrival(cls, plan, customer, units, spread, first, came_us, timeout_us, message)
 
     def _check_method(self, cls: int, method: bytes, message: Message) -> None:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,6 +1,7 @@
 """Start and end of the run command: a bad field is named, a good configuration serves until SIGTERM."""
 
 import json
+import logging
 import os
 import signal
 import socket
@@ -11,6 +12,7 @@
 
 import pytest
 
+from millfront.__main__ import Seldom
 from tests.peers import configuration, row, settings
 
 ROOT = Path(__file__).parent.parent
@@ -52,6 +54,18 @@
     assert named in errors and "Traceback" not in errors
 
 
+def test_a_kind_of_warning_is_logged_once_a_second() -> None:
+    def passes(text: str, level: int, at: float) -> bool:
+        record = logging.LogRecord("node", level, "", 0, text, ("detail",), None)
+        record.created = at
+        return seldom.filter(record)
+
+    seldom = Seldom()
+    seen = [passes("cut: %s", logging.WARNING, at) for at in (10.0, 10.5, 10.9, 11.0, 11.5)]
+    assert seen == [True, False, False, True, False]
+    assert passes("other: %s", logging.WARNING, 11.5) and passes("cut: %s", logging.INFO, 11.5)
+
+
 def test_no_configuration_is_named(tmp_path: Path) -> None:
     process = started(tmp_path, {}, NODE_CONFIG="")
     assert "NODE_CONFIG: is not set" in process.communicate(timeout=20)[1]
