Answer HEAD without a body, and tell the stories of copies, counter and order

Found while writing the story: h11 refuses a body after HEAD, so a health check by HEAD closed its connection with a traceback (ClientConnection._write). New stories: of two copies the first answer counts and the other is withdrawn; the counter is told what was sent; events go in one at a time, never from inside an action.

--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -48,6 +48,7 @@
         self.ending = Ending.CLOSED
         self.begun_us = 0  # first byte of a request that is not whole yet
         self._request: h11.Request | None = None
+        self._headless = False
         self._body = bytearray()
         self._answer: Message | None = None
         self._answered = anyio.Event()
@@ -106,6 +107,7 @@
     def _take(self, event: Any) -> None:
         if isinstance(event, h11.Request):
             self._request = event
+            self._headless = event.method == b"HEAD"
             length = next((value for name, value in event.headers if name == b"content-length"), b"0")
             if int(length) > MOST_BODY:
                 raise NotTaken(413, "body too long")
@@ -194,7 +196,8 @@
         if self.server.closing or self.deaf:
             fields.append((b"Connection", b"close"))
         head = h11.Response(status_code=answer.start, headers=fields, reason=REASONS.get(answer.start, b""))
-        await self.write(head, h11.Data(data=answer.body), h11.EndOfMessage())
+        body = b"" if self._headless else answer.body  # HEAD is told a length and sent nothing
+        await self.write(head, h11.Data(data=body), h11.EndOfMessage())
 
     async def _linger(self) -> None:
         """Say that nothing more comes and let the client close first. Reading goes on meanwhile."""
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -15,7 +15,7 @@
 CLASSES = (("page-fetch", "safe"), ("issue-buy", "keyed"), ("code-redeem", "unsafe"))
 
 
-def settings(**allowed: object) -> dict[str, Any]:
+def settings(counter: bool = False, **allowed: object) -> dict[str, Any]:
     plan: dict[str, object] = {
         "CapDepth": 0,
         "CeilingRate": 0,
@@ -52,7 +52,7 @@
             for name, repeat in CLASSES
         ],
         "Discovery": "pushed",
-        "FamilyInfo": {"CountWaitUs": 80_000, "SharedCounter": False},
+        "FamilyInfo": {"CountWaitUs": 80_000, "SharedCounter": counter},
         "Kinds": ["quad-fast"],
         "Me": 0,
         "MyZone": 0,
@@ -139,6 +139,16 @@
         await stream.receive()
 
 
+class Desk(Peer):
+    """A counter: takes lines, however they come."""
+
+    async def read(self, stream: SocketStream) -> bytes:
+        return await stream.receive()
+
+    async def otherwise(self, stream: SocketStream) -> None:
+        await stream.send(b"ok 7\r\n")
+
+
 class Discovery(Peer):
     """Every watch stays open; tell() sends a line on the newest."""
 
@@ -252,13 +262,16 @@
 
 
 @asynccontextmanager
-async def stage(*members: Peer, gone: str = "", **allowed: object) -> AsyncIterator[Stage]:
+async def stage(
+    *members: Peer, gone: str = "", desk: Desk | None = None, **allowed: object
+) -> AsyncIterator[Stage]:
     """`gone`: the address of one more member, where nobody listens."""
     discovery = Discovery()
-    async with listening(discovery, *members):
+    async with listening(discovery, *members, *([desk] if desk else [])):
         known = [row(f"s-{i}", member.address) for i, member in enumerate(members)]
         known += [row("s-gone", gone)] if gone else []
-        node = Node(config.from_json(configuration(known, discovery.address, settings(**allowed))))
+        told = configuration(known, discovery.address, settings(desk is not None, **allowed))
+        node = Node(config.from_json(told | ({"counter": desk.address} if desk else {})))
         async with anyio.create_task_group() as tasks:
             made = Stage(node, "", discovery)
 
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -13,7 +13,7 @@
 from millfront.node.config import Address
 from millfront.node.counter import Counter
 from millfront.node.host import Clock, Timers
-from tests.peers import PAST, Peer, Step, breaks, listening, says, silent
+from tests.peers import PAST, Desk, Step, breaks, listening, says, silent
 
 pytestmark = pytest.mark.anyio
 WAIT_US = 80_000
@@ -24,14 +24,6 @@
     return "asyncio", {"use_uvloop": True}
 
 
-class Desk(Peer):
-    async def read(self, stream: SocketStream) -> bytes:
-        return await stream.receive()
-
-    async def otherwise(self, stream: SocketStream) -> None:
-        await stream.send(b"ok 7\r\n")
-
-
 class Heard:
     """A host that only listens."""
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,19 +9,23 @@
 import pytest
 from anyio.abc import SocketStream
 
-from millfront.node import http
-from millfront.node.host import Clock, Timers
+from millfront import interface as api
+from millfront.node import config, http
+from millfront.node.host import Arrival, Clock, Host, Timers
 from tests.peers import (
     CLASSES,
     PAST,
+    Desk,
     Peer,
     Step,
     answer,
     breaks,
+    configuration,
     fields_of,
     request,
     row,
     says,
+    settings,
     silent,
     stage,
     status,
@@ -183,6 +187,15 @@
         assert status(await on.ask(request())) == 200
 
 
+async def test_the_health_page_is_there_for_head_too() -> None:
+    async with stage(Peer()) as on, await on.client() as client:
+        await client.send(b"HEAD /healthz HTTP/1.1\r\nHost: a\r\n\r\n")
+        with anyio.fail_after(PAST):
+            got = await client.receive()
+        assert status(got) == 200 and got.endswith(b"\r\n\r\n")
+        assert status(await on.ask(request(), client)) == 200
+
+
 async def test_too_many_open_requests_are_rejected() -> None:
     member = Peer(silent)
     async with stage(member, MaxOpen=1) as on:
@@ -337,6 +350,79 @@
         assert status(await on.ask(request(Request_Timeout="100m"))) in (200, 502)
 
 
+async def test_of_two_copies_the_first_answer_counts_and_the_other_is_withdrawn() -> None:
+    one, other = Peer(), Peer()
+    async with stage(one, other, SecondCopies=True) as on, await on.client() as client:
+        for _ in range(25):  # a copy must be earned
+            assert status(await on.ask(request(), client)) == 200
+        one.script.append(silent)
+        other.script.append(silent)
+        sent = len(one.seen) + len(other.seen)
+        asked = anyio.create_task_group()
+        async with asked:
+            asked.start_soon(on.ask, request(), client)
+            first = one
+            with anyio.fail_after(PAST):
+                while len(one.seen) + len(other.seen) == sent:
+                    await anyio.sleep(0.001)
+            first, second = (other, one) if one.script else (one, other)
+            second.script.clear()
+        await first.until(lambda peer: peer.closed == 1)
+        assert len(one.seen) + len(other.seen) == sent + 2
+        assert not on.node.host.open and not on.node.host.owed
+
+
+async def test_the_counter_is_told_what_was_sent() -> None:
+    desk = Desk()
+    async with stage(Peer(), desk=desk) as on, await on.client() as client:
+        for _ in range(12):
+            assert status(await on.ask(request(), client)) == 200
+        await desk.until(lambda peer: len(peer.seen) > 0)
+    word, name, amount, ttl = desk.seen[0].split()
+    # 24 units asked and sent, in grains of 100 units a second x 15 s x 3 / 2000, share one number
+    assert word == b"add" and len(name) <= 64 and ttl == b"30000"
+    assert divmod(int(amount), 2000) == (11, 11)
+
+
+async def test_events_go_in_one_at_a_time_and_actions_are_carried_out_in_order(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    inside, order = [0], []
+
+    def handle(now: int, event: api.Event) -> list[api.Action]:
+        assert inside[0] == 0
+        inside[0] += 1
+        order.append(type(event).__name__)
+        answers: list[api.Action] = [
+            api.Log("first"),
+            api.Send(1, 1, 0),
+            api.Count(5, 1.0, 1),
+            api.Refuse(1, 0),
+        ]
+        inside[0] -= 1
+        return answers if isinstance(event, api.RequestArrived) else []
+
+    class Caller:
+        rejects = 0
+
+        def rejected(self, retry_after_us: int) -> None:
+            order.append("reject")
+            host.tell(api.TimerFired(1))
+
+        def served(self, answer: object) -> None: ...
+
+        failed = served
+
+    loaded = config.from_json(configuration([], "127.0.0.1:1", settings()))
+    host = Host(loaded.settings, 1, Clock())
+    monkeypatch.setattr(host._gateway, "handle", handle)
+    host.start_flow = lambda opened, number, send: host.flow_ended(opened, number, send, api.Outcome.FULL, 1)
+    host.start_count = lambda count: host.tell(api.CounterAnswered(count.name, api.Outcome.FULL, 0.0))
+    host.arrive(Arrival(0, 0, 1, 1.0, 1, 0, host.clock.now(), 1_000_000), Caller())  # type: ignore[arg-type]
+    assert order == ["RequestArrived", "reject", "AttemptEnded", "CounterAnswered", "TimerFired"]
+    assert not host.open and not host.owed
+
+
 async def test_timers_do_not_spin_until_they_are_due() -> None:
     class Counting(Clock):
         asked = 0
