Let a backend's share of errors raise its cost

At fault: learn() took an error for a sign of health and expected_cost() knew latency and load alone, so the servers that failed at once looked idle and drew the traffic.

An EWMA of errors over answers now multiplies the cost, and fades like slowness.

--- a/millfront/choice.py
+++ b/millfront/choice.py
@@ -30,6 +30,8 @@
 # Backends
 LATENCY_WEIGHT = 0.1  # EWMA weight of one answer: about the last ten
 CLASS_WEIGHT = 0.02  # the same for a class: fed by all backends, and the yardstick of each
+ERROR_WEIGHT = 0.1  # EWMA weight of one answer in a backend's share of errors
+ERROR_COST = 10.0  # times the cost for errors alone: an error is quick, and is a request lost or sent again
 RELAX_S = 3.0  # a slowness nobody has confirmed for so long is half forgotten
 AIM_TO_WORK = 6.0  # first guess of a class's time in service is its aim over this
 LOAD_WEIGHT = 2.0  # cost of one own attempt in flight, in services of a backend of mean weight
@@ -120,6 +122,7 @@
     started_us: int = 0  # 0: long ago
     stopped: bool = False  # draining or gone
     slow: float = 1.0  # EWMA of latency over its class's mean
+    errors: float = 0.0  # EWMA of errors over answers
     in_flight: dict[tuple[int, int], tuple[int, int]] = field(default_factory=dict)  # -> sent_us, class
     load: int = 0  # of these, out for no longer than a lost one
     answered_us: int = 0
@@ -376,15 +379,17 @@
 
     def expected_cost(self, now: int, backend: Backend) -> float:
         # Told slow and then left alone, a backend would stay unused for ever: the estimate fades to the mean.
-        faded = 0.5 ** ((now - backend.answered_us) / SECOND / RELAX_S)
+        faded: float = 0.5 ** ((now - backend.answered_us) / SECOND / RELAX_S)
         slow = 1.0 + (backend.slow - 1.0) * faded if backend.slow > 1.0 else backend.slow
         for sent_us, cls in backend.in_flight.values():
             slow = max(slow, AGE_WEIGHT * (now - sent_us) / self.class_work[cls])
             break
         cold = self.cold_share(now, backend)
         load = LOAD_WEIGHT * len(backend.in_flight) / (backend.weight / self.mean_weight * cold)
+        # Errors are no load and come back fast: unpriced, they would draw traffic to a backend that fails.
+        errors = 1.0 + ERROR_COST * backend.errors * faded
         # A cold backend is usable with a whole credit only: owed by now, or many gateways leave it idle.
-        return slow * (1.0 + load) * (COLD_PREFERENCE if cold < 1.0 else 1.0)
+        return slow * errors * (1.0 + load) * (COLD_PREFERENCE if cold < 1.0 else 1.0)
 
     def cold_share(self, now: int, backend: Backend) -> float:
         """The least capacity the backend may have, as a share of its full one."""
@@ -456,6 +461,8 @@
             backend.slow += LATENCY_WEIGHT * (event.latency_us / self.class_work[request.cls] - backend.slow)
             self.class_work[request.cls] += CLASS_WEIGHT * (event.latency_us - self.class_work[request.cls])
             self.judge(now, attempt, request.cls, True)
+        if event.outcome in (api.Outcome.OK, api.Outcome.ERROR):
+            backend.errors += ERROR_WEIGHT * ((event.outcome is api.Outcome.ERROR) - backend.errors)
         if event.outcome in (api.Outcome.OK, api.Outcome.ERROR, api.Outcome.FULL):
             backend.answered_us = now
             backend.fails = 0
@@ -521,7 +528,7 @@
 
     def restarted(self, backend: Backend, started_us: int) -> None:
         backend.started_us, backend.credit = started_us, self.random.random()
-        backend.slow, backend.rests_until, backend.reset = 1.0, 0, False
+        backend.slow, backend.errors, backend.rests_until, backend.reset = 1.0, 0.0, 0, False
 
     def close(self, request: Request) -> None:
         """The request has its final answer: withdraw the copies still out."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -533,3 +533,16 @@
     bench.now += 125_000
     (refusal,) = bench.ask(plan=1, customer=9, units=9.0, spread=3)
     assert isinstance(refusal, api.Refuse) and refusal.retry_after_us == expected_us
+
+
+def test_a_backend_that_fails_fast_does_not_draw_the_traffic() -> None:
+    bench = Bench(backends=4)
+    sent = [0, 0, 0, 0]
+    for _ in range(400):
+        bench.now += 10_000
+        send = next(a for a in bench.ask(cls=1) if isinstance(a, api.Send))
+        sent[send.backend] += 1
+        fails = send.backend == 2 and bench.next % 3 > 0
+        bench.end(send, api.Outcome.ERROR if fails else api.Outcome.OK, latency=5_000 if fails else 100_000)
+    # unpriced, it would get more than its quarter, for its errors end soonest
+    assert sent[2] < 400 / 4 / 2 and min(sent) > 0
