--- a/millfront/node/endings.py
+++ b/millfront/node/endings.py
@@ -15,7 +15,8 @@
     TIMED_OUT = "did not answer in time"
     CANCELLED = "given up by the module"
     NOT_SENT = "never tried: the request was over, its time was up, or nobody was there to send it to"
-    LEFT = "left by the client"
+    # Of a client's connection alone: the module is told of a request that is gone, or of nothing.
+    LEFT = "left by the client with a request open"
     CLOSED = "closed between exchanges"
 
 
@@ -30,7 +31,6 @@
     Ending.TIMED_OUT: Outcome.TIMEOUT,
     Ending.CANCELLED: Outcome.CANCELLED,
     Ending.NOT_SENT: Outcome.MOOT,
-    Ending.CLOSED: Outcome.RESET,
 }
 # A call that may have been added must read TIMEOUT: the module tells every other failed amount again.
 COUNT_OUTCOMES = {
@@ -41,7 +41,6 @@
     Ending.BROKEN: Outcome.TIMEOUT,
     Ending.MALFORMED: Outcome.TIMEOUT,
     Ending.TIMED_OUT: Outcome.TIMEOUT,
-    Ending.CLOSED: Outcome.TIMEOUT,
 }
 
 
--- a/millfront/node/host.py
+++ b/millfront/node/host.py
@@ -20,6 +20,7 @@
 
 log = logging.getLogger(__name__)
 
+AGAIN_US = 20_000  # a timer's event that failed comes once more after so long
 MOST_SLEEP_US = 1_000_000
 OVERDUE_US = (
     15_000  # past its deadline: the module had its time-out by then, and the rule's slack is still ahead
@@ -143,7 +144,7 @@
         except Exception:  # a fault on one event must not take the program and all other requests down
             log.exception("the module failed on %s", type(event).__name__)
             if isinstance(event, api.TimerFired):  # a beat lost once would be lost for good
-                self._carry_out(api.SetTimer(self.settings.counter_timeout_us or 20_000, event.token))
+                self._carry_out(api.SetTimer(AGAIN_US, event.token))
             return
         for action in actions:
             try:
