Name an address that can't be listened on, and end quietly when a client breaks off

Found in a review: a port in use ended the program with a traceback and no field's name; a client that broke its connection while it was told to go on (100) was logged with one.

--- a/millfront/__main__.py
+++ b/millfront/__main__.py
@@ -43,6 +43,13 @@
             node.stop()
 
 
+def unusable(wrong: BaseException) -> int:
+    while isinstance(wrong, BaseExceptionGroup):
+        wrong = wrong.exceptions[0]
+    print(f"millfront: {wrong}", file=sys.stderr)
+    return 2
+
+
 def main() -> int:
     handler = logging.StreamHandler()
     handler.addFilter(Seldom())
@@ -51,12 +58,15 @@
     try:
         settings = config.load(os.environ)
     except config.ConfigError as wrong:
-        print(f"millfront: {wrong}", file=sys.stderr)
-        return 2
+        return unusable(wrong)
     gc.collect()
     gc.freeze()  # what the imports made stays: walking it again would stop the loop for 4 ms each time
-    anyio.run(serve, settings, backend_options={"use_uvloop": True})
-    return 0
+    ended = 0
+    try:
+        anyio.run(serve, settings, backend_options={"use_uvloop": True})
+    except* config.ConfigError as group:  # seen only on starting: an address that can't be listened on
+        ended = unusable(group)
+    return ended
 
 
 if __name__ == "__main__":
--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -72,24 +72,20 @@
 
     async def _read_requests(self) -> None:
         """Returns when the client has closed or broken the connection: it has gone away."""
-        while True:
-            try:
-                data = await self.read()
-            except Ended as ended:
-                self.ending = ended.ending
-                return
-            if not data:
-                return
-            if self.deaf:
-                continue
-            if not self.begun_us:
-                self.begun_us = self.server.clock.now()
-            self.h11.receive_data(data)
-            self.advance()
-            if self.h11.they_are_waiting_for_100_continue and not self.busy:
-                await self.write(h11.InformationalResponse(status_code=100, headers=[]))
-            while self.busy and len(self.h11.trailing_data[0]) > MOST_HEAD + MOST_BODY:
-                await self._written.wait()  # guards the buffer against a client that sends on and on
+        try:
+            while data := await self.read():
+                if self.deaf:
+                    continue
+                if not self.begun_us:
+                    self.begun_us = self.server.clock.now()
+                self.h11.receive_data(data)
+                self.advance()
+                if self.h11.they_are_waiting_for_100_continue and not self.busy:
+                    await self.write(h11.InformationalResponse(status_code=100, headers=[]))
+                while self.busy and len(self.h11.trailing_data[0]) > MOST_HEAD + MOST_BODY:
+                    await self._written.wait()  # guards the buffer against a client that sends on and on
+        except Ended as ended:
+            self.ending = ended.ending
 
     def advance(self) -> None:
         """Take what is whole; ends at the first request, until its answer is written."""
--- a/millfront/node/service.py
+++ b/millfront/node/service.py
@@ -8,7 +8,7 @@
 
 from millfront import interface as api
 from millfront.node.clients import VirtualServer
-from millfront.node.config import Address, Config
+from millfront.node.config import Address, Config, ConfigError
 from millfront.node.counter import Counter
 from millfront.node.endings import Ended
 from millfront.node.host import Clock, Host, OpenRequest
@@ -73,7 +73,10 @@
             except Ended as ended:
                 log.warning("known: %s", ended)
             tasks.start_soon(self._kept_up, self.pool.watch, config.discovery)
-            address = await tasks.start(self.server.run, config.listen)
+            try:
+                address = await tasks.start(self.server.run, config.listen)
+            except OSError as wrong:
+                raise ConfigError(f"listen: {config.listen}: {wrong.strerror}") from None
             log.info("%s serves at %s", config.name, address)
             task_status.started(address)
             await self._stop.wait()
@@ -102,9 +105,8 @@
             while self.server.connected():
                 await anyio.sleep(0.02)
         for what, endings in (("client connections", self.server.endings), ("flows", self.book.endings)):
-            log.info(
-                "%s: %s", what, ", ".join(f"{n} {ending.value}" for ending, n in endings.items()) or "none"
-            )
+            said = ", ".join(f"{count} {ending.value}" for ending, count in endings.items())
+            log.info("%s: %s", what, said or "none")
 
     def _start_flow(self, opened: OpenRequest, number: int, send: api.Send) -> None:
         flow = ServerSideFlow(opened, number, send, self.clock.now())
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -54,6 +54,15 @@
     assert named in errors and "Traceback" not in errors
 
 
+def test_an_address_in_use_is_named(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        listen = f"127.0.0.1:{taken.getsockname()[1]}"
+        process = started(tmp_path, good() | {"listen": listen})
+        _, errors = process.communicate(timeout=20)
+    assert process.returncode == 2
+    assert f"listen: {listen}" in errors and "Traceback" not in errors
+
+
 def test_a_kind_of_warning_is_logged_once_a_second() -> None:
     def passes(text: str, level: int, at: float) -> bool:
         record = logging.LogRecord("node", level, "", 0, text, ("detail",), None)
