--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -147,6 +147,13 @@
             await client.receive()
 
 
+async def test_a_watch_that_falls_silent_is_asked_for_anew(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("millfront.node.pool.SILENT_S", 0.1)
+    async with stage(Peer()) as on:
+        await on.discovery.until(lambda peer: on.discovery.watches == 2 and peer.closed == 1)
+        assert status(await on.ask(request())) == 200
+
+
 async def test_members_that_are_long_gone_are_forgotten(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("millfront.node.pool.FORGET_US", 0)
     async with stage(Peer(), Peer()) as on:
