On SIGHUP move the watch and the counter to the addresses in the file

Checked: nothing handled the signal (watch_signals in __main__.py), and config.load lets NODE_DISCOVERY win over the file, so reading it again would have changed nothing; ruled out: a crash of the program's own (empty log). Now the file is parsed whole first; the old watch is cancelled and a whole list asked of the new discovery before a watch, as versions of one mean nothing to the other. The old counter keeps its written calls until each is answered or timed out, what is not written goes to the new one; a call's state is its own, not that of a queue. Also: a task that ends by itself is not started again, as a retired counter has done its work.

--- a/millfront/__main__.py
+++ b/millfront/__main__.py
@@ -11,6 +11,8 @@
 from millfront.node import config
 from millfront.node.service import Node
 
+log = logging.getLogger("millfront")
+
 
 class Seldom(logging.Filter):
     """One warning of a kind a second: guards the log against a line a request while a peer misbehaves."""
@@ -38,9 +40,21 @@
 
 
 async def watch_signals(node: Node) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            node.stop()
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                reload(node)
+            else:
+                node.stop()
+
+
+def reload(node: Node) -> None:
+    """Read whole before anything moves: guards a gatekeeper that serves against a file that can't be used."""
+    try:
+        told = config.load_anew(os.environ)
+        node.move(told.discovery, told.counter)
+    except Exception as wrong:
+        log.error("SIGHUP: the configuration stays as it was: %s", wrong)
 
 
 def unusable(wrong: BaseException) -> int:
--- a/millfront/node/config.py
+++ b/millfront/node/config.py
@@ -58,6 +58,16 @@
 
 
 def load(environment: Mapping[str, str]) -> Config:
+    """On starting: NODE_* win over the file."""
+    return _loaded(environment, "name", "listen", "discovery")
+
+
+def load_anew(environment: Mapping[str, str]) -> Config:
+    """On SIGHUP: the environment is still that of the start, so where discovery is now stands in the file."""
+    return _loaded(environment, "name", "listen")
+
+
+def _loaded(environment: Mapping[str, str], *over_file: str) -> Config:
     path = environment.get("NODE_CONFIG")
     if not path:
         raise ConfigError("NODE_CONFIG: is not set")
@@ -70,7 +80,9 @@
     if not isinstance(data, dict):
         raise ConfigError(f"NODE_CONFIG: {path} holds no object")
     for field in ("name", "listen", "discovery"):
-        data[field] = environment.get(f"NODE_{field.upper()}") or data.get(field)
+        told = environment.get(f"NODE_{field.upper()}")
+        if told and (field in over_file or data.get(field) is None):
+            data[field] = told
     return from_json(data)
 
 
--- a/millfront/node/counter.py
+++ b/millfront/node/counter.py
@@ -30,6 +30,7 @@
     name: int
     line: bytes
     made_us: int
+    written: bool = False
     ended: bool = False
 
 
@@ -43,24 +44,30 @@
         self._written: deque[Call] = deque()  # in the order of their answers, also those that ended before
         self._more = anyio.Event()
         self._used_us = 0
+        self._retired = False
 
     def call(self, count: api.Count) -> None:
         ttl_ms = max(1, -(-count.ttl_us // 1000))
         line = f"add {count.name:x} {count.amount:.10g} {ttl_ms}\r\n".encode()
         call = Call(count.name, line, self.host.clock.now())
+        self._queue(call)
+        self.host.timers.after(self.wait_us, lambda: self._late(call))
+
+    def retire(self, successor: "Counter") -> None:
+        """The counter has moved: what is not written yet is the successor's, what is written gets its answer
+        here, and run() ends with the last one."""
+        self._retired = True
+        while self._queued:
+            successor._queue(self._queued.popleft())
+        self._more.set()
+
+    def _queue(self, call: Call) -> None:
         self._queued.append(call)
         self._more.set()
-        self.host.timers.after(self.wait_us, lambda: self._late(call))
 
     def _late(self, call: Call) -> None:
         """Past its time. Written, it may have been added, and its answer is still to be consumed."""
-        if call.ended:
-            return
-        if call in self._queued:
-            self._queued.remove(call)
-            self._end(call, Ending.UNCONNECTED)
-        else:
-            self._end(call, Ending.TIMED_OUT)
+        self._end(call, Ending.TIMED_OUT if call.written else Ending.UNCONNECTED)
 
     def _end(self, call: Call, ending: Ending, total: float = 0.0) -> None:
         if not call.ended:
@@ -68,9 +75,11 @@
             self.host.tell(api.CounterAnswered(call.name, COUNT_OUTCOMES[ending], total))
 
     async def run(self) -> None:
-        """Connect when there are calls, for ever."""
-        while True:
+        """Connect when there are calls, until retired."""
+        while not self._retired:
             await self._wait_for_calls()
+            if not self._queued:
+                continue
             try:
                 stream = await dial(self.address, self.connect_us)
             except Ended:
@@ -88,7 +97,12 @@
                     self._end(self._written.popleft(), Ending.BROKEN)
 
     async def _wait_for_calls(self) -> None:
-        while not self._queued:
+        """Until there are some that still count, or this counter is retired."""
+        while True:
+            while self._queued and self._queued[0].ended:  # it waited for a connection past its time
+                self._queued.popleft()
+            if self._queued or self._retired:
+                return
             self._more = anyio.Event()
             await self._more.wait()
 
@@ -98,12 +112,19 @@
             with anyio.move_on_after(IDLE_US / 1e6):
                 await self._wait_for_calls()
             now = self.host.clock.now()
+            if self._retired:
+                await anyio.sleep(
+                    self.wait_us / 1e6
+                )  # by then each call has its answer, or has ended without
+                return
             if not self._queued and not self._written and now - self._used_us >= IDLE_US:
                 return  # idle: closed from this side, before the counter does
             if self._written and now - self._written[0].made_us > self.wait_us + LOST_US:
                 return
-            calls = list(self._queued)
+            calls = [call for call in self._queued if not call.ended]
             self._queued.clear()
+            for call in calls:
+                call.written = True
             self._written.extend(calls)
             if not calls:
                 continue
--- a/millfront/node/pool.py
+++ b/millfront/node/pool.py
@@ -31,9 +31,12 @@
 
 
 class Pool:
-    def __init__(self, host: Host, members: Members, node: NodeSettings) -> None:
+    def __init__(self, host: Host, members: Members, node: NodeSettings, discovery: Address) -> None:
         self.host = host
         self.members = members
+        self.discovery = discovery
+        self._anew = False  # the list held is another discovery's: its version means nothing to this one
+        self._following = anyio.CancelScope()
         self.connect_us = node.connect_timeout_us or CONNECT_US
         self.seq = 0
         self._numbers = itertools.count(1)
@@ -85,12 +88,25 @@
             return Address("", 0)  # nothing is sent there any more
         return Address.parse(row["dial"], "dial")
 
-    async def watch(self, discovery: Address) -> None:
-        """Follow the changes for ever; a watch that ends is asked for anew, later each time in vain."""
+    def move(self, discovery: Address) -> None:
+        """Discovery is elsewhere from now on: nothing that the old one still says is believed."""
+        self.discovery, self._anew = discovery, True
+        self._following.cancel()
+
+    async def watch(self) -> None:
+        """Follow the changes for ever."""
+        while True:
+            with anyio.CancelScope() as self._following:
+                await self._follow(self.discovery)
+
+    async def _follow(self, discovery: Address) -> None:
+        """A watch that ends is asked for anew, later each time in vain."""
         wait_s, said = FIRST_WAIT_S, ""
         while True:
             before = self.seq
             try:
+                if self._anew:
+                    await self._whole_list(discovery)
                 await self._watch_once(discovery)
             except Ended as ended:
                 if str(ended) != said:  # a discovery that is down for hours is said once
@@ -99,16 +115,40 @@
             wait_s = FIRST_WAIT_S if self.seq != before else min(wait_s * 2, MOST_WAIT_S)
             await anyio.sleep(wait_s)
 
-    async def _watch_once(self, discovery: Address) -> None:
+    async def _whole_list(self, discovery: Address) -> None:
+        wire = await self._asked(discovery, "/v1/servers")
+        try:
+            with anyio.fail_after(SILENT_S):
+                answer = await wire.read_answer()
+        except TimeoutError:
+            raise Ended(Ending.TIMED_OUT) from None
+        finally:
+            await wire.close()
+        if answer.start != 200:
+            raise Ended(Ending.ERRORED, f"status {answer.start}")
+        if discovery == self.discovery:
+            self._told(answer.body)
+            self._anew = False
+
+    async def _asked(self, discovery: Address, target: str) -> Wire:
         wire = Wire(await dial(discovery, self.connect_us), h11.CLIENT)
         try:
-            target = f"/v1/servers?watch=1&after={self.seq}"
             request = h11.Request(method="GET", target=target, headers=[("Host", str(discovery))])
             await wire.write(request, h11.EndOfMessage())
+        except BaseException:
+            await wire.close()
+            raise
+        return wire
+
+    async def _watch_once(self, discovery: Address) -> None:
+        wire = await self._asked(discovery, f"/v1/servers?watch=1&after={self.seq}")
+        try:
             line = bytearray()
             while True:
                 with anyio.move_on_after(SILENT_S):
                     event = await wire.next_event()
+                    if discovery != self.discovery:
+                        return  # a line can cross the move
                     self._event(event, line)
                     if isinstance(event, h11.EndOfMessage):
                         return
@@ -129,8 +169,11 @@
         line[:] = rest
         for text in whole:
             if text.strip():
-                try:
-                    told = json.loads(text)
-                except ValueError as wrong:
-                    raise Ended(Ending.MALFORMED, str(wrong)) from None
-                self.take(told)
+                self._told(text)
+
+    def _told(self, text: bytes) -> None:
+        try:
+            told = json.loads(text)
+        except ValueError as wrong:
+            raise Ended(Ending.MALFORMED, str(wrong)) from None
+        self.take(told)
--- a/millfront/node/service.py
+++ b/millfront/node/service.py
@@ -36,7 +36,8 @@
         self.clock = Clock()
         self.host = Host(settings, config.seed, self.clock)
         self.members = Members(self.clock, node.connect_timeout_us, node.keepalive_us, config.most_flows)
-        self.pool = Pool(self.host, self.members, node)
+        self.pool = Pool(self.host, self.members, node, config.discovery)
+        self.counter: Counter | None = None
         self.send = Send(self.clock, self.members, Route(self.members))
         self.book = Book(self.host)
         admit = Admit(self.host, min(node.max_open, config.most_clients))
@@ -61,10 +62,7 @@
             self.host.close_idle = self._close_idle
             self.host.start_count = self._no_counter
             if config.counter is not None:
-                wait_us = config.settings.counter_timeout_us
-                counter = Counter(self.host, config.counter, wait_us, config.node.connect_timeout_us)
-                self.host.start_count = counter.call
-                tasks.start_soon(self._kept_up, counter.run)
+                self._count_at(config.counter)
             tasks.start_soon(self._kept_up, self.host.timers.run)
             tasks.start_soon(self._kept_up, self.members.run)
             self.host.start()
@@ -72,7 +70,7 @@
                 self.pool.take(config.known, cached=True)
             except Ended as ended:
                 log.warning("known: %s", ended)
-            tasks.start_soon(self._kept_up, self.pool.watch, config.discovery)
+            tasks.start_soon(self._kept_up, self.pool.watch)
             try:
                 address = await tasks.start(self.server.run, config.listen)
             except OSError as wrong:
@@ -83,11 +81,31 @@
             await self._wind_down()
             tasks.cancel_scope.cancel()
 
+    def move(self, discovery: Address, counter: Address | None) -> None:
+        """A new configuration names these: go over to them, and serve on meanwhile."""
+        if discovery != self.pool.discovery:
+            log.info("discovery moves from %s to %s", self.pool.discovery, discovery)
+            self.pool.move(discovery)
+        if self.counter is not None and counter is not None and counter != self.counter.address:
+            log.info("the counter moves from %s to %s", self.counter.address, counter)
+            self._count_at(counter)
+
+    def _count_at(self, address: Address) -> None:
+        wait_us = self.config.settings.counter_timeout_us
+        before, self.counter = (
+            self.counter,
+            Counter(self.host, address, wait_us, self.config.node.connect_timeout_us),
+        )
+        self.host.start_count = self.counter.call
+        if before is not None:
+            before.retire(self.counter)
+        self._tasks.start_soon(self._kept_up, self.counter.run)
+
     async def _kept_up(self, task: Callable[..., Awaitable[None]], *args: object) -> None:
         """Guards the task group: one task's fault must not end the others, nor itself for good."""
         while True:
             try:
-                await task(*args)
+                return await task(*args)
             except Exception:
                 log.exception("a task failed and starts anew")
             await anyio.sleep(AGAIN_S)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -154,8 +154,11 @@
 
     stream: SocketStream
     watches = 0
+    whole = b""  # the answer to who asks for the whole list
 
     async def otherwise(self, stream: SocketStream) -> None:
+        if b"watch" not in self.seen[-1].split(b"\r\n")[0]:
+            return await answer(200, self.whole)(stream)
         await stream.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.stream = stream
         self.watches += 1
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -81,6 +81,31 @@
     assert process.returncode == 2
 
 
+def test_sighup_follows_the_file_over_the_environment_and_an_unusable_file_changes_nothing(
+    tmp_path: Path,
+) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as old, socket.create_server(("127.0.0.1", 0)) as new:
+        addresses = [f"127.0.0.1:{server.getsockname()[1]}" for server in (old, new)]
+        process = started(tmp_path, good(), NODE_DISCOVERY=addresses[0])
+        assert process.stderr is not None
+        old.settimeout(10)
+        new.settimeout(10)
+        watch = old.accept()[0]
+        next(line for line in process.stderr if "serves at" in line)
+        (tmp_path / "config.json").write_text(json.dumps(good() | {"discovery": "nowhere"}))
+        process.send_signal(signal.SIGHUP)
+        assert "discovery: 'nowhere'" in next(line for line in process.stderr if "SIGHUP" in line)
+        assert process.poll() is None
+        (tmp_path / "config.json").write_text(json.dumps(good() | {"discovery": addresses[1]}))
+        process.send_signal(signal.SIGHUP)
+        with new.accept()[0] as asked:
+            assert asked.recv(100).startswith(b"GET /v1/servers HTTP/1.1")
+        assert watch.recv(100).startswith(b"GET /v1/servers?watch=1") and watch.recv(100) == b""
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(timeout=20) == 0
+        process.stderr.close()
+
+
 def test_the_run_command_serves_and_ends_on_sigterm(tmp_path: Path) -> None:
     process = started(tmp_path, good(), NODE_NAME="n7")
     assert process.stderr is not None
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,12 +16,14 @@
     CLASSES,
     PAST,
     Desk,
+    Discovery,
     Peer,
     Step,
     answer,
     breaks,
     configuration,
     fields_of,
+    listening,
     request,
     row,
     says,
@@ -276,6 +278,41 @@
     assert (len(first.seen), len(second.seen)) == (0, 1)
 
 
+async def test_a_move_leaves_the_old_discovery_and_counter_without_losing_a_call() -> None:
+    go_on = anyio.Event()
+
+    async def late(stream: SocketStream) -> None:
+        await go_on.wait()
+        await stream.send(b"ok 1\r\n")
+
+    one, other, desk, next_desk, discovery = Peer(), Peer(), Desk(late), Desk(), Discovery()
+    answered: list[api.Outcome] = []
+    async with stage(one, desk=desk) as on, listening(other, next_desk, discovery):
+        assert on.node.counter is not None
+        on.node.counter.wait_us = 2_000_000
+        tell = on.node.host.tell
+        on.node.host.tell = lambda event: (  # type: ignore[method-assign]
+            answered.append(event.outcome) if isinstance(event, api.CounterAnswered) else tell(event)
+        )
+        assert status(await on.ask(request())) == 200
+        on.node.host.start_count(api.Count(1, 1.0, 1000))
+        await desk.until(lambda peer: len(peer.seen) == 1)
+        discovery.whole = json.dumps({"seq": 7, "whole": True, "hosts": [row("s-1", other.address)]}).encode()
+        on.node.move(config.Address.parse(discovery.address, ""), config.Address.parse(next_desk.address, ""))
+        on.node.host.start_count(api.Count(2, 1.0, 1000))
+        await next_desk.until(lambda peer: len(peer.seen) == 1)
+        go_on.set()
+        await discovery.until(lambda _: discovery.watches == 1)
+        assert b"after=7 " in discovery.seen[1]
+        await on.discovery.until(lambda peer: peer.closed == 1)
+        assert status(await on.ask(request())) == 200
+        with anyio.fail_after(PAST):
+            while len(answered) < 2:
+                await anyio.sleep(0.001)
+    assert (len(one.seen), len(other.seen)) == (1, 1)
+    assert answered == [api.Outcome.OK] * 2
+
+
 async def test_a_planned_end_takes_what_still_comes_and_loses_nothing() -> None:
     finish = anyio.Event()
 
