Give each gateway its share of the store by demand, and keep the last of it for dearer classes

Lines at fault: refill and customer_of in choice.py cap every gateway's bucket at burst / n whatever the demand, and odds_inside lets a page load take what a purchase of five times the worth then lacks. Harm, in the docstring: far beyond a quota cheap classes are served last.

--- a/millfront/choice.py
+++ b/millfront/choice.py
@@ -24,6 +24,12 @@
 NAME_TTL_US = 2 * EPOCH_US  # outlives its epoch whoever called first; under the 60 s a counter grants
 COUNTED_OVER = 3.0  # times the quota asked over an epoch that a total must hold exactly
 STRETCH, RELAX, MOST_STRETCH = 1.5, 0.95, 8.0  # of the tick for a call unanswered, answered; its most
+SHARE_UNITS = 4.0  # asked by all in a tick for it to weigh half in a gateway's share
+RESERVE = 0.8  # of the burst: what a request worth next to nothing leaves in the store for those worth more
+MARGIN = (
+    0.1  # of the reserve is left by the dearest too: the store is known as it was, others spend meanwhile
+)
+LEAST_SHARE = 0.3  # of the even share: for what comes here next
 IDLE_US = 30 * SECOND  # least idle time before a customer is forgotten
 OUT_S = 3.0  # time over which a customer's mean of attempts out is taken
 QUIET_SHARE = 0.25  # of a tick's even slice: until so much was asked, no total can change what is let in
@@ -78,6 +84,8 @@
     ceiling: float
     seen_us: int
     due_us: int  # next counter call
+    share: float  # of the customer's store and burst: by demand, at first the even one
+    store: float  # what the customer's quota held for all gateways when the total was read last
     price: float = FIRST_PRICE
     sent: float = 0.0  # units since the last counter add
     asked: float = 0.0
@@ -206,6 +214,10 @@
         self.stretch = 1.0  # of the tick, while the counter does not keep up
         self.class_work = [c.aim_us / AIM_TO_WORK for c in settings.classes]  # EWMA of latency, µs
         self.mean_worth = 0.0
+        most = max(c.worth for c in settings.classes)  # a unit of quota goes where it earns most
+        self.reserve = [
+            RESERVE * (1.0 + MARGIN - (c.worth / most if most > 0 else 1.0)) for c in settings.classes
+        ]
         self.hedges = 0.0
         self.mean_weight = 1.0
         self.window = 0.0  # attempts this gateway may have in flight
@@ -246,7 +258,7 @@
         self.refill(now, customer)
         customer.asked += event.units
         customer.seen_us = now
-        odds = self.odds_inside(customer, event.units)
+        odds = self.odds_inside(customer, event.units, event.cls)
         request = Request(
             event.request, event.cls, customer, now, now + event.patience_us, event.units, odds > 0.0
         )
@@ -285,6 +297,8 @@
             ceiling=min(ceiling, plan.ceiling_burst / gateways),
             seen_us=now,
             due_us=now + mixed(event.customer, self.settings.me) % TICK_US,
+            share=1.0 / gateways,
+            store=plan.burst,
         )
         self.customers[event.customer] = customer
         return customer
@@ -294,16 +308,19 @@
         seconds = (now - customer.filled_us) / SECOND
         customer.filled_us = now
         customer.mean_out += (1.0 - math.exp(-seconds / OUT_S)) * (customer.out - customer.mean_out)
-        customer.bucket = min(customer.bucket + customer.level * seconds, plan.burst / n)
+        customer.bucket = min(customer.bucket + customer.level * seconds, plan.burst * customer.share)
         customer.ceiling = min(customer.ceiling + plan.ceiling_rate / n * seconds, plan.ceiling_burst / n)
 
-    def odds_inside(self, customer: Customer, units: float) -> float:
-        """The chance that the try is inside the quota. The customer's store is taken to hold what this bucket
-        holds times n: a request larger than that is the less likely inside. A cap on attempts out is shared
-        with gateways not seen: each is taken to have as many out as this one, at random (Poisson)."""
+    def odds_inside(self, customer: Customer, units: float, cls: int) -> float:
+        """The chance that the try is inside the quota. The customer's store is taken to hold this bucket over
+        its share, less what is reserved for classes of more worth: a request larger than that is the less
+        likely inside. Harm: a customer far beyond its quota is served its cheap classes last. A cap on
+        attempts out is shared with gateways not seen: each is taken to have as many out as this one, at
+        random (Poisson)."""
         plan, odds = customer.plan, 1.0
         if plan.rate > 0:
-            odds = min(1.0, max(0.0, customer.bucket * customer.gateways / max(units, 1e-9)))
+            store = customer.bucket / customer.share - self.reserve[cls] * plan.burst
+            odds = min(1.0, max(0.0, store / max(units, 1e-9)))
         if not plan.open_limit or odds <= 0.0:
             return odds
         others = customer.mean_out * (customer.gateways - 1)
@@ -320,7 +337,7 @@
         customer, plan = request.customer, request.customer.plan
         loss = plan.over_cost - plan.over_worth
         least_odds = loss / (1.0 + loss) if loss > 0.0 else 0.0
-        lacks = least_odds * request.units / customer.gateways - customer.bucket if plan.rate > 0 else 0.0
+        lacks = least_odds * request.units * customer.share - customer.bucket if plan.rate > 0 else 0.0
         wait_us = max(self.class_work[request.cls], lacks / max(customer.level, 1e-9) * SECOND)
         allowed = self.settings.allowed
         return api.Refuse(request.id, int(min(wait_us, allowed.max_retry_after_us)) * allowed.retry_after)
@@ -685,14 +702,37 @@
         new_sent, new_asked = sent - customer.sent_total, asked - customer.asked_total
         known = customer.epoch == call.epoch and customer.sent_total >= 0
         seconds = max(call.made_us - customer.read_us, BEAT_US) / SECOND
+        if (
+            customer.epoch != call.epoch
+        ):  # a new name counts from nothing; the old one's last stretch is missed
+            new_sent, new_asked = sent, asked
         customer.epoch, customer.sent_total, customer.asked_total = call.epoch, sent, asked
         customer.read_us = call.made_us
         own = call.sent * grain / seconds
-        if not known or new_sent < call.sent or new_asked < call.asked:  # new epoch, or it forgot
+        if new_sent < call.sent or new_asked < call.asked:  # it forgot
+            self.set_level(customer, None, own, 0.0)
+            return
+        self.scale_burst(
+            customer, new_sent * grain, call.asked / max(new_asked, 1), new_asked * grain, seconds
+        )
+        if not known:
             self.set_level(customer, None, own, 0.0)
         else:
             self.set_level(customer, new_sent * grain / seconds, own, call.asked / max(new_asked, 1))
 
+    def scale_burst(
+        self, customer: Customer, sent: float, share: float, asked: float, seconds: float
+    ) -> None:
+        """The quota's store as the totals tell it; this gateway's part of it goes by its part of the demand.
+        Guards against even parts: the busiest gateway would refuse while most of the store lies unused."""
+        plan, n = customer.plan, customer.gateways
+        customer.store = min(customer.store + plan.rate * seconds, plan.burst) - sent
+        customer.store = min(max(customer.store, 0.0), plan.burst)
+        weight = asked / (asked + SHARE_UNITS)
+        customer.share += weight * (share - customer.share)
+        customer.share = max(customer.share, LEAST_SHARE / n)
+        customer.bucket = customer.share * customer.store - customer.sent
+
     def set_level(self, customer: Customer, sent_rate: float | None, own: float, share: float) -> None:
         """One price step, in units a second. Without a total (counter silent, refusing, forgetful) the price
         stays and no room is known: the level is what the gateway used, at least the even slice."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -130,6 +130,32 @@
     assert choice.level_at(price, 6.0, 3, own, room, share) == pytest.approx(expected)
 
 
+def test_the_last_of_a_store_is_kept_for_classes_of_more_worth() -> None:
+    bench = Bench(replace(SETTINGS, classes=(SAFE, replace(UNSAFE, worth=5.0))))
+    for _ in range(2):
+        assert bench.serve(cls=0, plan=1)
+    assert finals(bench.ask(cls=0, plan=1))  # six of twelve are left, for all gateways together
+    assert bench.serve(cls=1, plan=1)
+
+
+def test_the_busiest_gateway_is_given_its_part_of_the_store_and_no_more_than_is_left() -> None:
+    bench = Bench()
+    assert sum(bench.serve(plan=1) is not None for _ in range(9)) == 4  # an even part
+    (call,) = counts(bench.beats(1.1))
+    bench.tell(api.CounterAnswered(call.name, api.Outcome.OK, call.amount))  # nobody else sent or asked
+    (customer,) = bench.gateway.customers.values()
+    assert customer.share > 0.7 and customer.bucket == pytest.approx(customer.share * 8.0)
+    for _ in range(9):
+        bench.serve(plan=1)
+    (call,) = counts(bench.beats(1.1))
+    bench.tell(
+        api.CounterAnswered(
+            call.name, api.Outcome.OK, call.amount + 8 + 8 * choice.PACK + 4 * (1 + choice.PACK)
+        )
+    )
+    assert customer.bucket <= choice.MARGIN
+
+
 def test_newcomer_starts_at_the_even_slice_and_is_refused_at_once_when_it_is_spent() -> None:
     bench = Bench()
     let_in = sum(bench.serve(plan=1) is not None for _ in range(12))
