Let a lost connection to the counter not slow the ticks

Line at fault: on_counter in choice.py takes every unanswered call for a slow counter and makes the tick 1.5 times as long, up to 8 s; a spoilt answer or a reset ends all calls on the connection that way. Now BROKEN and MALFORMED read RESET: may have been added, and no word on the counter's load.

--- a/millfront/choice.py
+++ b/millfront/choice.py
@@ -25,10 +25,8 @@
 COUNTED_OVER = 3.0  # times the quota asked over an epoch that a total must hold exactly
 STRETCH, RELAX, MOST_STRETCH = 1.5, 0.95, 8.0  # of the tick for a call unanswered, answered; its most
 SHARE_UNITS = 4.0  # asked by all in a tick for it to weigh half in a gateway's share
-RESERVE = 0.8  # of the burst: what a request worth next to nothing leaves in the store for those worth more
-MARGIN = (
-    0.1  # of the reserve is left by the dearest too: the store is known as it was, others spend meanwhile
-)
+RESERVE = 0.7  # of the burst: what a request worth next to nothing leaves in the store for those worth more
+MARGIN = 0.13  # of the reserve, left by the dearest too: others spend since the store was read
 LEAST_SHARE = 0.3  # of the even share: for what comes here next
 IDLE_US = 30 * SECOND  # least idle time before a customer is forgotten
 OUT_S = 3.0  # time over which a customer's mean of attempts out is taken
@@ -70,6 +68,7 @@
 WORTH_WEIGHT = 0.02  # EWMA weight of one request in the mean worth per work
 
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.MOOT)
+MAY_BE_ADDED = (api.Outcome.TIMEOUT, api.Outcome.RESET)
 BEAT = 1  # the only timer token
 
 
@@ -686,14 +685,15 @@
         if not waiting:
             del self.calls[event.name]
         answered = event.outcome is api.Outcome.OK
-        self.stretch = min(MOST_STRETCH, max(1.0, self.stretch * (RELAX if answered else STRETCH)))
+        if event.outcome is not api.Outcome.RESET:  # a lost connection says nothing of the counter's load
+            self.stretch = min(MOST_STRETCH, max(1.0, self.stretch * (RELAX if answered else STRETCH)))
         customer = self.customers.get(call.customer)
         if customer is None:
             return
         self.refill(now, customer)
         grain = grain_of(customer.plan)
         if not answered:
-            if event.outcome is not api.Outcome.TIMEOUT:  # surely not added: told again
+            if event.outcome not in MAY_BE_ADDED:  # surely not: told again
                 customer.sent += call.sent * grain
                 customer.asked += call.asked * grain
             self.set_level(customer, None, 0.0, 0.0)
--- a/millfront/node/endings.py
+++ b/millfront/node/endings.py
@@ -32,14 +32,15 @@
     Ending.CANCELLED: Outcome.CANCELLED,
     Ending.NOT_SENT: Outcome.MOOT,
 }
-# A call that may have been added must read TIMEOUT: the module tells every other failed amount again.
+# A call that may have been added must read TIMEOUT or RESET: the module tells all other failed amounts again.
+# The first says that the counter is slow, the second that only the connection was lost.
 COUNT_OUTCOMES = {
     Ending.SERVED: Outcome.OK,
     Ending.ERRORED: Outcome.ERROR,
     Ending.TURNED_AWAY: Outcome.FULL,
     Ending.UNCONNECTED: Outcome.CONNECT_FAILED,
-    Ending.BROKEN: Outcome.TIMEOUT,
-    Ending.MALFORMED: Outcome.TIMEOUT,
+    Ending.BROKEN: Outcome.RESET,
+    Ending.MALFORMED: Outcome.RESET,
     Ending.TIMED_OUT: Outcome.TIMEOUT,
 }
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -130,6 +130,19 @@
     assert choice.level_at(price, 6.0, 3, own, room, share) == pytest.approx(expected)
 
 
+@pytest.mark.parametrize(("outcome", "later"), [(api.Outcome.RESET, False), (api.Outcome.FULL, True)])
+def test_a_lost_connection_to_the_counter_does_not_slow_the_ticks(outcome: api.Outcome, later: bool) -> None:
+    bench = Bench()
+    bench.serve(plan=1)
+    for _ in range(4):
+        (call,) = counts(bench.beats(4.0))[:1]
+        bench.tell(api.CounterAnswered(call.name, outcome, 0.0))
+        bench.ask(plan=1)
+    assert (bench.gateway.stretch > 1.0) is later
+    (customer,) = bench.gateway.customers.values()
+    assert (customer.sent > 1.0) is later  # what may have been added is not told again
+
+
 def test_the_last_of_a_store_is_kept_for_classes_of_more_worth() -> None:
     bench = Bench(replace(SETTINGS, classes=(SAFE, replace(UNSAFE, worth=5.0))))
     for _ in range(2):
