--- a/millfront/benchlink.py
+++ b/millfront/benchlink.py
@@ -135,6 +135,8 @@
         case api.Tell(peer, payload):
             to = EVERY_PEER if peer is None else peer
             return struct.pack("<BIIH", 5, instance, to, len(payload)) + payload
+        case api.Short():
+            return b""  # the simulator has no reservations
         case api.CloseIdle(backend):
             return struct.pack("<BII", 6, instance, backend)
         case api.Log(text):
--- a/millfront/choice.py
+++ b/millfront/choice.py
@@ -7,6 +7,7 @@
 
 import math
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from millfront import interface as api
@@ -69,6 +70,7 @@
 WORTH_WEIGHT = 0.02  # EWMA weight of one request in the mean worth per work
 
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.MOOT)
+STANDINGS = (api.Standing.BEYOND, api.Standing.INSIDE)
 MAY_BE_ADDED = (api.Outcome.TIMEOUT, api.Outcome.RESET)
 BEAT = 1  # the only timer token
 
@@ -95,6 +97,8 @@
     read_us: int = 0
     out: int = 0
     mean_out: float = 0.0
+    leased: float = 0.0  # units of reservations, above the plan: the live plans' (millfront/plans)
+    booked: bool = False  # the plan is the live plans', not the settings'
 
 
 @dataclass(slots=True)
@@ -117,6 +121,7 @@
     give_up_us: int
     units: float
     inside: bool
+    reserved: bool = False
     over: bool = False
     stream: bool = False
     attempts: list[Attempt] = field(default_factory=list)
@@ -151,6 +156,7 @@
     sent: int
     asked: int
     made_us: int
+    grain: float
 
 
 def mixed(*parts: int) -> int:
@@ -207,23 +213,20 @@
         self.settings = settings
         self.random = random.Random(seed)
         self.born_us = -1
+        self.carry: Callable[[Customer, api.Plan], None]  # of live plans, whose host puts it here
         self.actions: list[api.Action] = []
         self.customers: dict[int, Customer] = {}
         self.requests: dict[int, Request] = {}
         self.backends: dict[int, Backend] = {}
         self.calls: dict[int, list[Call]] = {}  # by name, in order
         self.stretch = 1.0  # of the tick, while the counter does not keep up
-        self.told, self.unanswered, self.heeded_us = (
-            0,
-            0,
-            -TICK_US,
-        )  # calls since the stretch was judged; as of
+        # calls since the stretch was judged; as of
+        self.told, self.unanswered, self.heeded_us = 0, 0, -TICK_US
         self.class_work = [c.aim_us / AIM_TO_WORK for c in settings.classes]  # EWMA of latency, µs
         self.mean_worth = 0.0
         most = max(c.worth for c in settings.classes)  # a unit of quota goes where it earns most
-        self.reserve = [
-            RESERVE * (1.0 + MARGIN - (c.worth / most if most > 0 else 1.0)) for c in settings.classes
-        ]
+        dear = [c.worth / most if most > 0 else 1.0 for c in settings.classes]
+        self.reserve = [RESERVE * (1.0 + MARGIN - worth) for worth in dear]
         self.hedges = 0.0
         self.mean_weight = 1.0
         self.window = 0.0  # attempts this gateway may have in flight
@@ -241,6 +244,9 @@
                 self.on_beat(now)
             case api.CounterAnswered():
                 self.on_counter(now, event)
+            case api.UnitsLeased(key, units):
+                if key in self.customers:
+                    self.customers[key].leased = max(0.0, self.customers[key].leased + units)
             case api.ProbeEnded():
                 self.on_probe(now, event)
             case api.BackendList():
@@ -265,11 +271,15 @@
         customer.asked += event.units
         customer.seen_us = now
         odds = self.odds_inside(customer, event.units, event.cls)
-        request = Request(
-            event.request, event.cls, customer, now, now + event.patience_us, event.units, odds > 0.0
-        )
+        if event.reserves and odds < 1.0:
+            short = api.Short(customer.key, event.units, customer.leased, customer.gateways)
+            self.actions.append(short)
+        reserved = odds < 1.0 and customer.leased >= event.units
+        odds = 1.0 if reserved else odds
+        end = now + event.patience_us
+        request = Request(event.request, event.cls, customer, now, end, event.units, odds > 0.0, reserved)
         net = odds + (1.0 - odds) * (customer.plan.over_worth - customer.plan.over_cost)
-        if net <= 0.0 or not self.ceiling_allows(customer, event.units):
+        if net <= 0.0 or not (reserved or self.ceiling_allows(customer, event.units)):
             self.actions.append(self.refusal(request))
             return
         backend = self.pick(now, request) if self.worth_its_work(now, request, net) else None
@@ -277,18 +287,24 @@
             self.actions.append(self.refusal(request))
             return
         self.requests[request.id] = request
-        if customer.plan.ceiling_rate > 0:
+        if customer.plan.ceiling_rate > 0 and not reserved:
             customer.ceiling -= event.units
-        if request.inside:
+        if reserved:
+            customer.leased -= event.units
+        elif request.inside:
             customer.bucket -= event.units
             customer.sent += event.units
         self.hedges = min(self.hedges + HEDGE_BUDGET, MOST_HEDGES)
         self.send(now, request, backend)
 
     def customer_of(self, now: int, event: api.RequestArrived) -> Customer:
-        if event.customer in self.customers:
-            return self.customers[event.customer]
-        plan = self.settings.plans[event.plan]
+        plan = event.terms or self.settings.plans[event.plan]
+        if (known := self.customers.get(event.customer)) is not None:
+            if (event.terms or known.booked) and plan is not known.plan:
+                self.refill(now, known)
+                self.carry(known, plan)
+                known.booked = event.terms is not None
+            return known
         gateways = max(1, min(event.spread, self.settings.peers))
         # A forgotten customer's ceiling store is full again, one never seen fills from this gateway's start:
         # a gateway that was killed cannot tell that it had spent its share before.
@@ -305,6 +321,7 @@
             due_us=now + mixed(event.customer, self.settings.me) % TICK_US,
             share=1.0 / gateways,
             store=plan.burst,
+            booked=event.terms is not None,
         )
         self.customers[event.customer] = customer
         return customer
@@ -440,7 +457,8 @@
         backend.load += 1
         self.add_load(now, 1)
         self.spend_credit(now, backend)
-        self.actions.append(api.Send(request.id, backend.id, max(1, request.give_up_us - now)))
+        standing = api.Standing.RESERVED if request.reserved else STANDINGS[request.inside]
+        self.actions.append(api.Send(request.id, backend.id, max(1, request.give_up_us - now), standing))
 
     def spend_credit(self, now: int, chosen: Backend) -> None:
         """Rule 4 by this gateway alone: a send anywhere earns every cold backend its part of a fair share.
@@ -468,7 +486,9 @@
         if not attempt.lost:
             self.unload(now, attempt.backend)
         self.learn(now, attempt.backend, request, event)
-        if event.outcome is api.Outcome.OK and event.true_units > 0 and request.inside:
+        if event.outcome is api.Outcome.OK and event.true_units > 0 and request.reserved:
+            request.customer.leased -= event.true_units - request.units
+        elif event.outcome is api.Outcome.OK and event.true_units > 0 and request.inside:
             request.customer.bucket -= event.true_units - request.units
             request.customer.sent += event.true_units - request.units
         if event.closed and not request.over:
@@ -685,8 +705,9 @@
         asked = min(round(customer.asked / grain), PACK - 1)
         customer.sent -= sent * grain
         customer.asked -= asked * grain
-        name = mixed(customer.key, epoch)
-        self.calls.setdefault(name, []).append(Call(customer.key, epoch, sent, asked, now))
+        # Gateways that hold another version of a live plan must not read totals of another grain as theirs.
+        name = mixed(customer.key, epoch) if grain == 1.0 else mixed(customer.key, epoch, int(grain * 1e6))
+        self.calls.setdefault(name, []).append(Call(customer.key, epoch, sent, asked, now, grain))
         self.actions.append(api.Count(name, float(sent + PACK * asked), NAME_TTL_US))
 
     def full_after_us(self, plan: api.Plan, gateways: int) -> int:
@@ -709,34 +730,29 @@
         if customer is None:
             return
         self.refill(now, customer)
-        grain = grain_of(customer.plan)
+        grain = call.grain
         if not answered:
             if event.outcome not in MAY_BE_ADDED:  # surely not: told again
                 customer.sent += call.sent * grain
                 customer.asked += call.asked * grain
             self.set_level(customer, None, 0.0, 0.0)
             return
+        if grain != grain_of(customer.plan):  # of the plan before: its totals are not the new one's
+            return
         asked, sent = divmod(round(event.total), PACK)
         new_sent, new_asked = sent - customer.sent_total, asked - customer.asked_total
         known = customer.epoch == call.epoch and customer.sent_total >= 0
         seconds = max(call.made_us - customer.read_us, BEAT_US) / SECOND
-        if (
-            customer.epoch != call.epoch
-        ):  # a new name counts from nothing; the old one's last stretch is missed
+        if customer.epoch != call.epoch:  # a new name counts from nothing; the old one's last is missed
             new_sent, new_asked = sent, asked
         customer.epoch, customer.sent_total, customer.asked_total = call.epoch, sent, asked
         customer.read_us = call.made_us
-        own = call.sent * grain / seconds
+        own, share = call.sent * grain / seconds, call.asked / max(new_asked, 1)
         if new_sent < call.sent or new_asked < call.asked:  # it forgot
             self.set_level(customer, None, own, 0.0)
             return
-        self.scale_burst(
-            customer, new_sent * grain, call.asked / max(new_asked, 1), new_asked * grain, seconds
-        )
-        if not known:
-            self.set_level(customer, None, own, 0.0)
-        else:
-            self.set_level(customer, new_sent * grain / seconds, own, call.asked / max(new_asked, 1))
+        self.scale_burst(customer, new_sent * grain, share, new_asked * grain, seconds)
+        self.set_level(customer, new_sent * grain / seconds if known else None, own, share * known)
 
     def heed(self, now: int, answered: bool) -> None:
         """Longer ticks while the counter does not keep up, judged once a tick by all answers: guards against
--- /dev/null
+++ b/millfront/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/millfront/cli/caller.py
@@ -0,0 +1,50 @@
+"""Calls to a gatekeeper's admin API, over a Unix socket or a loopback address."""
+
+import http.client
+import json
+import socket
+from dataclasses import dataclass
+from typing import Any
+
+from millfront.cli.exits import UNREACHABLE, fail
+
+WAIT_S = 30.0
+
+
+class Unix(http.client.HTTPConnection):
+    """HTTP over a Unix socket."""
+
+    def __init__(self, path: str) -> None:
+        super().__init__("localhost", timeout=WAIT_S)
+        self.path = path
+
+    def connect(self) -> None:
+        self.sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        self.sock.settimeout(WAIT_S)
+        self.sock.connect(self.path)
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    status: int
+    fields: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        return json.loads(self.body)
+
+
+def call(admin: str, method: str, path: str, body: bytes = b"", **fields: str) -> Answer:
+    """One call; ends the command with 4 where nobody answers."""
+    unix = admin.startswith("unix:")
+    connection = (
+        Unix(admin.removeprefix("unix:")) if unix else http.client.HTTPConnection(admin, timeout=WAIT_S)
+    )
+    try:
+        connection.request(method, path, body or None, {k.replace("_", "-"): v for k, v in fields.items()})
+        got = connection.getresponse()
+        return Answer(got.status, {k.lower(): v for k, v in got.getheaders()}, got.read())
+    except (OSError, http.client.HTTPException) as wrong:
+        fail(UNREACHABLE, f"{admin}: {wrong}")
+    finally:
+        connection.close()
--- /dev/null
+++ b/millfront/cli/commands.py
@@ -0,0 +1,132 @@
+"""`millfront`: the commands. Each imports what it needs when it is called."""
+
+import importlib.metadata
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+
+from millfront.cli.exits import UNUSABLE, fail, json_option, show
+
+
+class Lazy(click.Group):
+    """Groups whose modules are imported only when they are asked for."""
+
+    GROUPS = ("plans", "usage")
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), *self.GROUPS])
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name in self.GROUPS:
+            module = importlib.import_module(f"millfront.cli.{cmd_name}")
+            group: click.Command = module.group
+            return group
+        return super().get_command(ctx, cmd_name)
+
+
+def _version() -> str:
+    try:
+        return importlib.metadata.version("millfront")
+    except importlib.metadata.PackageNotFoundError:  # run from a checkout
+        from millfront import VERSION
+
+        return VERSION
+
+
+@click.group(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(_version(), prog_name="millfront")
+def group() -> None:
+    """A quota-keeping gateway. Without a command it runs, configured by NODE_* alone."""
+
+
+@group.command()
+@click.option("--operator", type=click.Path(dir_okay=False), help="The operators' file (MILLFRONT_OPERATOR).")
+@click.option("--config", type=click.Path(dir_okay=False), help="The configuration (NODE_CONFIG).")
+def run(operator: str | None, config: str | None) -> None:
+    """Serve until SIGTERM or SIGINT."""
+    from millfront import daemon
+
+    if operator is not None:
+        os.environ[daemon.OPERATORS] = operator
+    if config is not None:
+        os.environ["NODE_CONFIG"] = config
+    sys.exit(daemon.run(os.environ))
+
+
+@group.command()
+@click.argument("files", nargs=-1, required=True, type=click.Path(dir_okay=False))
+@click.option("--kind", type=click.Choice(["operators", "plans", "config"]), help="Of all of them.")
+@json_option
+def check(files: tuple[str, ...], kind: str | None, as_json: bool) -> None:
+    """Check FILES of ours: operators' files, plan books, configurations. Exits with 2 on any fault."""
+    from millfront.cli import documents
+
+    found: list[dict[str, Any]] = []
+    lines: list[str] = []
+    for file in files:
+        kind_of, faults = documents.check(Path(file), kind)
+        found.append({"file": file, "kind": kind_of, "faults": [str(f) for f in faults]})
+        lines += [f"{file}: {fault}" for fault in faults] or [f"{file}: sound ({kind_of})"]
+    bad = any(entry["faults"] for entry in found)
+    if as_json:
+        show(True, {"sound": not bad, "files": found}, "")
+        sys.exit(UNUSABLE if bad else 0)
+    for entry, line in [(e, ln) for e in found for ln in lines if ln.startswith(f"{e['file']}: ")]:
+        click.echo(line, err=bool(entry["faults"]))
+    sys.exit(UNUSABLE if bad else 0)
+
+
+@group.command()
+@click.argument("name", type=click.Choice(["operators", "plans"]))
+def schema(name: str) -> None:
+    """Print the published JSON schema of a document."""
+    from millfront.cli import documents
+
+    click.echo(documents.schema(name), nl=False)
+
+
+@group.command()
+@click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
+def completion(shell: str) -> None:
+    """Print what makes SHELL complete our commands."""
+    from click.shell_completion import get_completion_class
+
+    found = get_completion_class(shell)
+    assert found is not None
+    click.echo(found(group, {}, "millfront", "_MILLFRONT_COMPLETE").source())
+
+
+@group.command()
+@click.option("--admin", required=True, envvar="MILLFRONT_ADMIN", help="unix:/PATH or HOST:PORT.")
+@json_option
+def status(admin: str, as_json: bool) -> None:
+    """What a running gatekeeper says of itself."""
+    from millfront.cli import caller
+
+    answer = caller.call(admin, "GET", "/v1/status")
+    told = answer.json()
+    lines = []
+    for name, value in told.items():
+        if isinstance(value, dict):
+            lines += [f"{name}.{inner}: {what}" for inner, what in value.items()]
+        else:
+            lines.append(f"{name}: {value}")
+    show(as_json, told, "\n".join(lines))
+
+
+def main() -> int:
+    try:
+        ended = group.main(prog_name="millfront", standalone_mode=False)
+        return ended if isinstance(ended, int) else 0
+    except click.ClickException as wrong:
+        wrong.show()
+        return UNUSABLE
+    except click.Abort:
+        return 130
+    except BrokenPipeError:
+        return 0
+    except OSError as wrong:
+        fail(UNUSABLE, f"{wrong.filename or ''}: {wrong.strerror}")
--- a/millfront/interface.py
+++ b/millfront/interface.py
@@ -52,6 +52,14 @@
     MOOT = "moot"
 
 
+class Standing(Enum):
+    """What a try goes out on: its customer's quota, units leased from a reservation, or neither."""
+
+    INSIDE = "inside"
+    RESERVED = "reserved"
+    BEYOND = "beyond"
+
+
 @dataclass(frozen=True, slots=True)
 class RequestClass:
     aim_us: int
@@ -145,6 +153,8 @@
     units: float
     spread: int
     first: int
+    terms: Plan | None = None  # live plans: the plan in force, over `plan`
+    reserves: bool = False  # a reservation of the customer is in force: say when its plan runs short
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,6 +186,14 @@
     total: float
 
 
+@dataclass(frozen=True, slots=True)
+class UnitsLeased:
+    """Units of a reservation that this gateway may send on above the customer's plan; below 0 they end."""
+
+    customer: int
+    units: float
+
+
 @dataclass(frozen=True, slots=True)
 class ProbeEnded:
     backend: int
@@ -202,6 +220,7 @@
     | AttemptEnded
     | StreamStarted
     | CounterAnswered
+    | UnitsLeased
     | ProbeEnded
     | PeerMessage
     | TimerFired
@@ -215,6 +234,7 @@
     request: int
     backend: int
     timeout_us: int
+    standing: Standing = Standing.INSIDE
 
 
 @dataclass(frozen=True, slots=True)
@@ -247,6 +267,16 @@
     ttl_us: int
 
 
+@dataclass(frozen=True, slots=True)
+class Short:
+    """A customer with a reservation asks for more than its plan lets in for sure: units may be leased."""
+
+    customer: int
+    units: float
+    held: float  # leased and not used yet
+    gateways: int
+
+
 @dataclass(frozen=True, slots=True)
 class Probe:
     backend: int
@@ -280,4 +310,18 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | SetTimer | Count | Probe | Watch | FetchList | Tell | CloseIdle | Log
+Action = (
+    Send
+    | Refuse
+    | Fail
+    | Cancel
+    | SetTimer
+    | Count
+    | Short
+    | Probe
+    | Watch
+    | FetchList
+    | Tell
+    | CloseIdle
+    | Log
+)
--- /dev/null
+++ b/millfront/logs.py
@@ -0,0 +1,100 @@
+"""The log: an event and its fields, written by the standard library or, where switched on, by structlog.
+
+A message is a constant event and named fields, so that it can be counted and searched. structlog is imported
+by structured() alone: a gatekeeper without an operators' file does without it.
+"""
+
+import logging
+import sys
+from typing import Any
+
+LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
+
+
+class Log:
+    """A logger of one module. No call raises; none is made for each request."""
+
+    def __init__(self, name: str) -> None:
+        self._to = logging.getLogger(name)
+
+    def info(self, event: str, **fields: object) -> None:
+        self._emit(logging.INFO, event, fields)
+
+    def warning(self, event: str, **fields: object) -> None:
+        self._emit(logging.WARNING, event, fields)
+
+    def error(self, event: str, **fields: object) -> None:
+        self._emit(logging.ERROR, event, fields)
+
+    def exception(self, event: str, **fields: object) -> None:
+        """An error with the traceback of the exception being handled."""
+        self._emit(logging.ERROR, event, fields, True)
+
+    def _emit(self, level: int, event: str, fields: dict[str, object], traceback: bool = False) -> None:
+        if self._to.isEnabledFor(level):
+            self._to.log(level, event.replace("%", "%%"), exc_info=traceback, extra={"fields": fields})
+
+
+class Seldom(logging.Filter):
+    """One warning of a kind a second: guards the log against a line a request while a peer misbehaves."""
+
+    EVERY_S = 1.0
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._last: dict[tuple[str, str], float] = {}
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        kind = (record.name, str(record.msg))
+        if record.levelno < logging.WARNING or record.created - self._last.get(kind, 0.0) >= self.EVERY_S:
+            self._last[kind] = record.created
+            return True
+        return False
+
+
+class Plain(logging.Formatter):
+    """A line for people: time, level, module, event, then field=value."""
+
+    def __init__(self) -> None:
+        super().__init__("%(asctime)s %(levelname)s %(name)s: %(message)s%(told)s")
+
+    def format(self, record: logging.LogRecord) -> str:
+        fields: dict[str, object] = getattr(record, "fields", {})
+        record.told = "".join(f" {name}={value}" for name, value in fields.items())
+        return super().format(record)
+
+
+def start() -> None:
+    """The log as it is without an operators' file: lines on standard error, from level info."""
+    handler = logging.StreamHandler()
+    handler.addFilter(Seldom())
+    handler.setFormatter(Plain())
+    logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
+
+
+def structured(form: str, level: str) -> None:
+    """The log on structlog from here on.
+
+    :param form: ``json``, an object a line, or ``console``, for people at a terminal
+    :param level: a name of LEVELS; what is below it is not written
+    """
+    import structlog
+
+    def fields(_: Any, __: str, event: Any) -> Any:
+        event.update(getattr(event["_record"], "fields", {}))
+        return event
+
+    before: list[Any] = [
+        fields,
+        structlog.stdlib.add_log_level,
+        structlog.stdlib.add_logger_name,
+        structlog.processors.TimeStamper(fmt="iso", utc=True),
+    ]
+    last: list[Any] = [structlog.stdlib.ProcessorFormatter.remove_processors_meta]
+    if form == "json":
+        last += [structlog.processors.format_exc_info, structlog.processors.JSONRenderer(default=str)]
+    else:
+        last.append(structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty()))
+    (handler,) = logging.getLogger().handlers
+    handler.setFormatter(structlog.stdlib.ProcessorFormatter(foreign_pre_chain=before, processors=last))
+    logging.getLogger().setLevel(LEVELS[level])
--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -1,6 +1,5 @@
 """The client side: the virtual server, its connections, and the answers that go out on them."""
 
-import logging
 from collections import Counter, OrderedDict
 from collections.abc import Callable
 from http import HTTPStatus
@@ -10,6 +9,7 @@
 import h11
 from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskStatus
 
+from millfront.logs import Log
 from millfront.node.config import Address
 from millfront.node.endings import Ended, Ending
 from millfront.node.host import Clock, Host, OpenRequest
@@ -18,7 +18,7 @@
 from millfront.node.stages.admit import Admit
 from millfront.node.stages.take_in import NotTaken, TakeIn
 
-log = logging.getLogger(__name__)
+log = Log(__name__)
 
 BACKLOG = 1024
 READY_PATH = b"/healthz"
@@ -272,7 +272,7 @@
             OSError
         ) as wrong:  # out of descriptors, or a client gone before it was accepted: neither ends us
             if wrong.errno in NO_ROOM:
-                log.warning("accept: %s", wrong.strerror)
+                log.warning("accept failed", why=wrong.strerror)
                 self._close_some_at_rest(1)
                 await anyio.sleep(NO_ROOM_S)
             return None
--- a/millfront/node/counter.py
+++ b/millfront/node/counter.py
@@ -1,6 +1,5 @@
 """The counter (tally desk): calls pipelined on one connection, answers matched in order."""
 
-import logging
 import math
 import re
 from collections import deque
@@ -10,12 +9,13 @@
 from anyio.abc import SocketStream
 
 from millfront import interface as api
+from millfront.logs import Log
 from millfront.node.config import Address
 from millfront.node.endings import COUNT_OUTCOMES, Ended, Ending
 from millfront.node.host import Host
 from millfront.node.http import dial
 
-log = logging.getLogger(__name__)
+log = Log(__name__)
 
 MOST_LINE = 256
 TOTAL = re.compile(rb"[-+]?[0-9]+(?:\.[0-9]*)?(?:[eE][-+]?[0-9]+)?")  # float() alone would read 1_0 and nan
@@ -72,7 +72,7 @@
     def _end(self, call: Call, ending: Ending, total: float = 0.0) -> None:
         if not call.ended:
             call.ended = True
-            self.host.tell(api.CounterAnswered(call.name, COUNT_OUTCOMES[ending], total))
+            self.host.counted(api.CounterAnswered(call.name, COUNT_OUTCOMES[ending], total))
 
     async def run(self) -> None:
         """Connect when there are calls, until retired."""
@@ -148,7 +148,7 @@
         except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
             pass
         except Ended as ended:
-            log.warning("counter: %s", ended)
+            log.warning("the counter answered nonsense", why=ended)
         scope.cancel()
 
     def _answer(self, line: bytes) -> None:
--- a/millfront/node/host.py
+++ b/millfront/node/host.py
@@ -6,7 +6,6 @@
 
 import heapq
 import itertools
-import logging
 import time
 from collections import deque
 from collections.abc import Callable
@@ -16,9 +15,10 @@
 import anyio
 
 from millfront import interface as api
-from millfront.choice import Gateway
+from millfront.choice import NEVER_RAN, Customer, Gateway
+from millfront.logs import Log
 
-log = logging.getLogger(__name__)
+log = Log(__name__)
 
 AGAIN_US = 20_000  # a timer's event that failed comes once more after so long
 MOST_SLEEP_US = 1_000_000
@@ -76,6 +76,22 @@
     def failed(self) -> None: ...
 
 
+class Reserving(Protocol):
+    """Live plans with reservations: leases units where a customer's plan runs short."""
+
+    def short(self, short: api.Short) -> None: ...
+    def answered(self, answer: api.CounterAnswered) -> bool:
+        """Whether that call was its own."""
+        ...
+
+
+class Tally(Protocol):
+    """Is told of each try once as it is first sent on, and once when nothing of it is out any more."""
+
+    def sending(self, opened: "OpenRequest", standing: api.Standing) -> None: ...
+    def settled(self, opened: "OpenRequest") -> None: ...
+
+
 class Flow(Protocol):
     """One attempt under way."""
 
@@ -96,6 +112,10 @@
     timeout_us: int
     name: bytes = b""  # as its caller calls it; no two open ones share one
     message: Any = None
+    plan_name: str = ""
+    plan_version: int = 0  # of the plan book; 0: the settings'
+    terms: api.Plan | None = None  # the plan book's, over `plan`
+    reserves: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -105,6 +125,9 @@
     caller: Caller
     over: bool = False
     sends: int = 0
+    ran: bool = False  # an attempt may have run
+    units: float = 0.0  # the true ones, where a good answer told them
+    tallied: Any = None  # the tally's own mark
     flows: dict[int, Flow] = field(default_factory=dict)
 
     @property
@@ -123,6 +146,8 @@
         self.start_flow: Callable[[OpenRequest, int, api.Send], None]
         self.start_count: Callable[[api.Count], None]
         self.close_idle: Callable[[int], None]
+        self.reserving: Reserving | None = None
+        self.tally: Tally | None = None
         self._gateway = Gateway(settings, seed)
         self._ids = itertools.count(1)
         self._events: deque[api.Event] = deque()
@@ -144,7 +169,7 @@
         try:
             actions = self._gateway.handle(self.clock.now(), event)
         except Exception:  # a fault on one event must not take the program and all other requests down
-            log.exception("the module failed on %s", type(event).__name__)
+            log.exception("the module failed", on=type(event).__name__)
             if isinstance(event, api.TimerFired):  # a beat lost once would be lost for good
                 self._carry_out(api.SetTimer(AGAIN_US, event.token))
             return
@@ -152,7 +177,7 @@
             try:
                 self._carry_out(action)
             except Exception:
-                log.exception("%s could not be carried out", type(action).__name__)
+                log.exception("an action could not be carried out", action=type(action).__name__)
 
     def _carry_out(self, action: api.Action) -> None:
         match action:
@@ -171,14 +196,26 @@
                 self.timers.after(delay_us, lambda: self.tell(api.TimerFired(token)))
             case api.Count():
                 self.start_count(action)
+            case api.Short():
+                if self.reserving is not None:
+                    self.reserving.short(action)
             case api.CloseIdle(backend):
                 self.close_idle(backend)
             case api.Log(text):
-                log.info("%s", text)
+                log.info(text)
             case api.Watch() | api.FetchList():
                 pass  # the pool is always watched here
             case api.Probe() | api.Tell():
-                log.warning("%s is not possible on this platform", type(action).__name__)
+                log.warning("not possible on this platform", action=type(action).__name__)
+
+    def counted(self, answer: api.CounterAnswered) -> None:
+        """A counter call's one answer, to whoever made the call."""
+        if self.reserving is None or not self.reserving.answered(answer):
+            self.tell(answer)
+
+    def live_plans(self, reserving: Reserving, carry: Callable[[Customer, api.Plan], None]) -> None:
+        """Switch live plans on: what leases units, and what becomes of an allowance on a change."""
+        self.reserving, self._gateway.carry = reserving, carry
 
     # ---- requests ----------------------------------------------------------------------------
 
@@ -203,6 +240,8 @@
                 arrival.units,
                 arrival.spread,
                 arrival.first,
+                arrival.terms,
+                arrival.reserves,
             )
         )
         return opened
@@ -236,6 +275,8 @@
         if opened.over and not opened.flows and opened.id in self.open:
             del self.open[opened.id]
             self._names.discard(opened.arrival.name)
+            if opened.tallied is not None and self.tally is not None:
+                self.tally.settled(opened)
 
     # ---- attempts ----------------------------------------------------------------------------
 
@@ -248,6 +289,8 @@
         if opened is None or late or number >= self.settings.allowed.max_attempts:
             self._ended(send.request, number, send.backend, api.Outcome.MOOT, opened is None or opened.over)
             return
+        if self.tally is not None and opened.tallied is None:
+            self.tally.sending(opened, send.standing)
         self.start_flow(opened, number, send)
 
     def flow_ended(
@@ -262,6 +305,8 @@
     ) -> None:
         """The one event of an attempt; a first good answer is the request's final one."""
         opened.flows.pop(number, None)
+        opened.ran = opened.ran or outcome not in NEVER_RAN
+        opened.units = opened.units or units
         if outcome is api.Outcome.OK and self._finish(opened.id):
             opened.caller.served(answer)
         self._forget(opened)
--- a/millfront/node/members.py
+++ b/millfront/node/members.py
@@ -1,6 +1,5 @@
 """The pool members (page servers): who they are, and the connections to them."""
 
-import logging
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -13,8 +12,6 @@
 from millfront.node.http import Wire, dialled
 from millfront.node.tcp import Tcp
 
-log = logging.getLogger(__name__)
-
 IDLE_SHARE = 0.5  # of KeepaliveUs: a request written after the member closed would count as a reset
 WORN_SHARE = 0.15  # of the requests on connections idle for so long that broke
 LEAST_BROKEN = 3.0  # before that share says anything
--- a/millfront/node/pool.py
+++ b/millfront/node/pool.py
@@ -2,13 +2,13 @@
 
 import itertools
 import json
-import logging
 from typing import Any
 
 import anyio
 import h11
 
 from millfront import interface as api
+from millfront.logs import Log
 from millfront.node.config import Address, ConfigError
 from millfront.node.endings import Ended, Ending
 from millfront.node.host import Host
@@ -16,7 +16,7 @@
 from millfront.node.members import Members
 from millfront.settings import NodeSettings
 
-log = logging.getLogger(__name__)
+log = Log(__name__)
 
 STATES = {
     "Ready": api.BackendState.READY,
@@ -110,7 +110,7 @@
                 await self._watch_once(discovery)
             except Ended as ended:
                 if str(ended) != said:  # a discovery that is down for hours is said once
-                    log.warning("discovery: %s", ended)
+                    log.warning("discovery ended", why=ended)
                 said = str(ended)
             wait_s = FIRST_WAIT_S if self.seq != before else min(wait_s * 2, MOST_WAIT_S)
             await anyio.sleep(wait_s)
--- a/millfront/node/service.py
+++ b/millfront/node/service.py
@@ -1,18 +1,19 @@
 """A node put together: the peers round the host, and its planned end."""
 
-import logging
 from collections.abc import Awaitable, Callable
 
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
 
 from millfront import interface as api
+from millfront.logs import Log
 from millfront.node.clients import VirtualServer
 from millfront.node.config import Address, Config, ConfigError
 from millfront.node.counter import Counter
 from millfront.node.endings import Ended
 from millfront.node.host import Clock, Host, OpenRequest
 from millfront.node.members import Members
+from millfront.node.parts import Parts
 from millfront.node.pool import Pool
 from millfront.node.stages.admit import Admit
 from millfront.node.stages.book import Book
@@ -20,7 +21,7 @@
 from millfront.node.stages.send import Send, ServerSideFlow
 from millfront.node.stages.take_in import TakeIn
 
-log = logging.getLogger(__name__)
+log = Log(__name__)
 
 # After SIGTERM: the front brings new connections for up to 0.4 s, and keeps the ones it has until told.
 ACCEPT_S = 0.42
@@ -41,8 +42,11 @@
         self.send = Send(self.clock, self.members, Route(self.members))
         self.book = Book(self.host, node.most_units)
         admit = Admit(self.host, min(node.max_open, config.most_clients))
-        take_in = TakeIn(settings, node)
-        self.server = VirtualServer(self.clock, self.host, take_in, admit, self.ready, config.most_clients)
+        self.take_in = TakeIn(settings, node)
+        self.server = VirtualServer(
+            self.clock, self.host, self.take_in, admit, self.ready, config.most_clients
+        )
+        self.parts = Parts()
         self._tasks: TaskGroup
         self._stop = anyio.Event()
 
@@ -69,25 +73,27 @@
             try:
                 self.pool.take(config.known, cached=True)
             except Ended as ended:
-                log.warning("known: %s", ended)
+                log.warning("the known list can't be used", why=ended)
             tasks.start_soon(self._kept_up, self.pool.watch)
+            await self.parts.start(lambda run: tasks.start_soon(self._kept_up, run))
             try:
                 address = await tasks.start(self.server.run, config.listen)
             except OSError as wrong:
                 raise ConfigError(f"listen: {config.listen}: {wrong.strerror}") from None
-            log.info("%s serves at %s", config.name, address)
+            log.info("serves", name=config.name, address=address)
             task_status.started(address)
             await self._stop.wait()
             await self._wind_down()
+            await self.parts.stop()
             tasks.cancel_scope.cancel()
 
     def move(self, discovery: Address, counter: Address | None) -> None:
         """A new configuration names these: go over to them, and serve on meanwhile."""
         if discovery != self.pool.discovery:
-            log.info("discovery moves from %s to %s", self.pool.discovery, discovery)
+            log.info("discovery moves", before=self.pool.discovery, now=discovery)
             self.pool.move(discovery)
         if self.counter is not None and counter is not None and counter != self.counter.address:
-            log.info("the counter moves from %s to %s", self.counter.address, counter)
+            log.info("the counter moves", before=self.counter.address, now=counter)
             self._count_at(counter)
 
     def _count_at(self, address: Address) -> None:
@@ -124,7 +130,7 @@
                 await anyio.sleep(0.02)
         for what, endings in (("client connections", self.server.endings), ("flows", self.book.endings)):
             said = ", ".join(f"{count} {ending.value}" for ending, count in endings.items())
-            log.info("%s: %s", what, said or "none")
+            log.info("endings", of=what, were=said or "none")
 
     def _start_flow(self, opened: OpenRequest, number: int, send: api.Send) -> None:
         flow = ServerSideFlow(opened, number, send, self.clock.now())
@@ -143,4 +149,4 @@
             self._tasks.start_soon(self.members.close_idle, member)
 
     def _no_counter(self, count: api.Count) -> None:
-        self.host.tell(api.CounterAnswered(count.name, api.Outcome.CONNECT_FAILED, 0.0))
+        self.host.counted(api.CounterAnswered(count.name, api.Outcome.CONNECT_FAILED, 0.0))
--- a/millfront/node/stages/send.py
+++ b/millfront/node/stages/send.py
@@ -1,19 +1,17 @@
 """Send: one server-side flow, from a connection to an answer or an ending."""
 
-import logging
-
 import anyio
 import h11
 
 from millfront import interface as api
+from millfront.logs import Log
 from millfront.node.endings import Ended, Ending
 from millfront.node.host import Clock, OpenRequest
 from millfront.node.http import Message, passed_on
 from millfront.node.members import Members, PoolMember
 from millfront.node.stages.route import Route
 
-log = logging.getLogger(__name__)
-
+log = Log(__name__)
 
 AGAIN = 2  # connections more: guards a member that is well against being blamed for one that broke at once
 
@@ -56,7 +54,7 @@
                 return await self._attempt(flow, member)
         except Ended as ended:
             if ended.ending is Ending.MALFORMED:
-                log.warning("pool member %s: %s", flow.send.backend, ended)
+                log.warning("a pool member answered nonsense", member=flow.send.backend, why=ended)
             return ended.ending, None
         except Exception:  # a fault in one flow is that flow's ending, not the program's
             log.exception("a flow failed")
--- a/millfront/node/stages/take_in.py
+++ b/millfront/node/stages/take_in.py
@@ -1,6 +1,9 @@
 """Take in: from a client's message, what the decisions need; or why it can't be taken."""
 
 import re
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Protocol
 
 from millfront import interface as api
 from millfront.node.host import Arrival
@@ -15,6 +18,19 @@
 MICROSECONDS = {b"m": 1000, b"u": 1}
 
 
+class Live(Protocol):
+    """What a plan book says of a customer."""
+
+    @property
+    def plan(self) -> api.Plan | None: ...
+    @property
+    def name(self) -> str: ...
+    @property
+    def version(self) -> int: ...
+    @property
+    def reserves(self) -> bool: ...
+
+
 class NotTaken(Exception):
     """A reject before any decision: the request is not what the protocol allows."""
 
@@ -29,6 +45,8 @@
         self.most_units = node.most_units
         self.classes = {name.encode(): position for name, position in node.classes.items()}
         self.plans = {name.encode(): position for name, position in node.plans.items()}
+        # Live plans: (customer, the request's plan, Unix time in µs) to what holds instead; None where silent
+        self.live: Callable[[int, str, int], Live | None] | None = None
 
     def __call__(self, message: Message, came_us: int) -> Arrival:
         assert isinstance(message.start, tuple)
@@ -40,9 +58,15 @@
         if not CUSTOMER.fullmatch(parts[-1]) or (customer := int(parts[-1], 16)) >= MOST_CUSTOMER:
             raise NotTaken(404, "no such customer")
         self._check_method(cls, method, message)
-        plan = self.plans.get(message.field(b"plan") or b"")
+        named = message.field(b"plan") or b""
+        plan, live = self.plans.get(named), None
+        if self.live is not None:
+            live = self.live(customer, named.decode("latin-1"), came_us)
+        terms = live.plan if live is not None else None
         if plan is None:
-            raise NotTaken(400, "Plan: unknown")
+            if terms is None:
+                raise NotTaken(400, "Plan: unknown")
+            plan = 0  # the book wins over whatever the request says
         name = message.field(b"request-id") or b""
         if not REQUEST_ID.fullmatch(name):
             raise NotTaken(400, "Request-Id: not 64 bits in hex")
@@ -55,7 +79,15 @@
         timeout_us = min(
             int(float(timeout[1]) * MICROSECONDS[timeout[2]]), self.settings.classes[cls].deadline_us
         )
-        return Arrival(cls, plan, customer, units, spread, first, came_us, timeout_us, name.lower(), message)
+        arrival = Arrival(
+            cls, plan, customer, units, spread, first, came_us, timeout_us, name.lower(), message
+        )
+        if live is None:
+            return arrival
+        version = live.version if terms is not None else 0
+        return replace(
+            arrival, plan_name=live.name, plan_version=version, terms=terms, reserves=live.reserves
+        )
 
     def _check_method(self, cls: int, method: bytes, message: Message) -> None:
         repeat = self.settings.classes[cls].repeat
--- /dev/null
+++ b/millfront/operators/admin.py
@@ -0,0 +1,165 @@
+"""The admin API: HTTP/1.1 on a Unix socket or a loopback address, for the operators' own tools.
+
+`GET /v1/status` tells what each part has to say. Other parts add their routes. It serves few callers at a
+time, and none of them can hold up the gatekeeper's own work for longer than one answer takes to be made.
+"""
+
+import json
+import os
+import socket
+import stat
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import h11
+from anyio.abc import SocketListener, SocketStream
+
+from millfront.logs import Log
+from millfront.node.clients import REASONS
+from millfront.node.config import Address, ConfigError
+from millfront.node.endings import Ended, Ending
+from millfront.node.http import Fields, Message, Wire
+from millfront.node.service import Node
+from millfront.operators import document
+
+log = Log(__name__)
+
+MOST_CALLERS = 4
+MOST_BODY = 32 * 1024 * 1024  # a book of some 300,000 assignments
+CALL_S = 20.0  # a call that is not whole by then is cut
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    status: int
+    body: bytes = b""
+    fields: Fields = field(default_factory=list)
+    kind: bytes = b"application/json"
+
+
+def said(status: int, what: object, fields: Fields | None = None) -> Reply:
+    return Reply(status, json.dumps(what).encode() + b"\n", fields or [])
+
+
+Handler = Callable[[Message], Awaitable[Reply]]
+
+
+class Admin:
+    name = "admin"
+
+    def __init__(self, node: Node, told: document.Admin) -> None:
+        self.node = node
+        self.listen = told.listen
+        self.address = ""
+        self.routes: dict[bytes, dict[bytes, Handler]] = {b"/v1/status": {b"GET": self._status}}
+        self._says: dict[str, Callable[[], dict[str, object]]] = {}
+        self._listener: SocketListener | None = None
+        self._room = anyio.Semaphore(MOST_CALLERS)
+
+    def says(self, part: str, status: Callable[[], dict[str, object]]) -> None:
+        self._says[part] = status
+
+    async def start(self) -> None:
+        if self.listen.startswith("unix:"):
+            path = self.listen.removeprefix("unix:")
+            _remove_stale(path)
+            unix: Any = await anyio.create_unix_listener(path, mode=0o600)
+            self._listener, self.address = unix, self.listen
+            return
+        where = Address.parse(self.listen, "admin.listen")
+        listeners = await anyio.create_tcp_listener(local_host=where.host, local_port=where.port)
+        (inner,) = listeners.listeners
+        assert isinstance(inner, SocketListener)
+        self._listener = inner
+        self.address = f"{where.host}:{inner.extra(anyio.abc.SocketAttribute.local_port)}"
+        log.info("the admin API listens", address=self.address)
+
+    async def run(self) -> None:
+        assert self._listener is not None
+        await self._listener.serve(self._serve)
+
+    async def stop(self) -> None:
+        if self._listener is not None:
+            await self._listener.aclose()
+        if self.listen.startswith("unix:"):
+            with suppress(OSError):
+                os.unlink(self.listen.removeprefix("unix:"))
+
+    def reload(self) -> None:
+        pass
+
+    async def _serve(self, stream: SocketStream) -> None:
+        wire = Wire(stream, h11.SERVER)
+        try:
+            async with self._room:
+                with anyio.move_on_after(CALL_S):
+                    while True:
+                        await self._answer(wire, await self._call(wire))
+                        if not wire.reusable():
+                            break
+        except Ended:
+            pass
+        except Exception:
+            log.exception("an admin call failed")
+        finally:
+            await wire.close()
+
+    async def _call(self, wire: Wire) -> Message:
+        head = await wire.next_event()
+        if not isinstance(head, h11.Request):
+            raise Ended(Ending.MALFORMED, "no request")
+        if wire.h11.they_are_waiting_for_100_continue:
+            await wire.write(h11.InformationalResponse(status_code=100, headers=[]))
+        parts: list[bytes] = []
+        size = 0
+        while isinstance(event := await wire.next_event(), h11.Data):
+            size += len(event.data)
+            if size > MOST_BODY:
+                await self._answer(wire, Message((b"", b""), [], [], b""), said(413, {"error": "too long"}))
+                raise Ended(Ending.MALFORMED, "too long")
+            parts.append(bytes(event.data))
+        start = (head.method, head.target.partition(b"?")[0])
+        return Message(start, list(head.headers), head.headers.raw_items(), b"".join(parts))
+
+    async def _answer(self, wire: Wire, call: Message, reply: Reply | None = None) -> None:
+        reply = reply or await self._reply(call)
+        fields = [(b"Content-Type", reply.kind), (b"Content-Length", b"%d" % len(reply.body)), *reply.fields]
+        head = h11.Response(status_code=reply.status, headers=fields, reason=REASONS.get(reply.status, b""))
+        await wire.write(head, h11.Data(data=reply.body), h11.EndOfMessage())
+
+    async def _reply(self, call: Message) -> Reply:
+        assert isinstance(call.start, tuple)
+        method, path = call.start
+        methods = self.routes.get(path)
+        if methods is None:
+            return said(404, {"error": "no such resource"})
+        if method not in methods:
+            return said(405, {"error": "not allowed"}, [(b"Allow", b", ".join(sorted(methods)))])
+        try:
+            return await methods[method](call)
+        except Exception:
+            log.exception("an admin call failed")
+            return said(500, {"error": "it failed; the log says why"})
+
+    async def _status(self, call: Message) -> Reply:
+        told: dict[str, object] = {"name": self.node.config.name, "open": len(self.node.host.open)}
+        return said(200, told | {part: status() for part, status in self._says.items()})
+
+
+def _remove_stale(path: str) -> None:
+    """A socket that a killed gatekeeper left gives way; one that is served, or another file, does not."""
+    try:
+        if not stat.S_ISSOCK(os.stat(path).st_mode):
+            raise ConfigError(f"admin.listen: {path} is there and is no socket")
+    except FileNotFoundError:
+        return
+    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as probe:
+        try:
+            probe.connect(path)
+        except OSError:
+            os.unlink(path)
+            return
+    raise ConfigError(f"admin.listen: {path} is served by another process")
--- /dev/null
+++ b/millfront/operators/parts.py
@@ -0,0 +1,24 @@
+"""From the operators' file to the parts of a node: what is not named there is not imported."""
+
+from millfront.node.service import Node
+from millfront.operators.document import Operators
+
+
+def put(node: Node, told: Operators) -> None:
+    """In the order of their start: the ledger before what serves, the admin API last."""
+    admin = None
+    if told.admin is not None:
+        from millfront.operators.admin import Admin
+
+        admin = Admin(node, told.admin)
+    if told.plans is not None:
+        from millfront.plans.api import PlansApi
+        from millfront.plans.part import LivePlans
+
+        plans = LivePlans(node, told.plans)
+        node.parts.add(plans)
+        if admin is not None:
+            admin.says("plans", plans.status)
+            PlansApi(plans).at(admin)
+    if admin is not None:
+        node.parts.add(admin)
--- /dev/null
+++ b/millfront/plans/book.py
@@ -0,0 +1,380 @@
+"""The plan book: who holds which plan when, and what is reserved. Types, checks and a compiled form; no I/O.
+
+A book is one JSON document with a version. It is checked whole, with every fault named, before any of it
+counts. Instants are RFC 3339 with a zone; `from` counts, `until` no longer does.
+"""
+
+import datetime
+import hashlib
+from bisect import bisect_right
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Annotated, TypeVar
+
+import msgspec
+
+from millfront import interface as api
+from millfront.operators.document import Strict
+from millfront.operators.faults import Fault, Unusable, faults_of
+
+Instant = Annotated[datetime.datetime, msgspec.Meta(tz=True)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")]
+CustomerId = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{16}$")]
+Amount = Annotated[float, msgspec.Meta(ge=0)]
+Units = Annotated[float, msgspec.Meta(gt=0, le=1e6)]  # a counter's total is exact to seven digits
+T = TypeVar("T")
+EVER_US = 1 << 62
+SLICE = 500  # entries decoded in one go: a few ms at most, so that a loop may run in between
+MOST_CACHED = 4096  # customers asked for lately
+
+
+class PlanEntry(Strict, frozen=True):
+    """A plan, in the terms of the settings' Packages: units a second, units at once, attempts out at once."""
+
+    name: Name
+    rate: Amount
+    burst: Amount
+    open_limit: Annotated[int, msgspec.Meta(ge=0)] = 0
+    worth_factor: Amount = 1.0
+    over_worth: Amount = 0.0
+    over_cost: Amount = 0.0
+    ceiling_rate: Amount = 0.0
+    ceiling_burst: Amount = 0.0
+    ceiling_slack: Amount = 0.0
+    from_: Instant | None = msgspec.field(default=None, name="from")
+    until: Instant | None = None
+
+    def __post_init__(self) -> None:
+        if self.rate > 0 and self.burst <= 0:
+            raise ValueError("burst: a plan with a rate wants one above 0")
+        if self.ceiling_rate > 0 and self.ceiling_burst <= 0:
+            raise ValueError("ceiling_burst: a plan with a ceiling wants one above 0")
+        _ordered(self.from_, self.until)
+
+    def plan(self) -> api.Plan:
+        return api.Plan(
+            self.rate,
+            self.burst,
+            self.open_limit,
+            self.worth_factor,
+            self.over_worth,
+            self.over_cost,
+            self.ceiling_rate,
+            self.ceiling_burst,
+            self.ceiling_slack,
+        )
+
+
+class Assignment(Strict, frozen=True, gc=False):
+    customer: CustomerId
+    plan: Name
+    from_: Instant | None = msgspec.field(default=None, name="from")
+    until: Instant | None = None
+
+    def __post_init__(self) -> None:
+        _ordered(self.from_, self.until)
+
+
+class Reservation(Strict, frozen=True, gc=False):
+    """Units above the customer's plan, over all gatekeepers together: so many a second, or so many in all."""
+
+    name: Name
+    customer: CustomerId
+    from_: Instant = msgspec.field(name="from")
+    until: Instant
+    rate: Units | None = None
+    units: Units | None = None
+
+    def __post_init__(self) -> None:
+        if (self.rate is None) == (self.units is None):
+            raise ValueError("one of rate and units is wanted")
+        _ordered(self.from_, self.until)
+
+    @property
+    def key(self) -> int:
+        """64 bits that every gatekeeper makes alike: the counter's names come from them."""
+        return int.from_bytes(
+            hashlib.blake2b(f"{self.customer}/{self.name}".encode(), digest_size=8).digest()
+        )
+
+    @property
+    def mean_rate(self) -> float:
+        """Units a second over its time."""
+        if self.rate is not None:
+            return self.rate
+        return (self.units or 0.0) / max((self.until - self.from_).total_seconds(), 1.0)
+
+
+class Book(Strict, frozen=True):
+    version: Annotated[int, msgspec.Meta(ge=1)]
+    plans: tuple[PlanEntry, ...] = ()
+    assignments: tuple[Assignment, ...] = ()
+    reservations: tuple[Reservation, ...] = ()
+    by: str = ""  # who made this version, and what for
+    note: str = ""
+
+
+class _Raw(Strict, frozen=True):
+    """The same, its entries not yet decoded."""
+
+    version: Annotated[int, msgspec.Meta(ge=1)]
+    plans: tuple[PlanEntry, ...] = ()
+    assignments: tuple[msgspec.Raw, ...] = ()
+    reservations: tuple[Reservation, ...] = ()
+    by: str = ""
+    note: str = ""
+
+
+def _ordered(start: datetime.datetime | None, end: datetime.datetime | None) -> None:
+    if start is not None and end is not None and end <= start:
+        raise ValueError("until: is not after from")
+
+
+def micros(at: datetime.datetime | None, otherwise: int) -> int:
+    """An instant in µs of Unix time."""
+    return otherwise if at is None else round(at.timestamp() * 1e6)
+
+
+def empty() -> Book:
+    return Book(version=1)
+
+
+def encode(book: Book) -> bytes:
+    return msgspec.json.format(msgspec.json.encode(book), indent=1) + b"\n"
+
+
+def decode(text: bytes) -> Book:
+    """:raises Unusable: with every fault of form; check() finds those of meaning"""
+    return driven(decoding(text))
+
+
+def decoding(text: bytes) -> Iterator["Book | None"]:
+    """The same in slices: yields None in between, and the book last, so that a loop can run meanwhile."""
+    try:
+        raw = msgspec.json.decode(text, type=_Raw)
+    except msgspec.ValidationError:
+        raise Unusable("plan book", faults_of(Book, msgspec.json.decode(text))) from None
+    except (msgspec.DecodeError, UnicodeDecodeError) as wrong:
+        raise Unusable("plan book", [Fault("$", f"is not JSON: {wrong}")]) from None
+    decoder = msgspec.json.Decoder(Assignment)
+    entries: list[Assignment] = []
+    faults: list[Fault] = []
+    for position, entry in enumerate(raw.assignments):
+        try:
+            entries.append(decoder.decode(entry))
+        except msgspec.ValidationError:
+            faults += faults_of(Assignment, msgspec.json.decode(entry), f"$.assignments[{position}]")
+        if position % SLICE == SLICE - 1:
+            yield None
+    if faults:
+        raise Unusable("plan book", faults)
+    yield Book(raw.version, raw.plans, tuple(entries), raw.reservations, raw.by, raw.note)
+
+
+def driven(steps: Iterator[T | None]) -> T:
+    """Runs what is done in slices to its end, without pauses."""
+    last: T | None = None
+    for step in steps:
+        last = step
+    assert last is not None
+    return last
+
+
+def check(book: Book, known_plans: Iterable[str], most_reserved: float) -> list[Fault]:
+    """What the entries say together and can't.
+
+    :param known_plans: names in the settings, beside the book's own
+    :param most_reserved: units a second that reservations may come to at any instant
+    """
+    return driven(checking(book, known_plans, most_reserved))
+
+
+def checking(book: Book, known_plans: Iterable[str], most_reserved: float) -> Iterator[list[Fault] | None]:
+    """The same in slices; the faults come last."""
+    faults: list[Fault] = []
+    plans = {entry.name for entry in book.plans} | set(known_plans)
+    for one, other in _defined_twice(book.plans):
+        why = f"plan {book.plans[one].name!r} is defined twice at once, here and in [{other}]"
+        faults.append(Fault(f"$.plans[{one}]", why))
+    taken: dict[str, list[tuple[int, int, int]]] = {}
+    for position, entry in enumerate(book.assignments):
+        if entry.plan not in plans:
+            faults.append(Fault(f"$.assignments[{position}].plan", f"no plan is named {entry.plan!r}"))
+        span = (micros(entry.from_, 0), micros(entry.until, EVER_US), position)
+        spans = taken.setdefault(entry.customer, [])
+        for begins, ends, other in spans:
+            if span[0] < ends and begins < span[1]:
+                why = f"customer {entry.customer} is assigned twice at once, here and in [{other}]"
+                faults.append(Fault(f"$.assignments[{position}]", why))
+        spans.append(span)
+        if position % SLICE == SLICE - 1:
+            yield None
+    named: dict[tuple[str, str], int] = {}
+    for position, reservation in enumerate(book.reservations):
+        first = named.setdefault((reservation.customer, reservation.name), position)
+        if first != position:
+            why = f"the customer has another reservation {reservation.name!r}, in [{first}]"
+            faults.append(Fault(f"$.reservations[{position}].name", why))
+    for start_us, rate in _reserved_too_much(book.reservations, most_reserved):
+        at = datetime.datetime.fromtimestamp(start_us / 1e6, datetime.UTC).isoformat()
+        why = f"from {at} on they come to {rate:g} units a second; {most_reserved:g} is the most"
+        faults.append(Fault("$.reservations", why))
+    yield faults
+
+
+def _defined_twice(entries: Sequence[PlanEntry]) -> Iterator[tuple[int, int]]:
+    for position, entry in enumerate(entries):
+        for other, before in enumerate(entries[:position]):
+            apart = micros(entry.from_, 0) >= micros(before.until, EVER_US)
+            apart = apart or micros(before.from_, 0) >= micros(entry.until, EVER_US)
+            if before.name == entry.name and not apart:
+                yield position, other
+
+
+def _reserved_too_much(entries: Iterable[Reservation], most: float) -> Iterator[tuple[int, float]]:
+    """The instants at which the sum of reserved units a second goes over the most."""
+    changes: dict[int, float] = {}
+    for entry in entries:
+        for at, sign in ((entry.from_, 1.0), (entry.until, -1.0)):
+            at_us = micros(at, 0)
+            changes[at_us] = changes.get(at_us, 0.0) + sign * entry.mean_rate
+    rate, over = 0.0, False
+    for at_us in sorted(changes):
+        rate += changes[at_us]
+        over, was = rate > most * (1.0 + 1e-9), over
+        if over and not was:
+            yield at_us, rate
+
+
+# ---- compiled ------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What holds for a customer now."""
+
+    plan: api.Plan | None  # None: the settings' plan that the request names
+    name: str
+    version: int
+    reserves: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Late:
+    """Entries that were new in a version and whose instant had passed when it was applied."""
+
+    entries: int
+    most_us: int
+
+
+class Compiled:
+    """A checked book as it is asked: by customer and instant. Made in slices by compiling()."""
+
+    def __init__(self, book: Book, settings_plans: Mapping[str, api.Plan]) -> None:
+        self.book = book
+        self.version = book.version
+        self.settings_plans = settings_plans
+        self.defined: dict[str, list[tuple[int, int, api.Plan]]] = {}
+        for entry in book.plans:
+            span = (micros(entry.from_, 0), micros(entry.until, EVER_US), entry.plan())
+            self.defined.setdefault(entry.name, []).append(span)
+        for spans in self.defined.values():
+            spans.sort(key=lambda span: span[0])
+        self.assigned: dict[int, Assignment | list[Assignment]] = {}
+        self.reserved: dict[int, list[Reservation]] = {}
+        for reservation in book.reservations:
+            self.reserved.setdefault(int(reservation.customer, 16), []).append(reservation)
+        self._cache: dict[tuple[int, str], tuple[int, Terms | None]] = {}
+
+    def add(self, entry: Assignment) -> None:
+        key = int(entry.customer, 16)
+        before = self.assigned.get(key)
+        if before is None:
+            self.assigned[key] = entry
+        elif isinstance(before, list):
+            before.append(entry)
+        else:
+            self.assigned[key] = [before, entry]
+
+    def terms(self, customer: int, named: str, now_us: int) -> Terms | None:
+        """What the book says; None where it is silent and the request and the settings hold.
+
+        :param named: the request's own plan
+        :param now_us: Unix time, µs, by this gatekeeper's clock
+        """
+        cached = self._cache.get((customer, named))
+        if cached is not None and now_us < cached[0]:
+            return cached[1]
+        ends = [EVER_US]
+        name, booked = named, False
+        found = self.assigned.get(customer)
+        for entry in found if isinstance(found, list) else [found] if found else []:
+            start, end = micros(entry.from_, 0), micros(entry.until, EVER_US)
+            if start <= now_us < end:
+                name, booked = entry.plan, True
+            ends += [at for at in (start, end) if at > now_us]
+        spans = self.defined.get(name, [])
+        plan: api.Plan | None = None
+        at = bisect_right(spans, now_us, key=lambda span: span[0]) - 1
+        if at >= 0 and now_us < spans[at][1]:
+            plan = spans[at][2]
+        for start, end, _ in spans:
+            ends += [edge for edge in (start, end) if edge > now_us]
+        if plan is None and booked:
+            plan = self.settings_plans.get(name)
+        reserves = False
+        for reservation in self.reserved.get(customer, ()):
+            start, end = micros(reservation.from_, 0), micros(reservation.until, EVER_US)
+            reserves = reserves or start <= now_us < end
+            ends += [edge for edge in (start, end) if edge > now_us]
+        terms = Terms(plan, name, self.version, reserves) if plan is not None or reserves else None
+        if len(self._cache) >= MOST_CACHED:
+            self._cache.clear()
+        self._cache[(customer, named)] = (min(ends), terms)
+        return terms
+
+
+def compiling(
+    book: Book, settings_plans: Mapping[str, api.Plan], before: "Compiled | None", now_us: int
+) -> Iterator[tuple[Compiled, Late] | None]:
+    """Makes the compiled form in slices; it and what of it is late come last.
+
+    Plans that are as they were keep their identity, so that nobody's allowance is carried over for nothing.
+    """
+    made = Compiled(book, settings_plans)
+    if before is not None:
+        same = {plan: plan for spans in before.defined.values() for _, _, plan in spans}
+        for name, spans in made.defined.items():
+            made.defined[name] = [(start, end, same.get(plan, plan)) for start, end, plan in spans]
+    late = most = 0
+    for position, entry in enumerate(book.assignments):
+        made.add(entry)
+        if entry.from_ is not None and before is not None:
+            start = micros(entry.from_, 0)
+            if start < now_us and not _stood(before, entry):
+                late, most = late + 1, max(most, now_us - start)
+        if position % SLICE == SLICE - 1:
+            yield None
+    stood = set(before.book.reservations) if before is not None else set()
+    for reservation in book.reservations if before is not None else ():
+        start = micros(reservation.from_, 0)
+        if start < now_us and reservation not in stood:
+            late, most = late + 1, max(most, now_us - start)
+    yield made, Late(late, most)
+
+
+def _stood(before: Compiled, entry: Assignment) -> bool:
+    found = before.assigned.get(int(entry.customer, 16))
+    return entry == found or (isinstance(found, list) and entry in found)
+
+
+def difference(old: Book, new: Book) -> list[str]:
+    """What changes from one book to another, a line each; + comes in, - goes out."""
+    lines = []
+    for what in ("plans", "assignments", "reservations"):
+        before = [msgspec.json.encode(e).decode() for e in getattr(old, what)]
+        after = [msgspec.json.encode(e).decode() for e in getattr(new, what)]
+        had, has = set(before), set(after)
+        lines += [f"- {what}: {entry}" for entry in before if entry not in has]
+        lines += [f"+ {what}: {entry}" for entry in after if entry not in had]
+    return lines
--- /dev/null
+++ b/millfront/plans/store.py
@@ -0,0 +1,100 @@
+"""A plan book on the local disk: replaced whole, one writer at a time, every version kept beside it."""
+
+import fcntl
+import hashlib
+import os
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from millfront.operators.faults import Unusable
+from millfront.plans import book as books
+from millfront.plans.book import Book
+
+
+class Conflict(Exception):
+    """The book is not the one that the change was made on."""
+
+
+def tag(text: bytes) -> str:
+    """An entity tag (RFC 9110, 8.8.3) of a book's bytes."""
+    return f'"{hashlib.blake2b(text, digest_size=12).hexdigest()}"'
+
+
+class BookStore:
+    """The file that the operators' file names. Its lock and its history lie beside it."""
+
+    def __init__(self, file: str | os.PathLike[str]) -> None:
+        self.file = Path(file)
+        self.history = self.file.with_name(self.file.name + ".history")
+
+    def read(self) -> tuple[bytes, str]:
+        """The text and its tag; nothing and an empty tag where there is no book yet. Raises OSError."""
+        try:
+            text = self.file.read_bytes()
+        except FileNotFoundError:
+            return b"", ""
+        return text, tag(text)
+
+    def write(self, text: bytes, version: int, expected: str) -> str:
+        """Replace the book if it is still the expected one; returns the new tag.
+
+        What a crash leaves is the old book or the new one. The history is written first: a version that is
+        there and was never put in place does no harm.
+
+        :raises Conflict: another was written meanwhile, or the version does not go up
+        :raises OSError: the disk is full or may not be written; the book is as it was
+        """
+        with self._locked():
+            now, held = self.read()
+            if held != expected:
+                raise Conflict("the book has been changed meanwhile")
+            if now and version <= books.decode(now).version:
+                raise Conflict(f"version {version} does not go up")
+            self.history.mkdir(exist_ok=True)
+            self._replace(self.history / f"{version:09d}.json", text)
+            self._replace(self.file, text)
+        return tag(text)
+
+    def versions(self) -> list[int]:
+        """Those in the history, the newest last."""
+        if not self.history.is_dir():
+            return []
+        return sorted(int(p.stem) for p in self.history.glob("*.json") if p.stem.isdigit())
+
+    def version(self, number: int) -> bytes:
+        return (self.history / f"{number:09d}.json").read_bytes()
+
+    def last_good(self) -> Book | None:
+        """The newest version in the history that can be read: for a start with a torn book."""
+        for number in reversed(self.versions()):
+            try:
+                return books.decode(self.version(number))
+            except (OSError, Unusable):
+                continue
+        return None
+
+    @contextmanager
+    def _locked(self) -> Iterator[None]:
+        self.file.parent.mkdir(parents=True, exist_ok=True)
+        with open(self.file.with_name(self.file.name + ".lock"), "w") as lock:
+            fcntl.flock(lock, fcntl.LOCK_EX)
+            yield
+
+    def _replace(self, path: Path, text: bytes) -> None:
+        """Whole or not at all, also over a loss of power: synced aside, renamed, the folder synced."""
+        aside = path.with_name(f".{path.name}.{os.getpid()}")
+        try:
+            with open(aside, "wb") as file:
+                file.write(text)
+                file.flush()
+                os.fsync(file.fileno())
+            os.replace(aside, path)
+        except OSError:
+            aside.unlink(missing_ok=True)
+            raise
+        folder = os.open(path.parent, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -1,6 +1,7 @@
 """Scripted peers on loopback sockets, and a node to put between them."""
 
 import itertools
+import json
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -11,6 +12,7 @@
 
 from millfront.node import config
 from millfront.node.service import Node
+from millfront.operators import document, parts
 
 PAST = 5.0  # seconds after which a test that waits for an event has failed
 IDS = itertools.count(1)
@@ -268,7 +270,11 @@
 
 @asynccontextmanager
 async def stage(
-    *members: Peer, gone: str = "", desk: Desk | None = None, **allowed: object
+    *members: Peer,
+    gone: str = "",
+    desk: Desk | None = None,
+    operators: dict[str, Any] | None = None,
+    **allowed: object,
 ) -> AsyncIterator[Stage]:
     """`gone`: the address of one more member, where nobody listens."""
     discovery = Discovery()
@@ -277,6 +283,8 @@
         known += [row("s-gone", gone)] if gone else []
         told = configuration(known, discovery.address, settings(desk is not None, **allowed))
         node = Node(config.from_json(told | ({"counter": desk.address} if desk else {})))
+        if operators is not None:
+            parts.put(node, document.parse(json.dumps(operators).encode()))
         async with anyio.create_task_group() as tasks:
             made = Stage(node, "", discovery)
 
