--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Long measurements, run by hand; the tests use their rigs with smaller numbers."""
--- a/millfront/operators/parts.py
+++ b/millfront/operators/parts.py
@@ -11,6 +11,13 @@
         from millfront.operators.admin import Admin
 
         admin = Admin(node, told.admin)
+    if told.usage is not None:
+        from millfront.usage.part import UsagePart
+
+        usage = UsagePart(node, told.usage)
+        node.parts.add(usage)
+        if admin is not None:
+            admin.says("usage", usage.status)
     if told.plans is not None:
         from millfront.plans.api import PlansApi
         from millfront.plans.part import LivePlans
--- a/millfront/plans/book.py
+++ b/millfront/plans/book.py
@@ -9,20 +9,20 @@
 from bisect import bisect_right
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
-from typing import Annotated, TypeVar
+from typing import Annotated
 
 import msgspec
 
 from millfront import interface as api
 from millfront.operators.document import Strict
 from millfront.operators.faults import Fault, Unusable, faults_of
+from millfront.operators.slices import driven
 
 Instant = Annotated[datetime.datetime, msgspec.Meta(tz=True)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")]
 CustomerId = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{16}$")]
 Amount = Annotated[float, msgspec.Meta(ge=0)]
 Units = Annotated[float, msgspec.Meta(gt=0, le=1e6)]  # a counter's total is exact to seven digits
-T = TypeVar("T")
 EVER_US = 1 << 62
 SLICE = 500  # entries decoded in one go: a few ms at most, so that a loop may run in between
 MOST_CACHED = 4096  # customers asked for lately
@@ -171,15 +171,6 @@
     yield Book(raw.version, raw.plans, tuple(entries), raw.reservations, raw.by, raw.note)
 
 
-def driven(steps: Iterator[T | None]) -> T:
-    """Runs what is done in slices to its end, without pauses."""
-    last: T | None = None
-    for step in steps:
-        last = step
-    assert last is not None
-    return last
-
-
 def check(book: Book, known_plans: Iterable[str], most_reserved: float) -> list[Fault]:
     """What the entries say together and can't.
 
--- a/millfront/plans/part.py
+++ b/millfront/plans/part.py
@@ -2,8 +2,6 @@
 
 import os
 import time
-from collections.abc import Iterator
-from typing import TypeVar
 
 import anyio
 import anyio.to_thread
@@ -13,6 +11,7 @@
 from millfront.node.service import Node
 from millfront.operators.document import Plans
 from millfront.operators.faults import Fault, Unusable
+from millfront.operators.slices import sliced
 from millfront.plans import book as books
 from millfront.plans.book import Book, Compiled, Late
 from millfront.plans.carry import carry
@@ -20,7 +19,6 @@
 from millfront.plans.store import BookStore, tag
 
 log = Log(__name__)
-T = TypeVar("T")
 
 BEAT_S = 1.0
 PAUSE_S = 0.002  # between two slices of a large book: guards the loop, whatever the book's size
@@ -104,8 +102,8 @@
 
     async def sound(self, text: bytes) -> Book:
         """:raises Unusable: with every fault, of form and of meaning"""
-        book = await _sliced(books.decoding(text))
-        faults = await _sliced(books.checking(book, self.settings_plans, self.most_reserved))
+        book = await sliced(books.decoding(text), PAUSE_S)
+        faults = await sliced(books.checking(book, self.settings_plans, self.most_reserved), PAUSE_S)
         if faults:
             raise Unusable("plan book", faults)
         return book
@@ -123,7 +121,8 @@
                 why = f"{book.version} does not go up; {before.version} is in force"
                 raise Unusable("plan book", [Fault("$.version", why)])
             now = self.node.clock.now()
-            compiled, late = await _sliced(books.compiling(book, self.settings_plans, before, now))
+            steps = books.compiling(book, self.settings_plans, before, now)
+            compiled, late = await sliced(steps, PAUSE_S)
             self.compiled, self.tag, self.refused, self.applied_us = compiled, tag(text), [], now
             self._carry_out(self.leases.book(now, [_held(r) for r in book.reservations]))
         fields = {"version": book.version, "assignments": len(book.assignments), "by": book.by}
@@ -180,13 +179,3 @@
 def _held(entry: books.Reservation) -> Held:
     start, end = books.micros(entry.from_, 0), books.micros(entry.until, 0)
     return Held(entry.key, int(entry.customer, 16), start, end, entry.rate, entry.units)
-
-
-async def _sliced(steps: Iterator[T | None]) -> T:
-    """Work that is done in slices, with a pause after each."""
-    last: T | None = None
-    for last in steps:
-        if last is None:
-            await anyio.sleep(PAUSE_S)
-    assert last is not None
-    return last
--- /dev/null
+++ b/millfront/usage/batches.py
@@ -0,0 +1,146 @@
+"""From a sealed segment to the batch that bills it: the same bytes whenever it is made. No I/O.
+
+A batch is a head line and a line for each period and key, as JSON, in a fixed order. Its name holds the
+source, the ledger and the range of sequence numbers: made again after a crash it has the same name and
+digest.
+"""
+
+import hashlib
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import msgspec
+
+from millfront.usage.records import RESULT_NAMES, STANDING_NAMES, Gap, Head, Result, Scan, Settled, read
+
+SLICE = 200  # records in one go: about a millisecond
+Key = tuple[int, str, str, int, str, str, str]  # period to figure, as in a Line
+DIGITS = 6  # of a unit: sums of floats must not tell in which order they were made
+
+
+class BatchHead(msgspec.Struct, frozen=True):
+    batch: str
+    source: str
+    ledger: str
+    first: int  # sequence numbers, both in it
+    last: int
+    tries: int  # settled and billed
+    units: float  # billed, over all lines
+    never_ran: int  # settled and not billed
+    unrecorded_tries: int  # went out and could not be recorded; their units are not in the lines
+    unrecorded_units: float
+    missing: list[tuple[int, int]]  # records that the disk has lost
+    lines: int
+
+
+class Line(msgspec.Struct, frozen=True, order=True):
+    """What one key used in one period."""
+
+    period: int  # Unix time of its start, s
+    customer: str
+    plan: str
+    plan_version: int
+    cls: str = msgspec.field(name="class")
+    standing: str  # inside, reserved or beyond
+    figure: str  # told, guessed or abandoned
+    gatekeeper: str
+    tries: int
+    units: float
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    name: str
+    first: int
+    last: int
+    head: BatchHead
+    text: bytes  # JSON lines
+    digest: str  # SHA-256 of the text, hex
+
+    @property
+    def lines(self) -> int:
+        return self.head.lines
+
+
+def name_of(source: str, ledger: str, first: int, last: int) -> str:
+    return f"{source}.{ledger}.{first:016x}-{last:016x}"
+
+
+def making(data: bytes, first: int, next_seq: int, period_s: int) -> Iterator[Batch | None]:
+    """The batch of a segment's bytes, in slices; yields None in between.
+
+    :param next_seq: the segment after this one begins there: what lies between the last sound record and it
+        is missing too
+    """
+    scan = Scan()
+    sums: dict[Key, list[float]] = {}
+    never = gap_tries = 0
+    gap_units = 0.0
+    source = ledger = ""
+    for records, (_, _, record) in enumerate(read(data, scan), 1):
+        if isinstance(record, Settled):
+            if record.result == Result.NEVER:
+                never += 1
+            else:
+                of = record.of
+                period = record.at_us // 1_000_000 // period_s * period_s
+                figure = RESULT_NAMES[record.result]
+                standing = STANDING_NAMES[of.standing]
+                key = (period, f"{of.customer:016x}", of.plan, of.version, of.cls, standing, figure)
+                found = sums.setdefault(key, [0, 0.0])
+                found[0] += 1
+                found[1] += record.units
+        elif isinstance(record, Gap):
+            gap_tries += record.tries
+            gap_units += record.units
+        elif isinstance(record, Head):
+            source, ledger = record.source, record.ledger
+        if records % SLICE == 0:
+            yield None
+    missing = list(scan.missing)
+    if scan.next_seq < next_seq:
+        missing.append((scan.next_seq, next_seq - 1))
+    lines = [_line(key, source, *sums[key]) for key in sorted(sums)]
+    head = BatchHead(
+        name_of(source, ledger, first, next_seq - 1),
+        source,
+        ledger,
+        first,
+        next_seq - 1,
+        sum(line.tries for line in lines),
+        round(math.fsum(line.units for line in lines), DIGITS),
+        never,
+        gap_tries,
+        round(gap_units, DIGITS),
+        missing,
+        len(lines),
+    )
+    text = b"".join(msgspec.json.encode(what) + b"\n" for what in (head, *lines))
+    yield Batch(head.batch, first, next_seq - 1, head, text, hashlib.sha256(text).hexdigest())
+
+
+def _line(key: Key, source: str, tries: float, units: float) -> Line:
+    period, customer, plan, version, cls, standing, figure = key
+    whole, billed = int(tries), round(units, DIGITS)
+    return Line(period, customer, plan, version, cls, standing, figure, source, whole, billed)
+
+
+def key_of(line: Line) -> tuple[str, ...]:
+    """What a sum goes by on both sides, in the order of the fields."""
+    return (
+        str(line.period),
+        line.customer,
+        line.plan,
+        str(line.plan_version),
+        line.cls,
+        line.standing,
+        line.figure,
+        line.gatekeeper,
+    )
+
+
+def parsed(text: bytes) -> tuple[BatchHead, list[Line]]:
+    """:raises msgspec.MsgspecError: it is no batch"""
+    head, *lines = text.splitlines()
+    return msgspec.json.decode(head, type=BatchHead), [msgspec.json.decode(line, type=Line) for line in lines]
--- /dev/null
+++ b/millfront/usage/ledger.py
@@ -0,0 +1,530 @@
+"""The ledger on the local disk: appended to by one gatekeeper, never rewritten.
+
+A folder holds segments (`seg-FIRST.log`, FIRST the first sequence number in hex), `ledger.json` (its
+identity), `lock`, `sent/` (batches as they were exported) and `receipts.jsonl` (what the receiver has, a
+line a batch).
+
+Each record is one write() as it is made: what was written survives the end of the process at any instant.
+What a loss of power may take is set by `fsync`. A segment is begun aside and put in place by a rename; the
+one before it is sealed and synced, and only then may it be exported.
+
+No fault of the disk reaches a request: what can't be recorded is counted, and recorded as a gap once that is
+possible again.
+"""
+
+import fcntl
+import hashlib
+import json
+import os
+import secrets
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from millfront.logs import Log
+from millfront.operators.document import Usage
+from millfront.usage.batches import Batch
+from millfront.usage.records import FORMAT, Gap, Head, Kind, Opened, Result, Scan, Settled, frame, read
+
+log = Log(__name__)
+
+MOST_OWED = 10_000  # settled tries kept for a disk that fails for a while
+SECOND = 1_000_000
+SENT_SHARE = 0.25  # of most_bytes: exported batches kept for reconciling
+
+
+class Locked(OSError):
+    """Another process has the ledger."""
+
+
+class Foreign(Exception):
+    """The folder holds a ledger of a format that this version can't read."""
+
+
+class Receipt(msgspec.Struct, frozen=True):
+    """A batch that the receiver has."""
+
+    batch: str
+    first: int
+    last: int
+    digest: str
+    lines: int
+    tries: int
+    units: float
+    at_us: int
+    chain: str  # digest over the receipt before and this one: a line taken out or changed shows
+
+
+@dataclass(frozen=True, slots=True)
+class Segment:
+    first: int
+    next_seq: int  # the first one behind it
+    path: Path
+    size: int
+
+
+@dataclass(slots=True)
+class Recovered:
+    """What opening found."""
+
+    abandoned: int = 0  # tries out when the gatekeeper died
+    torn_bytes: int = 0
+    missing: list[tuple[int, int]] = field(default_factory=list)
+    segments: int = 0
+
+
+class Ledger:
+    def __init__(
+        self, folder: str | os.PathLike[str], source: str, told: Usage, now_us: Callable[[], int]
+    ) -> None:
+        self.folder = Path(folder)
+        self.source = source
+        self.told = told
+        self.now_us = now_us
+        self.id = ""
+        self.next_seq = 0
+        self.sealed: list[Segment] = []  # the oldest first; synced and not yet compacted
+        self.unsynced: deque[tuple[Segment, int]] = deque()  # sealed, with the descriptor still open
+        self.fault = ""  # of the disk, while it lasts
+        self.unrecorded_tries = 0
+        self.unrecorded_units = 0.0
+        self.receipts_chain = ""
+        self.acknowledged = -1
+        self._gap_tries = 0  # of the unrecorded ones: not yet told by a record
+        self._gap_units = 0.0
+        self._open: dict[int, Opened] = {}
+        self._owed: deque[tuple[int, Opened, Result, float, int]] = deque()
+        self._lock = -1
+        self._fd = -1
+        self._first = 0
+        self._end = 0
+        self._begun_us = 0
+        self._path = Path()
+        self._digest = hashlib.blake2b(digest_size=16)  # of the segment so far: the next one's chain
+        self._dirty = False
+        self._last_us = 0
+        self._bytes_sealed = 0
+        self._sent_bytes = 0
+
+    # ---- opening -----------------------------------------------------------------------------
+
+    def open(self) -> Recovered:
+        """Take the folder, read what a former life left, and begin a segment.
+
+        :raises Locked: another process has it
+        :raises Foreign: its format is another one's
+        :raises OSError: the disk does not do its part
+        """
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self._take_lock()
+        try:
+            return self._opened()
+        except BaseException:
+            self.close()
+            raise
+
+    def _take_lock(self) -> None:
+        self._lock = os.open(self.folder / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as wrong:
+            os.close(self._lock)
+            self._lock = -1
+            raise Locked(wrong.errno, "another process has this ledger", str(self.folder)) from None
+
+    def _opened(self) -> Recovered:
+        for left in self.folder.glob("*.new"):
+            left.unlink()
+        (self.folder / "sent").mkdir(exist_ok=True)
+        self.id = self._identity()
+        self._read_receipts()
+        found = Recovered()
+        segments = segments_of(self.folder)
+        found.segments = len(segments)
+        opened: dict[int, Opened] = {}
+        chain = ""
+        if segments:
+            data = segments[-1].path.read_bytes()
+            scan = Scan()
+            for kind, seq, record in read(data, scan):
+                if isinstance(record, Head):
+                    opened = dict(record.open)
+                elif isinstance(record, Opened):
+                    opened[seq] = record
+                elif isinstance(record, Settled):
+                    opened.pop(record.opened, None)
+                if kind != Kind.HEAD:
+                    self._last_us = max(self._last_us, record.at_us)  # type: ignore[union-attr]
+            self.next_seq = max(scan.next_seq, segments[-1].first)
+            chain = hashlib.blake2b(data[: scan.end], digest_size=16).hexdigest()
+            found.torn_bytes, found.missing = scan.torn_bytes, scan.missing
+            segments[-1] = Segment(segments[-1].first, self.next_seq, segments[-1].path, len(data))
+        self.next_seq = max(self.next_seq, self.acknowledged + 1)
+        self.sealed = [s for s in segments if s.next_seq > s.first]
+        for segment in self.sealed:  # a former life may have ended before it made them lasting
+            _sync_file(segment.path)
+        self._bytes_sealed = sum(s.size for s in self.sealed)
+        self._sent_bytes = sum(p.stat().st_size for p in (self.folder / "sent").iterdir())
+        now = self._now()
+        ended = [
+            Settled(seq, now, Result.ABANDONED, entry.guess, entry) for seq, entry in sorted(opened.items())
+        ]
+        found.abandoned = len(ended)
+        self._begin(chain, ended)
+        self._sync_folder()
+        self.compact(self.acknowledged)
+        return found
+
+    def _identity(self) -> str:
+        path = self.folder / "ledger.json"
+        try:
+            held = json.loads(path.read_bytes())
+        except FileNotFoundError:
+            held = {"format": FORMAT, "ledger": secrets.token_hex(8)}
+            self._write_whole(path, json.dumps(held).encode() + b"\n")
+        except ValueError:
+            raise Foreign(f"{path} is not a ledger's identity") from None
+        if held.get("format", 0) > FORMAT:
+            raise Foreign(f"{path}: format {held.get('format')}; this version reads up to {FORMAT}")
+        if held.get("format", 0) < FORMAT:
+            # Segments of an older format are read by their own frames; new ones are written in this one.
+            held = {"format": FORMAT, "ledger": held.get("ledger") or secrets.token_hex(8)}
+            self._write_whole(path, json.dumps(held).encode() + b"\n")
+        return str(held["ledger"])
+
+    def _read_receipts(self) -> None:
+        """A torn last line is dropped: its segment is still there, and the receiver's mark knows better."""
+        path = self.folder / "receipts.jsonl"
+        sound, receipts = 0, list[Receipt]()
+        try:
+            data = path.read_bytes()
+        except FileNotFoundError:
+            return
+        for line in data.splitlines(keepends=True):
+            try:
+                receipts.append(msgspec.json.decode(line, type=Receipt))
+            except msgspec.MsgspecError:
+                break
+            if not line.endswith(b"\n"):
+                receipts.pop()
+                break
+            sound += len(line)
+        if sound < len(data):
+            os.truncate(path, sound)
+        if receipts:
+            self.receipts_chain = receipts[-1].chain
+            self.acknowledged = max(receipt.last for receipt in receipts)
+
+    def _now(self) -> int:
+        """Never before what is recorded: a clock that steps back between two lives must not move usage into
+        a period that is billed already."""
+        self._last_us = max(self._last_us, self.now_us())
+        return self._last_us
+
+    # ---- appending ---------------------------------------------------------------------------
+
+    def opened(self, entry: Opened) -> int:
+        """A try is about to go out; returns its number, or -1 if it can't be recorded."""
+        if self._fd < 0 or self.fault or self._full():
+            return -1
+        seq = self.next_seq
+        if not self._append(frame(Kind.OPENED, seq, entry)):
+            return -1
+        self.next_seq = seq + 1
+        self._open[seq] = entry
+        return seq
+
+    def settled(self, seq: int, entry: Opened, result: Result, units: float) -> None:
+        """Nothing of the try is out any more.
+
+        :param seq: as opened() told
+        :param units: what is billed
+        """
+        if seq < 0:
+            if result is not Result.NEVER:
+                self._miss(units)
+            return
+        if self._owed or self.fault or not self._settle(seq, entry, result, units, self._now()):
+            if len(self._owed) >= MOST_OWED:
+                self._open.pop(seq, None)
+                self._miss(units)
+            else:
+                self._owed.append((seq, entry, result, units, self._now()))
+
+    def _settle(self, seq: int, entry: Opened, result: Result, units: float, at_us: int) -> bool:
+        record = Settled(seq, at_us, result, units, entry)
+        if self._fd < 0 or not self._append(frame(Kind.SETTLED, self.next_seq, record)):
+            return False
+        self.next_seq += 1
+        self._open.pop(seq, None)
+        return True
+
+    def _miss(self, units: float) -> None:
+        self.unrecorded_tries += 1
+        self.unrecorded_units += units
+        self._gap_tries += 1
+        self._gap_units += units
+
+    def _append(self, data: bytes) -> bool:
+        try:
+            written = os.write(self._fd, data)
+        except OSError as wrong:
+            self._failed(wrong)
+            return False
+        if written != len(data):  # the disk took a part: a reader would stop at it, so it goes again
+            try:
+                os.ftruncate(self._fd, self._end)
+            except OSError as wrong:
+                self._failed(wrong)
+            self.fault = self.fault or "a short write"
+            return False
+        self._end += written
+        self._digest.update(data)
+        self._dirty = True
+        return True
+
+    def _failed(self, wrong: OSError) -> None:
+        if not self.fault:
+            log.error("the ledger does not record", why=wrong.strerror, folder=self.folder)
+        self.fault = wrong.strerror or str(wrong)
+
+    def _full(self) -> bool:
+        return self._bytes_sealed + self._end >= self.told.most_bytes
+
+    def tick(self) -> None:
+        """Some times a second: seal what is due, and try again what failed."""
+        if self._fd < 0:
+            return
+        if self.fault:
+            self._again()
+        if self.fault:
+            return
+        while self._owed:
+            if not self._settle(*self._owed[0]):
+                return
+            self._owed.popleft()
+        if self._gap_tries and not self._full():
+            gap = Gap(self._now(), self._gap_tries, self._gap_units)
+            if self._append(frame(Kind.GAP, self.next_seq, gap)):
+                self.next_seq += 1
+                self._gap_tries, self._gap_units = 0, 0.0
+        used = self.next_seq - self._first > 1
+        old = self.now_us() - self._begun_us >= self.told.segment_s * SECOND
+        if used and (old or self._end >= self.told.segment_bytes):
+            self.seal()
+
+    def _again(self) -> None:
+        """A probe of the disk: the same bytes as a record would be, taken back at once."""
+        try:
+            os.ftruncate(self._fd, self._end)
+            written = os.write(self._fd, bytes(256))
+            os.ftruncate(self._fd, self._end)
+        except OSError as wrong:
+            self.fault = wrong.strerror or str(wrong)
+            return
+        if written == 256:
+            log.info("the ledger records again", unrecorded=self.unrecorded_tries)
+            self.fault = ""
+
+    # ---- segments ----------------------------------------------------------------------------
+
+    def seal(self) -> None:
+        """Begin a segment; the one before is exported once sync() has made it lasting."""
+        before = Segment(self._first, self.next_seq, self._path, self._end)
+        fd = self._fd
+        try:
+            self._begin(self._digest.hexdigest(), [])
+        except OSError as wrong:
+            self._fd = fd
+            self._failed(wrong)
+            return
+        self._bytes_sealed += before.size
+        self.unsynced.append((before, fd))
+
+    def _begin(self, chain: str, ended: list[Settled]) -> None:
+        """Head and first records in one piece, put in place by a rename: never half a beginning."""
+        first = self.next_seq
+        head = Head(
+            FORMAT, self.id, self.source, self._now(), chain, [] if ended else sorted(self._open.items())
+        )
+        frames = [frame(Kind.HEAD, first, head)]
+        frames += [frame(Kind.SETTLED, first + 1 + i, record) for i, record in enumerate(ended)]
+        data = b"".join(frames)
+        path = self.folder / f"seg-{first:016x}.log"
+        aside = path.with_suffix(".new")
+        fd = os.open(aside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND | os.O_CLOEXEC, 0o600)
+        try:
+            if os.write(fd, data) != len(data):
+                raise OSError(28, "a short write")
+            if ended and self.told.fsync != "never":
+                os.fsync(fd)
+            os.rename(aside, path)
+        except BaseException:
+            os.close(fd)
+            raise
+        self._fd, self._path, self._first, self._end = fd, path, first, len(data)
+        self.next_seq = first + len(frames)
+        self._digest = hashlib.blake2b(data, digest_size=16)
+        self._begun_us = self.now_us()
+        self._dirty = True
+
+    def sync(self) -> None:
+        """Make lasting what is written; may wait for the disk, so it is called in a thread of its own.
+
+        It touches descriptors alone; what follows from it is taken up by synced().
+        """
+        if self._dirty:
+            self._dirty = False
+            os.fsync(self._fd)
+        for _, fd in list(self.unsynced):
+            os.fsync(fd)
+        self._sync_folder()
+
+    def synced(self, sealed: list[tuple[Segment, int]]) -> None:
+        """Those segments are lasting: they may be exported."""
+        for segment, fd in sealed:
+            if self.unsynced and self.unsynced[0][0] is segment:
+                self.unsynced.popleft()
+                os.close(fd)
+                self.sealed.append(segment)
+
+    def _sync_folder(self) -> None:
+        _sync_file(self.folder)
+
+    # ---- export ------------------------------------------------------------------------------
+
+    def due(self) -> Segment | None:
+        """The oldest segment that is not exported."""
+        return self.sealed[0] if self.sealed else None
+
+    def keep(self, batch: Batch, packed: bytes) -> None:
+        """Before it is sent: the batch as it goes out, for reconciling."""
+        self._write_whole(self.folder / "sent" / f"{batch.name}.jsonl.zst", packed)
+        self._sent_bytes += len(packed)
+
+    def receipt(self, batch: Batch) -> None:
+        """The receiver has the batch: written down first, then its segment goes."""
+        head = batch.head
+        bare = Receipt(
+            batch.name,
+            batch.first,
+            batch.last,
+            batch.digest,
+            batch.lines,
+            head.tries,
+            head.units,
+            self.now_us(),
+            "",
+        )
+        chain = chained(self.receipts_chain, bare)
+        line = msgspec.json.encode(msgspec.structs.replace(bare, chain=chain)) + b"\n"
+        fd = os.open(
+            self.folder / "receipts.jsonl", os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600
+        )
+        try:
+            size = os.fstat(fd).st_size
+            if os.write(fd, line) != len(line):
+                os.ftruncate(fd, size)
+                raise OSError(28, "a short write")
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+        self.receipts_chain = chain
+        self.acknowledged = max(self.acknowledged, batch.last)
+        self.compact(batch.last)
+
+    def compact(self, acknowledged: int) -> None:
+        """Remove the segments that the receiver has whole, and old exported batches beyond their share."""
+        for segment in [s for s in self.sealed if s.next_seq - 1 <= acknowledged]:
+            segment.path.unlink(missing_ok=True)
+            self.sealed.remove(segment)
+            self._bytes_sealed -= segment.size
+        most = int(self.told.most_bytes * SENT_SHARE)
+        if self._sent_bytes > most:
+            for path in sorted((self.folder / "sent").iterdir(), key=lambda p: p.stat().st_mtime):
+                if self._sent_bytes <= most:
+                    break
+                self._sent_bytes -= path.stat().st_size
+                path.unlink()
+
+    def _write_whole(self, path: Path, data: bytes) -> None:
+        aside = path.with_name(path.name + ".new")
+        with open(aside, "wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(aside, path)
+
+    # ---- the end -----------------------------------------------------------------------------
+
+    def finish(self) -> None:
+        """A planned end: what is still out is settled as a guess, all is sealed and lasting."""
+        for seq, entry in list(self._open.items()):
+            if not any(owed[0] == seq for owed in self._owed):
+                self.settled(seq, entry, Result.GUESSED, entry.guess)
+        self.tick()
+        if self._fd >= 0 and not self.fault:
+            if self.next_seq - self._first > 1:
+                self.seal()
+            pending = list(self.unsynced)
+            self.sync()
+            self.synced(pending)
+
+    def close(self) -> None:
+        for _, fd in self.unsynced:
+            os.close(fd)
+        self.unsynced.clear()
+        for fd in (self._fd, self._lock):
+            if fd >= 0:
+                os.close(fd)
+        self._fd = self._lock = -1
+
+    def status(self) -> dict[str, object]:
+        return {
+            "ledger": self.id,
+            "next": self.next_seq,
+            "open": len(self._open),
+            "bytes": self._bytes_sealed + self._end,
+            "segments_to_export": len(self.sealed) + len(self.unsynced),
+            "acknowledged": self.acknowledged,
+            "unrecorded_tries": self.unrecorded_tries,
+            "unrecorded_units": round(self.unrecorded_units, 6),
+            "fault": self.fault or ("full" if self._fd >= 0 and self._full() else ""),
+        }
+
+
+def _sync_file(path: Path) -> None:
+    fd = os.open(path, os.O_RDONLY)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
+
+
+def chained(before: str, receipt: Receipt) -> str:
+    """The chain's next link: BLAKE2b over the link before and the receipt without its own."""
+    bare = msgspec.json.encode(msgspec.structs.replace(receipt, chain=""))
+    return hashlib.blake2b(before.encode() + bare, digest_size=16).hexdigest()
+
+
+def segments_of(folder: Path) -> list[Segment]:
+    """Those in a folder, the oldest first; each ends where the next one begins. The last one's end is not
+    known without reading it."""
+    paths = sorted(folder.glob("seg-*.log"))
+    firsts = [int(path.stem.removeprefix("seg-"), 16) for path in paths]
+    nexts = [*firsts[1:], *firsts[-1:]]
+    return [
+        Segment(first, after, path, path.stat().st_size)
+        for path, first, after in zip(paths, firsts, nexts, strict=True)
+    ]
+
+
+def receipts_of(folder: Path) -> Iterator[Receipt]:
+    """:raises msgspec.MsgspecError: a line that is none"""
+    path = folder / "receipts.jsonl"
+    if path.exists():
+        for line in path.read_bytes().splitlines():
+            yield msgspec.json.decode(line, type=Receipt)
--- /dev/null
+++ b/millfront/usage/receiver.py
@@ -0,0 +1,163 @@
+"""A receiver of usage batches: the other side of docs/export-protocol.md, for rehearsals and first tries.
+
+Receiving holds what came, by name; serve() puts it behind HTTP. Batches are kept in a folder, or in memory.
+"""
+
+import hashlib
+import json
+import re
+import threading
+from collections import Counter
+from collections.abc import Callable
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import zstandard
+
+from millfront.usage.batches import key_of, parsed
+from millfront.usage.sinks import packed, unpacked
+
+NAME = re.compile(
+    r"(?P<ledger>[A-Za-z0-9._-]+\.[0-9a-f]{16})\.(?P<first>[0-9a-f]{16})-(?P<last>[0-9a-f]{16})"
+)
+Said = tuple[int, dict[str, Any]]
+
+
+class Receiving:
+    """Idempotent by name: the same batch again is the same answer, another one under its name is refused."""
+
+    def __init__(self, folder: Path | None = None) -> None:
+        self.folder = folder
+        self.digests: dict[str, tuple[str, int]] = {}
+        self.marks: dict[str, int] = {}
+        self.totals: dict[str, Counter[tuple[str, ...]]] = {}  # by ledger and line: units, in millionths
+        if folder is not None:
+            folder.mkdir(parents=True, exist_ok=True)
+            for path in sorted(folder.glob("*.jsonl.zst")):
+                self._take(path.name.removesuffix(".jsonl.zst"), unpacked(path.read_bytes()))
+
+    def put(self, name: str, digest: str, data: bytes) -> Said:
+        match = NAME.fullmatch(name)
+        if match is None:
+            return 400, {"error": "no batch's name"}
+        if name in self.digests:
+            held, lines = self.digests[name]
+            if held != digest:
+                return 409, {"error": "another batch has this name", "digest": held}
+            return 200, {"digest": held, "lines": lines, "next": self.marks[match["ledger"]]}
+        if int(match["first"], 16) < self.marks.get(match["ledger"], 0):
+            return 409, {"error": "a part of it is here under another name"}
+        try:
+            text = unpacked(data)
+            head, lines_of = parsed(text)
+        except (zstandard.ZstdError, msgspec.MsgspecError, ValueError) as wrong:
+            return 400, {"error": f"can't be read: {wrong}"}
+
+        if hashlib.sha256(text).hexdigest() != digest or head.lines != len(lines_of) or head.batch != name:
+            return 400, {"error": "not what its digest, its name or its head say"}
+        if self.folder is not None:
+            aside = self.folder / f"{name}.new"
+            aside.write_bytes(packed(text))
+            aside.replace(self.folder / f"{name}.jsonl.zst")
+        self._take(name, text)
+        return 201, {"digest": digest, "lines": head.lines, "next": self.marks[match["ledger"]]}
+
+    def _take(self, name: str, text: bytes) -> None:
+
+        head, lines = parsed(text)
+        match = NAME.fullmatch(name)
+        assert match is not None
+        self.digests[name] = (hashlib.sha256(text).hexdigest(), head.lines)
+        self.marks[match["ledger"]] = max(self.marks.get(match["ledger"], 0), int(match["last"], 16) + 1)
+        for line in lines:
+            key = key_of(line)
+            self.totals.setdefault(match["ledger"], Counter())[key] += round(line.units * 1e6)
+
+    def mark(self, ledger: str) -> Said:
+        if ledger not in self.marks:
+            return 404, {"error": "nothing of it yet"}
+        return 200, {"next": self.marks[ledger]}
+
+    def tally(self, ledger: str) -> list[dict[str, Any]]:
+        """Its own account of a ledger, line by line."""
+        names = ("period", "customer", "plan", "plan_version", "class", "standing", "figure", "gatekeeper")
+        return [
+            dict(zip(names, key, strict=True)) | {"units": units / 1e6}
+            for key, units in sorted(self.totals.get(ledger, Counter()).items())
+        ]
+
+    def batches(self) -> list[dict[str, Any]]:
+        return [
+            {"batch": name, "digest": digest, "lines": lines}
+            for name, (digest, lines) in sorted(self.digests.items())
+        ]
+
+
+Fault = Callable[[str, str], str]  # (method, path) to "", "before", "after" or "half"
+
+
+def server(receiving: Receiving, host: str, port: int, fault: Fault | None = None) -> ThreadingHTTPServer:
+    """An HTTP server that answers for it.
+
+    :param fault: by call: "before" answers 500 and takes nothing, "after" takes it and breaks the connection,
+        "error" takes it and answers 500, "half" takes it and acknowledges half of the lines, "busy" says
+        503 with Retry-After
+    """
+    lock = threading.Lock()
+
+    class Handler(BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def do_PUT(self) -> None:
+            body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+            kind = fault("PUT", self.path) if fault else ""
+            if kind in ("before", "busy"):
+                self._say(500 if kind == "before" else 503, {"error": "not now"}, kind == "busy")
+                return
+            name = self.path.rpartition("/")[2]
+            with lock:
+                status, said = receiving.put(name, self.headers.get("Millfront-Digest", ""), body)
+            if kind == "after":
+                self.close_connection = True
+                return
+            if kind == "half" and "lines" in said:
+                said = said | {"lines": said["lines"] // 2}
+            self._say(500 if kind == "error" else status, said)
+
+        def do_GET(self) -> None:
+            if fault and fault("GET", self.path) == "before":
+                self._say(500, {"error": "not now"})
+                return
+            parts = self.path.strip("/").split("/")
+            with lock:
+                if parts[-1] == "mark" and len(parts) >= 2:
+                    self._say(*receiving.mark(parts[-2]))
+                elif parts[-1] == "tally" and len(parts) >= 2:
+                    self._say(200, {"lines": receiving.tally(parts[-2])})
+                elif parts[-1] == "batches":
+                    self._say(200, {"batches": receiving.batches()})
+                else:
+                    self._say(404, {"error": "no such resource"})
+
+        def _say(self, status: int, what: dict[str, Any], later: bool = False) -> None:
+            body = json.dumps(what).encode() + b"\n"
+            self.send_response(status)
+            if later:
+                self.send_header("Retry-After", "1")
+            self.send_header("Content-Type", "application/json")
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+
+        def log_message(self, format: str, *args: object) -> None:
+            pass
+
+    class Server(ThreadingHTTPServer):
+        daemon_threads = True
+
+        def handle_error(self, request: object, client_address: object) -> None:
+            """A caller that breaks off is its own matter."""
+
+    return Server((host, port), Handler)
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -12,6 +12,7 @@
 from millfront import interface as api
 from millfront.operators import document
 from millfront.operators.faults import Unusable
+from millfront.operators.slices import driven
 from millfront.plans import book as books
 from millfront.plans.leases import EPOCH_US, Held
 from tests.fleet import BEGIN_US, Fleet
@@ -98,7 +99,7 @@
         ],
         reservations=[{"name": "r", "customer": OTHER, "rate": 1, "from": instant(10), "until": instant(20)}],
     )
-    made, _ = books.driven(books.compiling(held, SETTLED, None, 0))
+    made, _ = driven(books.compiling(held, SETTLED, None, 0))
 
     def asked(second: float, customer: str = ONE, named: str = "casual") -> books.Terms | None:
         return made.terms(int(customer, 16), named, int(second * SECOND))
@@ -115,12 +116,12 @@
 
 
 def test_what_is_late_is_told_and_plans_that_stay_keep_their_identity() -> None:
-    first, _ = books.driven(books.compiling(book(plans=[{"name": "a", "rate": 1, "burst": 1}]), {}, None, 0))
+    first, _ = driven(books.compiling(book(plans=[{"name": "a", "rate": 1, "burst": 1}]), {}, None, 0))
     entries = [{"customer": ONE, "plan": "a", "from": instant(10)}]
     second = book(version=4, plans=[{"name": "a", "rate": 1, "burst": 1}], assignments=entries)
-    made, late = books.driven(books.compiling(second, {}, first, 12_500_000))
+    made, late = driven(books.compiling(second, {}, first, 12_500_000))
     assert late == books.Late(1, 2_500_000)
-    _, again = books.driven(books.compiling(second, {}, made, 99_000_000))
+    _, again = driven(books.compiling(second, {}, made, 99_000_000))
     assert again == books.Late(0, 0)
     assert made.defined["a"][0][2] is first.defined["a"][0][2]
 
--- /dev/null
+++ b/tests/test_usage.py
@@ -0,0 +1,476 @@
+"""The usage ledger and its export without sockets: what every kind of crash and fault leaves, and what
+arrives."""
+
+import errno
+import itertools
+import os
+import random
+import shutil
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from millfront.operators.document import Usage
+from millfront.operators.slices import driven
+from millfront.usage import audit
+from millfront.usage.batches import Batch, making, parsed
+from millfront.usage.ledger import Foreign, Ledger, Locked, segments_of
+from millfront.usage.receiver import Receiving
+from millfront.usage.records import Gap, Head, Kind, Opened, Result, Scan, Settled, frame, read
+from millfront.usage.sending import Offer, Sending, Told, What
+from millfront.usage.sinks import packed
+
+SECOND = 1_000_000
+NAMES = itertools.count(1)
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.us = 1_700_000_000 * SECOND
+
+    def __call__(self) -> int:
+        return self.us
+
+
+def entry(clock: Clock, guess: float = 2.0, customer: int = 7) -> Opened:
+    return Opened(clock.us, f"{next(NAMES):x}", customer, "casual", 3, "page-fetch", 0, guess)
+
+
+def ledger(folder: Path, clock: Clock, **told: Any) -> Ledger:
+    return Ledger(folder, "n0", Usage(str(folder), **({"period_s": 60} | told)), clock)
+
+
+def a_try(made: Ledger, clock: Clock, units: float = 3.0, result: Result = Result.TOLD) -> None:
+    held = entry(clock)
+    made.settled(made.opened(held), held, result, units)
+
+
+def batch_of(made: Ledger) -> Batch:
+    segment = made.due()
+    assert segment is not None
+    return driven(making(segment.path.read_bytes(), segment.first, segment.next_seq, 60))
+
+
+def make_lasting(made: Ledger) -> None:
+    pending = list(made.unsynced)
+    made.sync()
+    made.synced(pending)
+
+
+# ---- records
+
+
+def a_segment(count: int = 12) -> tuple[bytes, list[int]]:
+    clock = Clock()
+    frames = [frame(Kind.HEAD, 0, Head(1, "l", "n0", clock.us, "", []))]
+    for seq in range(1, count):
+        held = Opened(clock.us, f"{seq:x}", 7, "casual", 3, "page-fetch", 0, 2.0)
+        what = held if seq % 2 else Settled(seq - 1, clock.us, 0, 2.5, held)
+        frames.append(frame(Kind.OPENED if seq % 2 else Kind.SETTLED, seq, what))
+    ends = list(itertools.accumulate(len(f) for f in frames))
+    return b"".join(frames), ends
+
+
+def test_a_segment_cut_at_any_byte_holds_every_whole_record_before_the_cut() -> None:
+    data, ends = a_segment()
+    for cut in range(len(data) + 1):
+        scan = Scan()
+        seqs = [seq for _, seq, _ in read(data[:cut], scan)]
+        assert seqs == list(range(sum(end <= cut for end in ends)))
+        assert scan.torn_bytes == cut - scan.end and not scan.missing
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.data())
+def test_flipped_bits_lose_the_records_they_lie_in_and_name_them(data: st.DataObject) -> None:
+    text, ends = a_segment()
+    spoilt = bytearray(text)
+    hit = set()
+    for _ in range(data.draw(st.integers(1, 3))):
+        at = data.draw(st.integers(0, len(text) - 1))
+        spoilt[at] ^= 1 << data.draw(st.integers(0, 7))
+        hit.add(sum(end <= at for end in ends))
+    sound = {seq: record for _, seq, record in read(text, Scan())}
+    scan = Scan()
+    got = {seq: record for _, seq, record in read(bytes(spoilt), scan)}
+    assert all(sound[seq] == record for seq, record in got.items())
+    lost = set(sound) - set(got)
+    assert lost <= hit
+    named = {seq for first, last in scan.missing for seq in range(first, last + 1)}
+    assert {seq for seq in lost if got and min(got) < seq < max(got)} == named
+
+
+# ---- the ledger through crashes and faults
+
+
+def test_a_crash_at_any_byte_bills_each_try_once(tmp_path: Path) -> None:
+    clock = Clock()
+    made = ledger(tmp_path / "a", clock)
+    made.open()
+    for units in (1.0, 2.0):
+        a_try(made, clock, units)
+    out = entry(clock, guess=5.0)
+    made.opened(out)
+    (segment,) = segments_of(made.folder)
+    data = segment.path.read_bytes()
+    made.close()
+    for cut in range(0, len(data) + 1, 7):
+        folder = tmp_path / f"c{cut}"
+        shutil.copytree(made.folder, folder)
+        os.truncate(folder / segment.path.name, cut)
+        whole = {seq: record for _, seq, record in read(data[:cut], Scan())}
+        opened = {seq for seq, record in whole.items() if isinstance(record, Opened)}
+        settled = {record.opened: record.units for record in whole.values() if isinstance(record, Settled)}
+        again = ledger(folder, clock)
+        found = again.open()
+        assert found.abandoned == len(opened - set(settled))
+        again.finish()
+        again.close()
+        bills: Counter[int] = Counter()
+        for part in segments_of(folder):
+            for _, _, record in read(part.path.read_bytes(), Scan()):
+                if isinstance(record, Settled):
+                    bills[record.opened] += 1
+        assert set(bills) == opened and set(bills.values()) <= {1}
+
+
+@pytest.mark.parametrize("where", ["os.rename", "os.open", "os.write"])
+def test_a_rotation_that_dies_anywhere_leaves_the_old_segment_or_the_new(
+    tmp_path: Path, where: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    class Died(BaseException):
+        pass
+
+    clock = Clock()
+    made = ledger(tmp_path, clock)
+    made.open()
+    a_try(made, clock)
+    out = entry(clock, guess=4.0)
+    made.opened(out)
+
+    def dies(*_: object, **__: object) -> None:
+        raise Died
+
+    with monkeypatch.context() as patched:
+        patched.setattr(where, dies)
+        with pytest.raises(Died):
+            made.seal()
+    made.close()
+    again = ledger(tmp_path, clock)
+    assert again.open().abandoned == 1
+    assert not list(tmp_path.glob("*.new"))
+    again.close()
+    assert audit.look(tmp_path).faults == []
+
+
+def test_a_disk_that_is_full_or_fails_loses_nothing_silently(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    clock = Clock()
+    made = ledger(tmp_path, clock)
+    made.open()
+    before = entry(clock)
+    seq = made.opened(before)
+    write = os.write
+    with monkeypatch.context() as patched:
+        # half of a record fits: it must not stay as a torn middle
+        patched.setattr(os, "write", lambda fd, data: write(fd, data[: len(data) // 2]))
+        made.settled(seq, before, Result.TOLD, 6.0)
+        assert made.fault
+
+        def full(fd: int, data: bytes) -> int:
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+        patched.setattr(os, "write", full)
+        a_try(made, clock, units=2.0)
+        a_try(made, clock, units=0.0, result=Result.NEVER)
+        made.tick()
+        assert made.status()["fault"] == "No space left on device"
+        assert (made.unrecorded_tries, made.unrecorded_units) == (1, 2.0)
+    made.tick()
+    a_try(made, clock, units=1.0)
+    made.finish()
+    head, lines = parsed(batch_of(made).text)
+    assert [(line.tries, line.units) for line in lines] == [(2, 7.0)]  # 6 was owed meanwhile
+    assert (head.unrecorded_tries, head.unrecorded_units) == (1, 2.0)
+    made.close()
+    assert audit.look(tmp_path).faults == []
+
+
+def test_the_bound_on_bytes_stops_recording_and_says_so(tmp_path: Path) -> None:
+    clock = Clock()
+    made = ledger(tmp_path, clock, most_bytes=131072, segment_bytes=65536)
+    made.open()
+    for _ in range(1500):
+        a_try(made, clock, units=1.0)
+        made.tick()
+    assert made.status()["fault"] == "full" and 0 < made.unrecorded_tries < 1000
+    make_lasting(made)
+    while made.due() is not None:
+        made.receipt(batch_of(made))
+    a_try(made, clock)
+    made.tick()
+    assert made.status()["fault"] == ""
+    made.close()
+
+
+def test_a_second_process_a_newer_format_and_a_clock_that_steps_back(tmp_path: Path) -> None:
+    clock = Clock()
+    made = ledger(tmp_path, clock)
+    made.open()
+    with pytest.raises(Locked):
+        ledger(tmp_path, clock).open()
+    a_try(made, clock)
+    made.close()
+    late = clock.us
+    clock.us -= 3600 * SECOND
+    again = ledger(tmp_path, clock)
+    again.open()
+    a_try(again, clock)
+    again.finish()
+    times = [
+        record.at_us
+        for part in segments_of(tmp_path)
+        for _, _, record in read(part.path.read_bytes(), Scan())
+        if isinstance(record, Settled)
+    ]
+    assert min(times) >= late  # never into a period that is billed already
+    again.close()
+    identity = tmp_path / "ledger.json"
+    identity.write_text('{"format": 99, "ledger": "x"}')
+    with pytest.raises(Foreign, match="format 99"):
+        ledger(tmp_path, clock).open()
+    identity.write_text('{"format": 0, "ledger": "0123456789abcdef"}')
+    older = ledger(tmp_path, clock)
+    older.open()  # upgraded in place, under the same identity
+    assert older.id == "0123456789abcdef" and '"format": 1' in identity.read_text()
+    older.close()
+
+
+def test_verify_finds_what_was_changed_behind_its_back(tmp_path: Path) -> None:
+    clock = Clock()
+    made = ledger(tmp_path, clock)
+    made.open()
+    for _ in range(3):
+        for _ in range(4):
+            a_try(made, clock)
+        made.seal()
+    make_lasting(made)
+    made.receipt(batch_of(made))
+    made.close()
+    assert audit.look(tmp_path).faults == []
+    middle = segments_of(tmp_path)[0].path
+    data = bytearray(middle.read_bytes())
+    data[len(data) // 2] ^= 4
+    middle.write_bytes(data)
+    receipts = tmp_path / "receipts.jsonl"
+    receipts.write_bytes(receipts.read_bytes().replace(b'"tries":4', b'"tries":5'))
+    found = " | ".join(audit.look(tmp_path).faults)
+    assert "are damaged" in found and "the chain is broken here" in found
+
+
+# ---- batches and sending
+
+
+def test_a_batch_is_the_same_whenever_it_is_made_and_keeps_standings_and_figures_apart(
+    tmp_path: Path,
+) -> None:
+    clock = Clock()
+    made = ledger(tmp_path, clock)
+    made.open()
+    for result, units in ((Result.TOLD, 0.1), (Result.TOLD, 0.2), (Result.GUESSED, 2.0), (Result.NEVER, 0.0)):
+        a_try(made, clock, units, result)
+    held = msgspec.structs.replace(entry(clock), standing=1)
+    made.settled(made.opened(held), held, Result.TOLD, 4.0)
+    clock.us += 61 * SECOND
+    a_try(made, clock, 1.0)
+    made.finish()
+    one, other = batch_of(made), batch_of(made)
+    assert one == other
+    head, lines = parsed(one.text)
+    assert (head.tries, head.units, head.never_ran) == (5, 7.3, 1)
+    said = [(line.standing, line.figure, line.tries, line.units) for line in lines]
+    expected = [("inside", "guessed", 1, 2.0), ("inside", "told", 2, 0.3), ("reserved", "told", 1, 4.0)]
+    assert said == [*expected, ("inside", "told", 1, 1.0)]
+    assert lines[-1].period - lines[0].period == 60
+    made.close()
+
+
+def test_what_is_not_acknowledged_whole_is_asked_about_and_sent_again() -> None:
+    sending = Sending(1.0, 8.0, random.Random(1))
+    offer = Offer("b", 9, "d", 4)
+    assert sending.next(0, False).what is What.IDLE
+    assert sending.next(0, True).what is What.ASK_MARK
+    sending.mark(0, Told(404))
+    now = 0
+    for answer in (Told(0), Told(500), Told(200, "d", 2), Told(200, "other", 4), Told(409)):
+        assert sending.next(now, True).what is What.SEND
+        assert not sending.sent(now, offer, answer) and sending.trouble
+        step = sending.next(now, True)
+        assert step.what is What.WAIT and step.until_us - now <= 8 * SECOND
+        now = step.until_us
+        assert sending.next(now, True).what is What.ASK_MARK
+        sending.mark(now, Told(200, next_seq=5))
+    assert sending.acknowledged == 4 and (sending.partial, sending.conflicts) == (2, 1)
+    assert sending.sent(now, offer, Told(201, "d", 4)) and sending.acknowledged == 9 and not sending.trouble
+    sending.sent(now, offer, Told(503, retry_after_s=120.0))
+    assert sending.next(now, True).until_us - now == 120 * SECOND
+
+
+class Export(RuleBasedStateMachine):
+    """A ledger, its exporter and a receiver, each of which may fail at any step; and the process may die at
+    any."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.folder = Path(ROOT_FOLDER) / f"{next(NAMES)}"
+        self.clock = Clock()
+        self.receiving = Receiving()
+        self.tally = 0  # millionths billed
+        self.out: dict[int, Opened] = {}
+        self.born()
+
+    def born(self) -> None:
+        self.made = ledger(self.folder, self.clock, segment_s=5.0)
+        found = self.made.open()
+        assert found.abandoned == len(self.out)
+        self.tally += sum(round(held.guess * 1e6) for held in self.out.values())
+        self.out = {}
+        self.sending = Sending(0.1, 1.0, random.Random(1))
+
+    @rule(units=st.floats(0.1, 8.0))
+    def a_try_begins(self, units: float) -> None:
+        held = entry(self.clock, guess=round(units, 2))
+        self.out[self.made.opened(held)] = held
+
+    @rule(data=st.data(), units=st.floats(0.1, 8.0), result=st.sampled_from(list(Result)[:3]))
+    def a_try_ends(self, data: st.DataObject, units: float, result: Result) -> None:
+        if self.out:
+            seq = data.draw(st.sampled_from(sorted(self.out)))
+            held = self.out.pop(seq)
+            billed = {Result.TOLD: round(units, 2), Result.GUESSED: held.guess}.get(result, 0.0)
+            self.made.settled(seq, held, result, billed)
+            self.tally += round(billed * 1e6)
+
+    @rule(seconds=st.integers(1, 9))
+    def time_passes(self, seconds: int) -> None:
+        self.clock.us += seconds * SECOND
+        self.made.tick()
+
+    @rule()
+    def is_synced(self) -> None:
+        make_lasting(self.made)
+
+    @rule(fault=st.sampled_from(["", "lost before", "lost after", "half", "error after"]))
+    def exports(self, fault: str) -> None:
+        step = self.sending.next(self.clock.us, self.made.due() is not None)
+        if step.what is What.ASK_MARK:
+            ledger_name = f"n0.{self.made.id}"
+            status, said = self.receiving.mark(ledger_name)
+            self.sending.mark(self.clock.us, Told(status, next_seq=said.get("next", -1)))
+        elif step.what is What.SEND:
+            batch = batch_of(self.made)
+            if self.sending.acknowledged >= batch.last:
+                self.made.receipt(batch)
+                return
+            told = Told(0)
+            if fault != "lost before":
+                status, said = self.receiving.put(batch.name, batch.digest, packed(batch.text))
+                told = Told(status, said.get("digest", ""), said.get("lines", -1))
+                told = {"lost after": Told(0), "error after": Told(500)}.get(fault, told)
+                if fault == "half":
+                    told = Told(told.status, told.digest, told.lines - 1)
+            offer = Offer(batch.name, batch.last, batch.digest, batch.lines)
+            if self.sending.sent(self.clock.us, offer, told):
+                self.made.receipt(batch)
+
+    @rule(torn=st.integers(0, 40), receipt_torn=st.booleans())
+    def dies(self, torn: int, receipt_torn: bool) -> None:
+        """Killed, perhaps within a write of either file."""
+        path = self.made._path
+        self.made.close()
+        with open(path, "ab") as file:
+            held = Settled(0, self.clock.us, 0, 1.0, entry(self.clock))
+            file.write(frame(Kind.SETTLED, self.made.next_seq, held)[:torn])
+        if receipt_torn:
+            with open(self.folder / "receipts.jsonl", "ab") as file:
+                file.write(b'{"batch":"n0.')
+        self.born()
+
+    @invariant()
+    def nothing_is_doubled(self) -> None:
+        assert sum(sum(lines.values()) for lines in self.receiving.totals.values()) <= self.tally
+
+    def teardown(self) -> None:
+        for seq, held in self.out.items():
+            self.made.settled(seq, held, Result.GUESSED, held.guess)
+            self.tally += round(held.guess * 1e6)
+        self.made.finish()
+        for _ in range(200):
+            self.clock.us += 2 * SECOND
+            self.exports("")
+            if self.made.due() is None:
+                break
+        arrived = sum(sum(lines.values()) for lines in self.receiving.totals.values())
+        assert arrived == self.tally
+        self.made.close()
+        seen = audit.look(self.folder)
+        assert seen.faults == []
+        shutil.rmtree(self.folder)
+
+
+ROOT_FOLDER = ""
+
+
+def test_no_unit_is_lost_or_doubled_whatever_fails_and_whenever_it_dies(tmp_path: Path) -> None:
+    global ROOT_FOLDER
+    ROOT_FOLDER = str(tmp_path)
+    checks = [HealthCheck.too_slow, HealthCheck.data_too_large]
+    run_state_machine_as_test(
+        Export,
+        settings=settings(
+            max_examples=40, stateful_step_count=40, deadline=None, suppress_health_check=checks
+        ),
+    )
+
+
+@pytest.mark.parametrize(
+    ("name", "change", "status"),
+    [
+        ("", {}, 201),
+        ("nonsense", {}, 400),
+        ("", {"digest": "0" * 64}, 400),
+        ("", {"data": b"junk"}, 400),
+    ],
+)
+def test_a_receiver_takes_a_batch_whole_or_not_at_all(
+    tmp_path: Path, name: str, change: dict[str, Any], status: int
+) -> None:
+    clock = Clock()
+    made = ledger(tmp_path / "ledger", clock)
+    made.open()
+    a_try(made, clock)
+    made.finish()
+    batch = batch_of(made)
+    made.close()
+    call: dict[str, Any] = {"name": name or batch.name, "digest": batch.digest, "data": packed(batch.text)}
+    receiving = Receiving(tmp_path / "kept")
+    assert receiving.put(**call | change)[0] == status
+    if status == 201:
+        assert receiving.put(**call)[0] == 200
+        assert receiving.put(**call | {"digest": "0" * 64})[0] == 409
+        again = Receiving(tmp_path / "kept")  # after a restart
+        assert again.put(**call)[0] == 200 and again.marks == receiving.marks
+    else:
+        assert not receiving.digests
+
+
+def test_gaps_are_read_as_they_were_written() -> None:
+    data = frame(Kind.GAP, 5, Gap(1, 2, 3.5))
+    assert [record for _, _, record in read(data, Scan())] == [Gap(1, 2, 3.5)]
--- /dev/null
+++ b/tests/test_usage_node.py
@@ -0,0 +1,83 @@
+"""Usage on sockets: what a node bills for each way a try can end, and what survives when it is killed."""
+
+import threading
+from collections import Counter
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+
+from benchmarks import kills
+from millfront.usage.receiver import Receiving, server
+from tests.peers import PAST, Peer, answer, breaks, request, stage, status
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend() -> tuple[str, dict[str, Any]]:
+    return "asyncio", {"use_uvloop": True}
+
+
+@pytest.fixture
+def receiver() -> Iterator[tuple[Receiving, str]]:
+    receiving = Receiving()
+    made = server(receiving, "127.0.0.1", 0)
+    threading.Thread(target=made.serve_forever, daemon=True).start()
+    yield receiving, f"127.0.0.1:{made.server_port}"
+    made.shutdown()
+
+
+def operators(tmp_path: Path, receiver: str) -> dict[str, Any]:
+    export = {"receiver": {"address": receiver}}
+    return {
+        "usage": {"folder": str(tmp_path / "ledger"), "segment_s": 0.2, "fsync_s": 0.05, "export": export}
+    }
+
+
+async def test_each_way_a_try_ends_is_billed_as_stated(
+    tmp_path: Path, receiver: tuple[Receiving, str]
+) -> None:
+    receiving, address = receiver
+    told = answer(200, b"page", b"Billed-Units: 3.5")
+    never = answer(503, b"", b"Not-Started: 1")
+    # served; error, and nothing may repeat; broken, and its repeat served; never started at any member
+    member = Peer(told, answer(500), breaks, told, never)
+    async with stage(member, operators=operators(tmp_path, address)) as on:
+        assert status(await on.ask(request("page-fetch"))) == 200
+        assert status(await on.ask(request("code-redeem"))) == 502
+        repeated = status(await on.ask(request("page-fetch")))
+        assert status(await on.ask(request("code-redeem"))) in (503, 200)
+        on.node.stop()
+        with anyio.fail_after(PAST):
+            await on.ended.wait()
+    billed: Counter[tuple[str, str]] = Counter()
+    for ledger in receiving.totals:
+        for line in receiving.tally(ledger):
+            billed[(line["class"], line["figure"])] += line["units"]
+    guessed = 2.0 if repeated != 200 else 0.0
+    assert billed[("page-fetch", "told")] == 3.5 + (3.5 if repeated == 200 else 0.0)
+    assert billed[("code-redeem", "guessed")] == 2.0
+    assert billed[("page-fetch", "guessed")] == guessed
+
+
+async def test_a_ledger_that_cannot_be_opened_refuses_no_request_and_is_shown(tmp_path: Path) -> None:
+    (tmp_path / "ledger").write_text("a file where the folder should be")
+    async with stage(Peer(), operators=operators(tmp_path, "127.0.0.1:1")) as on:
+        for _ in range(3):
+            assert status(await on.ask(request())) == 200
+        (part,) = on.node.parts._parts
+        said = part.status()  # type: ignore[attr-defined]
+        assert not said["ready"] and "exists" in said["why"].lower()
+        assert (said["unrecorded_tries"], said["unrecorded_units"]) == (3, 6.0)
+
+
+@pytest.mark.parametrize(("times", "spool"), [(20, False), (4, True)])
+def test_every_unit_arrives_once_though_the_gatekeeper_is_killed_again_and_again(
+    tmp_path: Path, times: int, spool: bool
+) -> None:
+    play, found = kills.run(times, 5, tmp_path, spool)
+    assert found == []
+    assert play.kills == times and len(play.answered) > 20 * times and play.out
