Pages for operators, designs with the ways weighed, and one command that brings all of it up

Need: who switches live plans or the ledger on must know what they do, what to watch and what to do when something goes wrong; a newcomer's first try started one half of what it needed and spent its quota after one page.

Change: operators' pages, the export protocol, the command line's codes, published schemas checked against the examples, two design notes, a roadmap. `make run` starts a gatekeeper, toy page servers and a receiver; its test asks what the README says. Tests for a death in compaction, two exporters of one ledger, and a receiver that is silent, then down, then back.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-PYTHON := .venv/bin/python
-NODE_CONFIG ?= examples/config.json
+PYTHON := PYTHONPATH=. .venv/bin/python
+LISTEN ?= 127.0.0.1:8081
 
 .PHONY: build test lint run
 
@@ -19,5 +19,6 @@
 	.venv/bin/ruff check .
 	.venv/bin/mypy
 
+# A gatekeeper with toy page servers and a receiver of usage; NODE_CONFIG alone starts one as the platform does.
 run: build
-	NODE_CONFIG=$(NODE_CONFIG) $(PYTHON) -m millfront
+	$(PYTHON) examples/try.py --listen $(LISTEN)
--- a/millfront/cli/commands.py
+++ b/millfront/cli/commands.py
@@ -1,5 +1,6 @@
 """`millfront`: the commands. Each imports what it needs when it is called."""
 
+import importlib
 import importlib.metadata
 import os
 import sys
@@ -65,17 +66,17 @@
     from millfront.cli import documents
 
     found: list[dict[str, Any]] = []
-    lines: list[str] = []
     for file in files:
         kind_of, faults = documents.check(Path(file), kind)
         found.append({"file": file, "kind": kind_of, "faults": [str(f) for f in faults]})
-        lines += [f"{file}: {fault}" for fault in faults] or [f"{file}: sound ({kind_of})"]
+        if not as_json:
+            for fault in faults:
+                click.echo(f"{file}: {fault}", err=True)
+            if not faults:
+                click.echo(f"{file}: sound ({kind_of})")
     bad = any(entry["faults"] for entry in found)
     if as_json:
         show(True, {"sound": not bad, "files": found}, "")
-        sys.exit(UNUSABLE if bad else 0)
-    for entry, line in [(e, ln) for e in found for ln in lines if ln.startswith(f"{e['file']}: ")]:
-        click.echo(line, err=bool(entry["faults"]))
     sys.exit(UNUSABLE if bad else 0)
 
 
--- a/millfront/cli/usage.py
+++ b/millfront/cli/usage.py
@@ -17,7 +17,7 @@
 from millfront.usage import audit
 from millfront.usage.ledger import Foreign, Ledger
 from millfront.usage.part import Exporter, sink_of
-from millfront.usage.receiver import Receiving, server
+from millfront.usage.receiver import Receiving, Showing, server
 
 
 class Told:
@@ -188,18 +188,9 @@
     if not host.startswith("127.") or not port.isdigit():
         raise click.UsageError(f"{listen!r} is no loopback HOST:PORT")
 
-    class Showing(Receiving):
-        def put(self, name: str, digest: str, data: bytes) -> tuple[int, dict[str, Any]]:
-            status, said = super().put(name, digest, data)
-            if not quiet and status == 201 and said["lines"]:
-                click.echo(f"usage: {name}: {said['lines']} lines")
-                for line in self.tally(name.rsplit(".", 1)[0])[-said["lines"] :]:
-                    click.echo(
-                        f"usage:   {line['customer']} {line['plan']} {line['class']}: {line['units']:g} units"
-                    )
-            return status, said
-
-    made = server(Showing(Path(folder) if folder else None), host, int(port))
+    kept = Path(folder) if folder else None
+    receiving = Receiving(kept) if quiet else Showing(click.echo, kept)
+    made = server(receiving, host, int(port))
     click.echo(f"receiver at {host}:{made.server_port}")
     try:
         made.serve_forever()
--- a/millfront/operators/admin.py
+++ b/millfront/operators/admin.py
@@ -57,6 +57,7 @@
         self.routes: dict[bytes, dict[bytes, Handler]] = {b"/v1/status": {b"GET": self._status}}
         self._says: dict[str, Callable[[], dict[str, object]]] = {}
         self._listener: SocketListener | None = None
+        self._serving = anyio.CancelScope()
         self._room = anyio.Semaphore(MOST_CALLERS)
 
     def says(self, part: str, status: Callable[[], dict[str, object]]) -> None:
@@ -79,9 +80,11 @@
 
     async def run(self) -> None:
         assert self._listener is not None
-        await self._listener.serve(self._serve)
+        with self._serving:
+            await self._listener.serve(self._serve)
 
     async def stop(self) -> None:
+        self._serving.cancel()
         if self._listener is not None:
             await self._listener.aclose()
         if self.listen.startswith("unix:"):
--- a/millfront/plans/store.py
+++ b/millfront/plans/store.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from millfront.operators.faults import Unusable
+from millfront.operators.files import write_whole
 from millfront.plans import book as books
 from millfront.plans.book import Book
 
@@ -52,8 +53,8 @@
             if now and version <= books.decode(now).version:
                 raise Conflict(f"version {version} does not go up")
             self.history.mkdir(exist_ok=True)
-            self._replace(self.history / f"{version:09d}.json", text)
-            self._replace(self.file, text)
+            write_whole(self.history / f"{version:09d}.json", text)
+            write_whole(self.file, text)
         return tag(text)
 
     def versions(self) -> list[int]:
@@ -80,21 +81,3 @@
         with open(self.file.with_name(self.file.name + ".lock"), "w") as lock:
             fcntl.flock(lock, fcntl.LOCK_EX)
             yield
-
-    def _replace(self, path: Path, text: bytes) -> None:
-        """Whole or not at all, also over a loss of power: synced aside, renamed, the folder synced."""
-        aside = path.with_name(f".{path.name}.{os.getpid()}")
-        try:
-            with open(aside, "wb") as file:
-                file.write(text)
-                file.flush()
-                os.fsync(file.fileno())
-            os.replace(aside, path)
-        except OSError:
-            aside.unlink(missing_ok=True)
-            raise
-        folder = os.open(path.parent, os.O_RDONLY)
-        try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
--- a/millfront/usage/ledger.py
+++ b/millfront/usage/ledger.py
@@ -26,6 +26,7 @@
 
 from millfront.logs import Log
 from millfront.operators.document import Usage
+from millfront.operators.files import sync, write_whole
 from millfront.usage.batches import Batch
 from millfront.usage.records import FORMAT, Gap, Head, Kind, Opened, Result, Scan, Settled, frame, read
 
@@ -165,7 +166,7 @@
         self.next_seq = max(self.next_seq, self.acknowledged + 1)
         self.sealed = [s for s in segments if s.next_seq > s.first]
         for segment in self.sealed:  # a former life may have ended before it made them lasting
-            _sync_file(segment.path)
+            sync(segment.path)
         self._bytes_sealed = sum(s.size for s in self.sealed)
         self._sent_bytes = sum(p.stat().st_size for p in (self.folder / "sent").iterdir())
         now = self._now()
@@ -174,7 +175,7 @@
         ]
         found.abandoned = len(ended)
         self._begin(chain, ended)
-        self._sync_folder()
+        sync(self.folder)
         self.compact(self.acknowledged)
         return found
 
@@ -184,7 +185,7 @@
             held = json.loads(path.read_bytes())
         except FileNotFoundError:
             held = {"format": FORMAT, "ledger": secrets.token_hex(8)}
-            self._write_whole(path, json.dumps(held).encode() + b"\n")
+            write_whole(path, json.dumps(held).encode() + b"\n")
         except ValueError:
             raise Foreign(f"{path} is not a ledger's identity") from None
         if held.get("format", 0) > FORMAT:
@@ -192,7 +193,7 @@
         if held.get("format", 0) < FORMAT:
             # Segments of an older format are read by their own frames; new ones are written in this one.
             held = {"format": FORMAT, "ledger": held.get("ledger") or secrets.token_hex(8)}
-            self._write_whole(path, json.dumps(held).encode() + b"\n")
+            write_whole(path, json.dumps(held).encode() + b"\n")
         return str(held["ledger"])
 
     def _read_receipts(self) -> None:
@@ -381,7 +382,7 @@
             os.fsync(self._fd)
         for _, fd in list(self.unsynced):
             os.fsync(fd)
-        self._sync_folder()
+        sync(self.folder)
 
     def synced(self, sealed: list[tuple[Segment, int]]) -> None:
         """Those segments are lasting: they may be exported."""
@@ -391,9 +392,6 @@
                 os.close(fd)
                 self.sealed.append(segment)
 
-    def _sync_folder(self) -> None:
-        _sync_file(self.folder)
-
     # ---- export ------------------------------------------------------------------------------
 
     def due(self) -> Segment | None:
@@ -402,7 +400,7 @@
 
     def keep(self, batch: Batch, packed: bytes) -> None:
         """Before it is sent: the batch as it goes out, for reconciling."""
-        self._write_whole(self.folder / "sent" / f"{batch.name}.jsonl.zst", packed)
+        write_whole(self.folder / "sent" / f"{batch.name}.jsonl.zst", packed)
         self._sent_bytes += len(packed)
 
     def receipt(self, batch: Batch) -> None:
@@ -450,14 +448,6 @@
                 self._sent_bytes -= path.stat().st_size
                 path.unlink()
 
-    def _write_whole(self, path: Path, data: bytes) -> None:
-        aside = path.with_name(path.name + ".new")
-        with open(aside, "wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(aside, path)
-
     # ---- the end -----------------------------------------------------------------------------
 
     def finish(self) -> None:
@@ -496,14 +486,6 @@
         }
 
 
-def _sync_file(path: Path) -> None:
-    fd = os.open(path, os.O_RDONLY)
-    try:
-        os.fsync(fd)
-    finally:
-        os.close(fd)
-
-
 def chained(before: str, receipt: Receipt) -> str:
     """The chain's next link: BLAKE2b over the link before and the receipt without its own."""
     bare = msgspec.json.encode(msgspec.structs.replace(receipt, chain=""))
--- a/millfront/usage/receiver.py
+++ b/millfront/usage/receiver.py
@@ -16,6 +16,7 @@
 import msgspec
 import zstandard
 
+from millfront.operators.files import write_whole
 from millfront.usage.batches import key_of, parsed
 from millfront.usage.sinks import packed, unpacked
 
@@ -58,9 +59,7 @@
         if hashlib.sha256(text).hexdigest() != digest or head.lines != len(lines_of) or head.batch != name:
             return 400, {"error": "not what its digest, its name or its head say"}
         if self.folder is not None:
-            aside = self.folder / f"{name}.new"
-            aside.write_bytes(packed(text))
-            aside.replace(self.folder / f"{name}.jsonl.zst")
+            write_whole(self.folder / f"{name}.jsonl.zst", packed(text))
         self._take(name, text)
         return 201, {"digest": digest, "lines": head.lines, "next": self.marks[match["ledger"]]}
 
@@ -95,6 +94,22 @@
         ]
 
 
+class Showing(Receiving):
+    """Says what comes, for people who try it."""
+
+    def __init__(self, say: Callable[[str], None], folder: Path | None = None) -> None:
+        super().__init__(folder)
+        self.say = say
+
+    def put(self, name: str, digest: str, data: bytes) -> Said:
+        status, said = super().put(name, digest, data)
+        if status == 201:
+            for line in parsed(unpacked(data))[1]:
+                what = f"{line.customer} {line.plan} {line.cls} {line.standing}"
+                self.say(f"usage: {what}: {line.tries} tries, {line.units:g} units {line.figure}")
+        return status, said
+
+
 Fault = Callable[[str, str], str]  # (method, path) to "", "before", "after" or "half"
 
 
--- a/millfront/usage/sending.py
+++ b/millfront/usage/sending.py
@@ -46,6 +46,7 @@
     lines: int = -1
     next_seq: int = -1
     retry_after_s: float = 0.0
+    why: str = ""  # where there was no answer
 
 
 class Sending:
@@ -107,7 +108,7 @@
 
 
 def _word(told: Told) -> str:
-    return f"status {told.status}" if told.status else "no answer"
+    return f"status {told.status}" if told.status else f"no answer: {told.why or 'in time'}"
 
 
 def compactable(segments: list[tuple[int, int]], acknowledged: int) -> list[tuple[int, int]]:
--- a/millfront/usage/sinks.py
+++ b/millfront/usage/sinks.py
@@ -22,6 +22,7 @@
 from millfront.node.endings import Ended
 from millfront.node.http import Message, Wire, dial
 from millfront.operators import document
+from millfront.operators.files import sync, write_whole
 from millfront.usage.batches import Batch
 from millfront.usage.sending import Told
 
@@ -66,18 +67,18 @@
 
     async def _call(self, method: bytes, target: str, body: bytes, fields: list[tuple[bytes, bytes]]) -> Told:
         """Whatever happens is an answer; after no answer the connection is not used again."""
-        answer = None
+        answer, why = None, ""
         with anyio.move_on_after(self.told.timeout_s):
             try:
                 answer = await self._exchange(method, target, body, fields)
-            except Ended:
-                pass
+            except Ended as ended:
+                why = str(ended)
             except BaseException:  # given up in the middle: its answer must not be taken for the next one's
                 await self.close()
                 raise
         if answer is None:
             await self.close()
-            return Told(0)
+            return Told(0, why=why)
         return told_of(answer)
 
     async def _exchange(
@@ -184,8 +185,8 @@
     def _mark(self, prefix: str) -> Told:
         try:
             marks = [entry.next for entry in self.entries() if entry.batch.startswith(prefix)]
-        except OSError:
-            return Told(0)
+        except OSError as wrong:
+            return Told(0, why=str(wrong))
         return Told(200, next_seq=max(marks)) if marks else Told(404)
 
     def _put(self, batch: Batch, data: bytes) -> Told:
@@ -194,28 +195,18 @@
             entries = self.entries()
             if not any(entry.batch == batch.name for entry in entries):
                 self._place(batch, data, entries[-1].chain if entries else "")
-        except OSError:
-            return Told(0)
+        except OSError as wrong:
+            return Told(0, why=str(wrong))
         return Told(201, batch.digest, batch.lines)
 
     def _place(self, batch: Batch, data: bytes, chain: str) -> None:
-        path = self.folder / f"{batch.name}.jsonl.zst"
-        aside = path.with_name(path.name + ".new")
-        with open(aside, "wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(aside, path)
+        write_whole(self.folder / f"{batch.name}.jsonl.zst", data, 0o644)
         link = linked(chain, batch.name, batch.digest)
         entry = SpoolEntry(batch.name, batch.digest, batch.lines, batch.last + 1, link)
         with open(self.folder / "manifest.jsonl", "ab", buffering=0) as manifest:
             manifest.write(msgspec.json.encode(entry) + b"\n")
             os.fsync(manifest.fileno())
-        folder = os.open(self.folder, os.O_RDONLY)
-        try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
+        sync(self.folder)
 
 
 def linked(before: str, name: str, digest: str) -> str:
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -1,38 +1,52 @@
-"""The examples work together: the toy page server behind a gatekeeper on the example configuration."""
+"""What `make run` starts, tried as the README says: a few pages, a refusal, a larger plan, and usage that
+arrives."""
 
-import json
+import os
+import re
+import signal
 import subprocess
 import sys
+import time
 import urllib.error
 import urllib.request
-from pathlib import Path
 
-from tests.test_config import ROOT, started
+from tests.test_config import ROOT, command
 
 
-def test_the_toy_page_server_is_served_until_the_quota_is_spent(tmp_path: Path) -> None:
-    command = [sys.executable, "-B", "examples/page_server.py", "127.0.0.1:0"]
-    with subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, text=True) as toy:
-        assert toy.stdout is not None
-        data = json.loads((ROOT / "examples" / "config.json").read_text())
-        data["known"]["hosts"][0]["dial"] = toy.stdout.readline().split()[-1]
-        gatekeeper = started(tmp_path, data | {"listen": "127.0.0.1:0"})
+def test_a_newcomer_sees_what_the_readme_says() -> None:
+    line = [sys.executable, "-B", "examples/try.py", "--listen", "127.0.0.1:0"]
+    given = os.environ | {"PYTHONPATH": str(ROOT)}
+    with subprocess.Popen(line, cwd=ROOT, env=given, stdout=subprocess.PIPE, text=True) as tried:
+        assert tried.stdout is not None
         try:
-            assert gatekeeper.stderr is not None
-            address = (
-                next(line for line in gatekeeper.stderr if "serves " in line).strip().split("address=")[1]
-            )
-            answers = [ask(address) for _ in range(6)]
+            said = ""
+            while "seen: " not in said:
+                said += tried.stdout.readline()
+            address = re.search(r"curl -i http://([0-9.:]+)/", said)
+            admin = re.search(r"--admin (unix:\S+) assign (\S+) regular", said)
+            assert address is not None and admin is not None
+            answers = [ask(address[1], number) for number in range(12)]
+            pages = [code for code, _ in answers].index(503)
+            assert 3 <= pages <= 8  # "a few pages"
+            assert answers[0][1].startswith(b"GET /page-fetch/00000000b4d65521, request 0")
+            assert command("plans", "--admin", admin[1], "assign", admin[2], "regular").returncode == 0
+            began = time.monotonic()  # the larger plan has a ceiling, whose store begins empty
+            while ask(address[1], 99)[0] != 200:
+                assert time.monotonic() - began < 1.0
+            tried.send_signal(signal.SIGTERM)
+            rest = tried.stdout.read()
         finally:
-            gatekeeper.terminate()
-            toy.terminate()
-            gatekeeper.communicate(timeout=20)
-    assert answers[0] == (200, b"GET /page-fetch/00000000b4d65521, request 1\n")
-    assert answers[-1][0] == 503
+            tried.terminate()
+    billed = re.findall(
+        r"usage: 00000000b4d65521 (\w+) page-fetch inside: (\d+) tries, (\d+) units told", said + rest
+    )
+    assert {plan for plan, _, _ in billed} == {"casual", "regular"}
+    assert sum(int(units) for _, _, units in billed) == pages + 1
+    assert tried.returncode == 0
 
 
-def ask(address: str) -> tuple[int, bytes]:
-    fields = {"Request-Id": "1", "Plan": "casual", "Request-Timeout": "2000m"}
+def ask(address: str, number: int) -> tuple[int, bytes]:
+    fields = {"Request-Id": f"{number:x}", "Plan": "casual", "Request-Timeout": "2000m"}
     fields["Quota-Info"] = "units=1,spread=1,first=0"
     request = urllib.request.Request(f"http://{address}/page-fetch/00000000b4d65521", headers=fields)
     try:
--- a/tests/test_live_plans.py
+++ b/tests/test_live_plans.py
@@ -86,7 +86,9 @@
         assert status(await on.ask(request())) == 503
 
 
-async def test_a_change_ahead_holds_from_its_instant_and_one_heard_of_late_at_once(tmp_path: Path) -> None:
+async def test_a_change_ahead_holds_from_its_instant_and_one_heard_of_late_at_once(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
     book = tmp_path / "book.json"
     async with stage(Peer(), operators=operators(tmp_path)) as on:
         at = time.time() + 0.7
@@ -101,9 +103,14 @@
         assert all(code == 503 for when, code in answers if when > at + 0.01)
         entry = {"customer": "00000000000000ff", "plan": "spent", "from": "2026-01-01T00:00:00Z"}
         put(book, 3, None, assignments=[entry])
+        began = time.monotonic()
+        on.node.parts.reload()  # as SIGHUP does
         with anyio.fail_after(PAST):
             while part(on).status()["version"] != 3:
-                await anyio.sleep(0.01)
+                await anyio.sleep(0.005)
+        assert time.monotonic() - began < 0.25
+        (late,) = [r for r in caplog.records if r.message == "a plan book applied late"]
+        assert late.fields["late_s"] > 1000 and late.fields["entries"] == 1  # type: ignore[attr-defined]
 
 
 async def test_two_operators_cannot_overwrite_each_other_through_the_api(tmp_path: Path) -> None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,15 +1,18 @@
 """The operators' file, the command line and the log; and that all of it costs nothing where it is off."""
 
 import json
+import re
 import subprocess
 import sys
 from pathlib import Path
 from typing import Any
 
+import jsonschema
 import pytest
 
 from millfront.operators import document
 from millfront.operators.faults import Unusable
+from millfront.plans import book as books
 from tests.test_config import ROOT, command, good, started
 
 USAGE: dict[str, Any] = {"folder": "/tmp/x"}
@@ -44,6 +47,25 @@
     assert "MILLFRONT_OPERATOR" not in run and "--operator" not in run
 
 
+@pytest.mark.parametrize("name", ["operators", "plans"])
+def test_the_published_schema_is_the_types_and_takes_the_examples(name: str) -> None:
+    published = (ROOT / "docs" / "schema" / f"{name}.json").read_text()
+    assert published == command("schema", name).stdout
+    checker = jsonschema.Draft202012Validator(json.loads(published))
+    if name == "operators":
+        checker.validate(json.loads((ROOT / "deploy" / "operators.json").read_text()))
+        assert not checker.is_valid({"plan": {}})
+    else:
+        text = (ROOT / "docs" / "live-plans.md").read_text()
+        book = next(
+            json.loads(block)
+            for block in re.findall(r"```json\n(.*?)```", text, re.DOTALL)
+            if "version" in block
+        )
+        checker.validate(book)
+        assert books.check(books.decode(json.dumps(book).encode()), (), 225.0) == []
+
+
 def test_an_unusable_operators_file_ends_the_start_with_every_fault(tmp_path: Path) -> None:
     path = tmp_path / "operators.json"
     path.write_text('{"plan": 1, "logs": {"format": "xml"}}')
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -4,14 +4,12 @@
 import json
 from dataclasses import replace
 
-import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from millfront import interface as api
 from millfront.choice import Customer
-from millfront.operators import document
 from millfront.operators.faults import Unusable
 from millfront.operators.slices import driven
 from millfront.plans import book as books
@@ -128,12 +126,6 @@
     assert made.defined["a"][0][2] is first.defined["a"][0][2]
 
 
-def test_the_example_and_the_schema_agree() -> None:
-    schema = msgspec.json.schema(document.Operators)
-    assert set(schema["$defs"]["Operators"]["properties"]) == {"logs", "admin", "plans", "usage"}
-    assert schema["$defs"]["Plans"]["additionalProperties"] is False
-
-
 # ---- a change of plan, over all gateways together
 
 
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -169,6 +169,59 @@
     assert audit.look(tmp_path).faults == []
 
 
+def test_a_death_between_receipt_and_removal_sends_nothing_twice(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    class Died(BaseException):
+        pass
+
+    def dies(*_: object, **__: object) -> None:
+        raise Died
+
+    clock = Clock()
+    made = ledger(tmp_path, clock)
+    made.open()
+    a_try(made, clock)
+    made.seal()
+    make_lasting(made)
+    batch = batch_of(made)
+    with monkeypatch.context() as patched:
+        patched.setattr(Path, "unlink", dies)
+        with pytest.raises(Died):
+            made.receipt(batch)
+    made.close()
+    assert len(segments_of(tmp_path)) == 2
+    again = ledger(tmp_path, clock)
+    again.open()
+    assert [segment.first for segment in again.sealed] == [batch.last + 1]
+    assert again.acknowledged == batch.last
+    again.close()
+
+
+def test_two_exporters_of_one_ledger_bill_it_once(tmp_path: Path) -> None:
+    clock, receiving = Clock(), Receiving()
+    made = ledger(tmp_path / "one", clock)
+    made.open()
+    for _ in range(3):
+        a_try(made, clock, units=2.0)
+        made.seal()
+    make_lasting(made)
+    made.close()
+    shutil.copytree(tmp_path / "one", tmp_path / "two")  # a lock cannot see a copy
+    both = [ledger(tmp_path / name, clock) for name in ("one", "two")]
+    for each in both:
+        each.open()
+    for _ in range(3):
+        for each in both:
+            batch = batch_of(each)
+            status, said = receiving.put(batch.name, batch.digest, packed(batch.text))
+            assert status in (200, 201) and said["digest"] == batch.digest
+            each.receipt(batch)
+    assert sum(sum(lines.values()) for lines in receiving.totals.values()) == 6_000_000
+    for each in both:
+        each.close()
+
+
 def test_a_disk_that_is_full_or_fails_loses_nothing_silently(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/test_usage_node.py
+++ b/tests/test_usage_node.py
@@ -10,8 +10,11 @@
 import pytest
 
 from benchmarks import kills
+from millfront.node.config import Address
+from millfront.usage.part import UsagePart
 from millfront.usage.receiver import Receiving, server
-from tests.peers import PAST, Peer, answer, breaks, request, stage, status
+from millfront.usage.sinks import HttpSink
+from tests.peers import PAST, Peer, answer, breaks, listening, request, silent, stage, status
 
 pytestmark = pytest.mark.anyio
 
@@ -63,6 +66,41 @@
     assert billed[("page-fetch", "guessed")] == guessed
 
 
+async def test_a_receiver_that_is_silent_then_down_then_back_gets_each_batch_once(
+    tmp_path: Path, receiver: tuple[Receiving, str]
+) -> None:
+    receiving, address = receiver
+    never = Peer(*[silent] * 100)
+    told = operators(tmp_path, "")
+    told["usage"]["export"]["receiver"] |= {"timeout_s": 0.1, "first_wait_s": 0.01, "most_wait_s": 0.05}
+    async with listening(never):
+        told["usage"]["export"]["receiver"]["address"] = never.address
+        async with stage(Peer(), operators=told) as on:
+            (part,) = [p for p in on.node.parts._parts if isinstance(p, UsagePart)]
+            assert part.exporter is not None
+            for _ in range(3):
+                assert status(await on.ask(request())) == 200  # no request waits for it
+            with anyio.fail_after(PAST):
+                while never.connections < 3:
+                    await never.until(lambda peer: peer.connections >= 3)
+            assert "no answer" in str(part.status()["export_trouble"])
+            sink = part.exporter.sink
+            assert isinstance(sink, HttpSink)
+            sink.address = Address.parse("127.0.0.1:1", "")  # nobody listens there
+            with anyio.fail_after(PAST):
+                while "did not come up" not in str(part.status()["export_trouble"]):
+                    await anyio.sleep(0.01)
+            sink.address = Address.parse(address, "")
+            with anyio.fail_after(PAST):
+                while part.exporter.lines == 0:
+                    await anyio.sleep(0.01)
+            on.node.stop()
+            with anyio.fail_after(PAST):
+                await on.ended.wait()
+    (totals,) = receiving.totals.values()
+    assert sum(totals.values()) == 6_000_000
+
+
 async def test_a_ledger_that_cannot_be_opened_refuses_no_request_and_is_shown(tmp_path: Path) -> None:
     (tmp_path / "ledger").write_text("a file where the folder should be")
     async with stage(Peer(), operators=operators(tmp_path, "127.0.0.1:1")) as on:
