Read fields with one expression and look them up in one table

Seen in a profile of the new core: splitting fields took 12 µs a message, eight linear look-ups through generators 22 µs a request.

Change: fields are found by one expression, take_in looks them up in a table made once.

--- a/millfront/node/http.py
+++ b/millfront/node/http.py
@@ -50,7 +50,10 @@
     body: bytes
 
     def field(self, name: bytes) -> bytes | None:
-        return next((value for key, value in self.fields if key == name), None)
+        for key, value in self.fields:
+            if key == name:
+                return value
+        return None
 
 
 def passed_on(message: Message, *but: bytes) -> Fields:
--- a/millfront/node/http1.py
+++ b/millfront/node/http1.py
@@ -18,6 +18,7 @@
 FIELDS = rb"((?:[A-Za-z0-9-]+: [!-~](?:[ -~]*[!-~])?\r\n)*)\r\n"
 REQUEST = re.compile(rb"(GET|POST) (/[!-~]*) HTTP/1\.1\r\n" + FIELDS)
 ANSWER = re.compile(rb"HTTP/1\.1 ([2-5][0-9][0-9]) [ -~]*\r\n" + FIELDS)
+FIELD = re.compile(rb"([A-Za-z0-9-]+): ([!-~](?:[ -~]*[!-~])?)\r\n")
 LENGTH = re.compile(rb"[0-9]{1,6}")
 # Fields that change how a message is read or what comes after it: not for the fast path.
 SPECIAL = frozenset((b"connection", b"expect", b"te", b"trailer", b"transfer-encoding", b"upgrade"))
@@ -28,24 +29,20 @@
 def parsed_fields(block: bytes) -> tuple[Fields, Fields, int | None, int] | None:
     """Fields as (lower-case, as they came), the content length and the number of hosts; None: not for the
     fast path."""
-    fields: Fields = []
-    raw: Fields = []
-    length: int | None = None
-    hosts = 0
-    for line in block.split(b"\r\n")[:-1]:
-        name, _, value = line.partition(b": ")
-        lower = name.lower()
-        if lower in SPECIAL and not (lower == b"connection" and value.lower() == b"keep-alive"):
+    raw: Fields = FIELD.findall(block)
+    fields = [(name.lower(), value) for name, value in raw]
+    names = [name for name, _ in fields]
+    if not SPECIAL.isdisjoint(names):
+        spoken = [field for field in fields if field[0] in SPECIAL]
+        if any(name != b"connection" or value.lower() != b"keep-alive" for name, value in spoken):
             return None
-        if lower == b"content-length":
-            if length is not None or not LENGTH.fullmatch(value):
-                return None
-            length = int(value)
-        elif lower == b"host":
-            hosts += 1
-        fields.append((lower, value))
-        raw.append((name, value))
-    return fields, raw, length, hosts
+    length = None
+    if b"content-length" in names:
+        value = fields[names.index(b"content-length")][1]
+        if names.count(b"content-length") > 1 or not LENGTH.fullmatch(value):
+            return None
+        length = int(value)
+    return fields, raw, length, names.count(b"host")
 
 
 def may_begin(data: bytes, *beginnings: bytes) -> bool:
--- a/millfront/node/stages/take_in.py
+++ b/millfront/node/stages/take_in.py
@@ -57,8 +57,9 @@
         cls = self.classes[parts[1]]
         if not CUSTOMER.fullmatch(parts[-1]) or (customer := int(parts[-1], 16)) >= MOST_CUSTOMER:
             raise NotTaken(404, "no such customer")
-        self._check_method(cls, method, message)
-        named = message.field(b"plan") or b""
+        fields = dict(reversed(message.fields))  # of several of a name the first counts
+        self._check_method(cls, method, fields)
+        named = fields.get(b"plan", b"")
         plan, live = self.plans.get(named), None
         if self.live is not None:
             live = self.live(customer, named.decode("latin-1"), came_us)
@@ -67,15 +68,15 @@
             if terms is None:
                 raise NotTaken(400, "Plan: unknown")
             plan = 0  # the book wins over whatever the request says
-        name = message.field(b"request-id") or b""
+        name = fields.get(b"request-id", b"")
         if not REQUEST_ID.fullmatch(name):
             raise NotTaken(400, "Request-Id: not 64 bits in hex")
-        timeout = TIMEOUT.fullmatch(message.field(b"request-timeout") or b"")
+        timeout = TIMEOUT.fullmatch(fields.get(b"request-timeout", b""))
         if timeout is None:
             raise NotTaken(400, "Request-Timeout: not a number and m or u")
         if not float(timeout[1]) > 0:
             raise NotTaken(400, "Request-Timeout: no time at all")
-        units, spread, first = self._quota(message.field(b"quota-info") or b"")
+        units, spread, first = self._quota(fields.get(b"quota-info", b""))
         timeout_us = min(
             int(float(timeout[1]) * MICROSECONDS[timeout[2]]), self.settings.classes[cls].deadline_us
         )
@@ -89,11 +90,11 @@
             arrival, plan_name=live.name, plan_version=version, terms=terms, reserves=live.reserves
         )
 
-    def _check_method(self, cls: int, method: bytes, message: Message) -> None:
+    def _check_method(self, cls: int, method: bytes, fields: dict[bytes, bytes]) -> None:
         repeat = self.settings.classes[cls].repeat
         if method != (b"GET" if repeat is api.Repeat.SAFE else b"POST"):
             raise NotTaken(405, "not this class's method")
-        if repeat is api.Repeat.KEYED and not message.field(b"idempotency-key"):
+        if repeat is api.Repeat.KEYED and not fields.get(b"idempotency-key"):
             # sent on without its key, a repeat of it would run twice
             raise NotTaken(400, "Idempotency-Key: missing")
 
