HTTP/2 to pool members: several attempts on a connection, each with its one ending

Need: other installations' page servers speak HTTP/2, and a member that drains tells so with GOAWAY.

Change: a flow asks for an exchange, a connection of HTTP/1.1 or a stream of one shared by several. Off unless `http2.members` is set.

--- a/millfront/http2/clients.py
+++ b/millfront/http2/clients.py
@@ -163,14 +163,8 @@
         self.pump()
 
     def check_hoard(self) -> None:
-        """h2 keeps a frame until it is whole, and only then looks at its length; and a header block until it
-        ends, of up to 64 frames. Guards memory: both are bounded here as soon as they are seen."""
-        waiting = self.h2.incoming_buffer._data
-        blocks = self.h2.incoming_buffer._headers_buffer
-        if len(waiting) >= 3 and int.from_bytes(waiting[:3]) > self.h2.max_inbound_frame_size:
-            self.turn_out(Codes.FRAME_SIZE_ERROR, "a frame longer than allowed")
-        elif sum(len(block.data) for block in blocks) > 2 * MOST_HEAD:
-            self.turn_out(Codes.ENHANCE_YOUR_CALM, "a header block without end")
+        if (found := hoards(self.h2)) is not None:
+            self.turn_out(*found)
 
     def take(self, event: h2.events.Event) -> None:
         now = self.heard_us
@@ -524,6 +518,18 @@
             self.leave(stream)
 
 
+def hoards(connection: h2.connection.H2Connection) -> tuple[Codes, str] | None:
+    """h2 keeps a frame until it is whole, and only then looks at its length; and a header block until it
+    ends, of up to 64 frames. Guards memory: both are bounded here as soon as they are seen."""
+    waiting = connection.incoming_buffer._data
+    blocks = connection.incoming_buffer._headers_buffer
+    if len(waiting) >= 3 and int.from_bytes(waiting[:3]) > connection.max_inbound_frame_size:
+        return Codes.FRAME_SIZE_ERROR, "a frame longer than allowed"
+    if sum(len(block.data) for block in blocks) > 2 * MOST_HEAD:
+        return Codes.ENHANCE_YOUR_CALM, "a header block without end"
+    return None
+
+
 def unfit(start: tuple[bytes, bytes], fields: Fields) -> bytes:
     """Why a request that h2 lets through may not go on to members that speak HTTP/1.1; nothing if it may.
 
--- a/millfront/http2/part.py
+++ b/millfront/http2/part.py
@@ -1,6 +1,7 @@
 """HTTP/2 as a part of a node: a further listener, or the shared port told by its preface."""
 
 import socket
+from typing import TYPE_CHECKING
 
 import anyio
 
@@ -11,8 +12,13 @@
 from millfront.node.service import Node
 from millfront.operators.document import Http2
 
+if TYPE_CHECKING:
+    from millfront.http2.members import Http2Members
+
 log = Log(__name__)
 
+LOOK_S = 0.1  # between two looks at the connections to members
+
 
 class Http2Front:
     name = "http2"
@@ -21,12 +27,18 @@
         self.node = node
         self.told = told
         self.server: VirtualServer | None = None
-        self._running = anyio.CancelScope()
+        self.members: Http2Members | None = None
 
     async def start(self) -> None:
         if self.told.shared:
             self.node.server.preface = PREFACE
             self.node.server.upgraded = self._upgraded
+        if self.told.members:
+            from millfront.http2.members import Http2Members
+
+            told = self.told
+            self.members = Http2Members(self.node.members, told.member_streams, told.member_connections)
+            self.node.members.shared = self.members
         if self.told.listen is None:
             return
         main = self.node.server
@@ -52,8 +64,17 @@
         made.received(data)
 
     async def run(self) -> None:
-        if self.server is not None:
-            await self.server.sweep()
+        async with anyio.create_task_group() as tasks:
+            if self.members is not None:
+                tasks.start_soon(self._look)
+            if self.server is not None:
+                await self.server.sweep()
+
+    async def _look(self) -> None:
+        assert self.members is not None
+        while True:
+            await anyio.sleep(LOOK_S)
+            self.members.look()
 
     async def stop(self) -> None:
         pass  # it ends with the other fronts
@@ -64,5 +85,6 @@
     def status(self) -> dict[str, object]:
         return {
             "address": str(self.server.address) if self.server is not None else None,
+            "member_connections": sum(map(len, self.members.connections.values())) if self.members else 0,
             "connections": self.server.connected() if self.server is not None else 0,
         }
--- a/millfront/node/members.py
+++ b/millfront/node/members.py
@@ -12,8 +12,8 @@
 from millfront.node.config import Address
 from millfront.node.endings import Ended, Ending
 from millfront.node.host import Clock
-from millfront.node.http import Message
-from millfront.node.http1 import Answers
+from millfront.node.http import Fields, Message
+from millfront.node.http1 import Answers, request_bytes
 from millfront.node.link import NO_ROOM, Dialling, Link
 
 IDLE_SHARE = 0.5  # of KeepaliveUs: a request written after the member closed would count as a reset
@@ -43,6 +43,34 @@
     def broken(self, ended: Ended) -> None: ...
 
 
+class Exchange(Protocol):
+    """What carries one request to a member and its answer back: a connection, or a stream of one."""
+
+    flow: Flow | None
+
+    def request(self, start: tuple[bytes, bytes], fields: Fields, body: bytes) -> None:
+        """Write it. Raises Ended: UNCONNECTED, nothing of it ran."""
+
+    def release(self) -> bool:
+        """The answer is whole; False where nothing more can go over it, and drop() is owed."""
+        ...
+
+    def drop(self) -> None:
+        """Given up: the member is told."""
+
+    def fared(self, well: bool) -> None:
+        """How it did with the request that was written on it."""
+
+
+Up = Callable[[Exchange | None, Ended | None], None]
+
+
+class Shared(Protocol):
+    """Exchanges on connections that carry several at once."""
+
+    def take(self, member: PoolMember, up: Up) -> Exchange | Callable[[], None]: ...
+
+
 class MemberConnection:
     """One connection, one request at a time."""
 
@@ -69,9 +97,12 @@
         self.idle_us = 0  # how long it lay idle before it was taken up; 0: it is new
         self.link = Link(sock, self, asyncio.get_running_loop())
 
-    def ask(self, method: bytes, request: bytes) -> None:
+    def request(self, start: tuple[bytes, bytes], fields: Fields, body: bytes) -> None:
         """:raises Ended: UNCONNECTED, it broke before the last byte was written"""
-        self.answers.expect(method)
+        if body or start[0] == b"POST":
+            fields = [*fields, (b"Content-Length", b"%d" % len(body))]
+        request = request_bytes(start, fields, body)
+        self.answers.expect(start[0])
         self.written = False
         try:
             self.link.write(request)
@@ -79,6 +110,16 @@
             raise Ended(Ending.UNCONNECTED, repr(wrong), again=True) from None
         self.written = not self.link.unsent
 
+    def release(self) -> bool:
+        return self.members.release(self)
+
+    def drop(self) -> None:
+        self.members.drop(self)
+
+    def fared(self, well: bool) -> None:
+        if self.idle_us:
+            self.members.wear.note(self.idle_us, well)
+
     def drained(self) -> None:
         self.written = True
 
@@ -156,6 +197,7 @@
         self.most = most
         self.wear = Wear()
         self.connections = 0
+        self.shared: Shared | None = None  # members speak a protocol of several streams
         self._by_id: dict[int, PoolMember] = {}
         self._idle: OrderedDict[MemberConnection, None] = (
             OrderedDict()
@@ -190,6 +232,15 @@
 
     # ---- connections -------------------------------------------------------------------------
 
+    def obtain(self, member: PoolMember, up: Up) -> Exchange | Callable[[], None]:
+        """An exchange at once; or one is set up and told to `up`, and this returns what gives that up.
+
+        :raises Ended: there is none to be had
+        """
+        if self.shared is not None:
+            return self.shared.take(member, up)
+        return self.idle(member) or self.dial(member, up)
+
     def idle(self, member: PoolMember) -> MemberConnection | None:
         """The idle one used last that can be trusted, or none."""
         while member.idle:
@@ -203,10 +254,18 @@
             self.drop(found)
         return None
 
-    def dial(
-        self, member: PoolMember, done: Callable[[MemberConnection | None, Ended | None], None]
+    def dial(self, member: PoolMember, up: Up) -> Callable[[], None]:
+        """Set up a new one for one request at a time; returns what gives it up."""
+
+        def made(sock: socket.socket | None, ended: Ended | None) -> None:
+            up(MemberConnection(self, member, sock) if sock is not None else None, ended)
+
+        return self.set_up(member, made)
+
+    def set_up(
+        self, member: PoolMember, done: Callable[[socket.socket | None, Ended | None], None]
     ) -> Callable[[], None]:
-        """Set up a new one; returns what gives it up. `done` is told once, unless it is given up.
+        """A socket to the member; returns what gives it up. `done` is told once, unless it is given up.
 
         :raises Ended: NOT_SENT where descriptors are wanting, UNCONNECTED where it failed at once
         """
@@ -223,7 +282,7 @@
                 self.connections -= 1
                 done(None, unconnected(address, wrong))
                 return
-            done(MemberConnection(self, member, sock), None)
+            done(sock, None)
 
         def give_up() -> None:
             self.connections -= 1
@@ -265,11 +324,6 @@
         connection.member.idle.remove(connection)
         self.drop(connection)
 
-    def fared(self, connection: MemberConnection, well: bool) -> None:
-        """How a kept connection did with the request that was written on it."""
-        if connection.idle_us:
-            self.wear.note(connection.idle_us, well)
-
     def close_idle(self, member: PoolMember) -> None:
         for connection in list(member.idle):
             self._drop_idle(connection)
--- a/millfront/node/stages/send.py
+++ b/millfront/node/stages/send.py
@@ -7,9 +7,8 @@
 from millfront.logs import Log
 from millfront.node.endings import Ended, Ending
 from millfront.node.host import Clock, OpenRequest
-from millfront.node.http import REST_S, Message, passed_on
-from millfront.node.http1 import request_bytes
-from millfront.node.members import MemberConnection, Members, PoolMember
+from millfront.node.http import REST_S, Fields, Message, passed_on
+from millfront.node.members import Exchange, Members, PoolMember
 from millfront.node.stages.route import Route
 
 log = Log(__name__)
@@ -46,7 +45,7 @@
         self.ends_us = now_us + (min(send.timeout_us, left_us) if send.timeout_us else left_us)
         self.again = AGAIN
         self.over = False
-        self.connection: MemberConnection | None = None
+        self.connection: Exchange | None = None
         self.dialling: Callable[[], None] | None = None  # gives the connection being set up up
         self.timer: asyncio.TimerHandle | None = None
         self.rest: asyncio.TimerHandle | None = None  # from an answer's first bytes
@@ -67,7 +66,7 @@
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.flow = None
-            self.stage.members.drop(connection)
+            connection.drop()
         self.stage.book(self, ending, answer)
 
     # ---- what the connection tells -----------------------------------------------------------
@@ -82,14 +81,14 @@
         if not self.over:
             log.warning("a pool member answered nonsense", member=self.send.backend, why=why)
             if self.connection is not None:
-                self.stage.members.fared(self.connection, True)
+                self.connection.fared(True)
             self.end(Ending.MALFORMED)
 
     def answered(self, answer: Message) -> None:
         connection = self.connection
         assert connection is not None
-        self.stage.members.fared(connection, True)
-        if self.stage.members.release(connection):
+        connection.fared(True)
+        if connection.release():
             connection.flow, self.connection = None, None
         self.end(ending_of(answer), answer)
 
@@ -99,8 +98,8 @@
         if connection is not None:
             connection.flow = None
             if ended.ending is Ending.BROKEN:
-                self.stage.members.fared(connection, False)
-            self.stage.members.drop(connection)
+                connection.fared(False)
+            connection.drop()
         if ended.again and self.again > 0 and not self.over:
             self.again -= 1
             self.stage.attempt(self)
@@ -132,13 +131,11 @@
     def attempt(self, flow: ServerSideFlow) -> None:
         try:
             member = self.route(flow.send.backend)
-            connection = self.members.idle(member)
-            if connection is None:
-                flow.dialling = self.members.dial(
-                    member, lambda made, ended: self._up(flow, member, made, ended)
-                )
+            got = self.members.obtain(member, lambda made, ended: self._up(flow, member, made, ended))
+            if callable(got):
+                flow.dialling = got
             else:
-                self._write(flow, member, connection)
+                self._write(flow, member, got)
         except Ended as ended:
             flow.broken(ended)
         except Exception:  # a fault in one flow is that flow's ending, not the program's
@@ -146,7 +143,7 @@
             flow.end(Ending.BROKEN)
 
     def _up(
-        self, flow: ServerSideFlow, member: PoolMember, made: MemberConnection | None, ended: Ended | None
+        self, flow: ServerSideFlow, member: PoolMember, made: Exchange | None, ended: Ended | None
     ) -> None:
         flow.dialling = None
         try:
@@ -160,22 +157,19 @@
             log.exception("a flow failed")
             flow.end(Ending.BROKEN)
 
-    def _write(self, flow: ServerSideFlow, member: PoolMember, connection: MemberConnection) -> None:
+    def _write(self, flow: ServerSideFlow, member: PoolMember, connection: Exchange) -> None:
         flow.connection, connection.flow = connection, flow
         self.route.check(member)
-        connection.ask(*self._request(flow, member))
-
-    def _request(self, flow: ServerSideFlow, member: PoolMember) -> tuple[bytes, bytes]:
         message = flow.opened.arrival.message
-        method, _ = message.start
+        connection.request(message.start, self._fields(flow, member, message), message.body)
+
+    def _fields(self, flow: ServerSideFlow, member: PoolMember, message: Message) -> Fields:
         left_us = max(1, flow.ends_us - self.clock.now())
         fields = passed_on(message, b"request-timeout")
         if message.field(b"host") is None:  # HTTP/1.0 has none, and 1.1 must have one
             fields.insert(0, (b"Host", str(member.dial).encode()))
         fields.append((b"Request-Timeout", b"%du" % left_us))
-        if message.body or method == b"POST":
-            fields.append((b"Content-Length", b"%d" % len(message.body)))
-        return method, request_bytes(message.start, fields, message.body)
+        return fields
 
 
 def ending_of(answer: Message) -> Ending:
--- a/millfront/operators/document.py
+++ b/millfront/operators/document.py
@@ -52,9 +52,13 @@
         64  # on the listener; taken from the clients' descriptors
     )
 
+    members: bool = False  # pool members are asked over it, with prior knowledge
+    member_streams: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 32  # open at once on a connection
+    member_connections: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 4  # to a member
+
     def __post_init__(self) -> None:
-        if self.listen is None and not self.shared:
-            raise ValueError("one of listen and shared is wanted")
+        if self.listen is None and not self.shared and not self.members:
+            raise ValueError("one of listen, shared and members is wanted")
 
 
 class Plans(Strict, frozen=True):
