--- /dev/null
+++ b/benchmarks/slow_reader.py
@@ -0,0 +1,89 @@
+"""What a client that reads nothing costs the others on the same gatekeeper, and on the same connection.
+
+    python -m benchmarks.slow_reader [--rounds 6]
+
+HTTP/2 with 10 streams at once, in turns alone and beside 20 connections that each hold 20 answers of 60 KB
+without a window. The 99th percentile of the others' time, paired.
+"""
+
+import argparse
+import asyncio
+import statistics
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import h2.config
+import h2.connection
+import h2.settings
+
+from benchmarks.protocols import Process, multiplexed
+from benchmarks.request_cost import Pages
+from tests.h2client import head
+
+
+class Long(Pages):
+    """60 KB to whoever asks for it."""
+
+    def data_received(self, data: bytes) -> None:
+        self.data += data
+        if not self.data.endswith(b"\r\n\r\n"):
+            return
+        body = b"x" * 60_000 if b"/stalled/" in self.data else b"ok"
+        self.data = b""
+        self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
+
+async def stalled(address: str) -> Any:
+    """A connection with 20 answers that wait for a window which does not come."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    speaks = h2.connection.H2Connection(h2.config.H2Configuration(header_encoding=None))
+    told = {h2.settings.SettingCodes.INITIAL_WINDOW_SIZE: 0}
+    speaks.local_settings = h2.settings.Settings(client=True, initial_values=told)
+    speaks.initiate_connection()
+    for number in range(1, 41, 2):
+        fields = head(Path="/page-fetch/stalled/00000000b4d65521", Quota_Info="units=1,spread=1,first=0")
+        speaks.send_headers(number, fields, end_stream=True)
+    writer.write(speaks.data_to_send())
+    await reader.read(1000)
+    return writer
+
+
+async def run(folder: Path, rounds: int) -> None:
+    loop = asyncio.get_running_loop()
+    page = await loop.create_server(Long, "127.0.0.1", 0)
+    where = f"127.0.0.1:{page.sockets[0].getsockname()[1]}"
+    here = Path(__file__).parent.parent
+    process = await asyncio.to_thread(Process, folder / "mine", here, where, False, True)
+    await multiplexed(process.http2, 500, 10)
+    ratios, alone = [], []
+    for _ in range(rounds):
+        calm = sorted(await multiplexed(process.http2, 1500, 10))[1484]
+        writers = [await stalled(process.http2) for _ in range(20)]
+        await asyncio.sleep(0.5)
+        beside = sorted(await multiplexed(process.http2, 1500, 10))[1484]
+        for writer in writers:
+            writer.close()
+        await asyncio.sleep(0.3)
+        ratios.append(beside / calm)
+        alone.append(calm)
+    middle = statistics.median(alone) * 1e3
+    print(
+        f"p99 alone {middle:.1f} ms; beside 400 stalled streams {statistics.median(ratios):.3f} of that",
+        end=" ",
+    )
+    print(f"({min(ratios):.2f} to {max(ratios):.2f})")
+    process.process.terminate()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--rounds", type=int, default=6)
+    told = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        asyncio.run(run(Path(folder), told.rounds))
+
+
+if __name__ == "__main__":
+    main()
