--- a/millfront/http2/clients.py
+++ b/millfront/http2/clients.py
@@ -8,7 +8,6 @@
 import re
 import socket
 from contextlib import suppress
-from typing import Any
 
 import h2.config
 import h2.connection
@@ -21,7 +20,7 @@
 from millfront.http2.conduct import Conduct
 from millfront.http2.turns import Turns, urgency_of
 from millfront.logs import Log
-from millfront.node.clients import AT_REST_US, LINGER_US, UNREAD_US, VirtualServer
+from millfront.node.clients import AT_REST_US, HEALTH, LINGER_US, UNREAD_US, Answering, VirtualServer
 from millfront.node.endings import Ending
 from millfront.node.host import OpenRequest
 from millfront.node.http import HOP_BY_HOP, MOST_BODY, MOST_HEAD, Fields, Message
@@ -43,7 +42,7 @@
 Codes = h2.errors.ErrorCodes
 
 
-class ClientStream:
+class ClientStream(Answering):
     """One request and its answer: the host's Caller."""
 
     __slots__ = (
@@ -77,15 +76,6 @@
         self.since_us = 0  # since when the client has given no window for it
         self.urgency = 3
 
-    def served(self, answer: Any) -> None:
-        self.give(relay.served(answer))
-
-    def rejected(self, retry_after_us: int) -> None:
-        self.give(relay.rejected(retry_after_us))
-
-    def failed(self) -> None:
-        self.give(relay.failed())
-
     def give(self, answer: Message) -> None:
         if not self.answered:
             self.answered = True
@@ -270,9 +260,8 @@
             self.bears("refused", self.heard_us)
             return
         message = Message(stream.start, stream.fields, stream.fields, body)
-        if message.start in ((b"GET", b"/healthz"), (b"HEAD", b"/healthz")):
-            ready = self.server.ready()
-            stream.give(relay.own(200, b"ready\n") if ready else relay.own(503, b"not ready\n"))
+        if message.start in HEALTH:
+            stream.give(self.server.health())
             return
         try:
             opened = self.server.admit(self.server.take_in(message, stream.begun_us), stream)
--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -24,7 +24,7 @@
 log = Log(__name__)
 
 BACKLOG = 1024
-READY_PATH = b"/healthz"
+HEALTH = ((b"GET", b"/healthz"), (b"HEAD", b"/healthz"))
 # A request begun and not whole by then is given up; the first one of a connection counts from its start, so
 # that one that says nothing ends too. 3 s are owed, and an answer takes its time to go out.
 PARTIAL_US = 2_300_000
@@ -60,7 +60,26 @@
     def close(self) -> None: ...
 
 
-class ClientConnection:
+class Answering:
+    """A Caller whose answers are messages, whatever carries them."""
+
+    __slots__ = ()
+
+    def give(self, answer: Message) -> None:
+        """Write the one answer."""
+        raise NotImplementedError
+
+    def served(self, answer: Any) -> None:
+        self.give(relay.served(answer))
+
+    def rejected(self, retry_after_us: int) -> None:
+        self.give(relay.rejected(retry_after_us))
+
+    def failed(self) -> None:
+        self.give(relay.failed())
+
+
+class ClientConnection(Answering):
     """One client's connection: requests one after another, each with one answer. No task: it reads when
     something comes, for that is also how a client's leaving shows, and writes when the host has an
     answer."""
@@ -147,8 +166,8 @@
             self.take(message, came_us)
 
     def take(self, message: Message, came_us: int) -> None:
-        if message.start in ((b"GET", READY_PATH), (b"HEAD", READY_PATH)):
-            self.give(relay.own(200, b"ready\n") if self.server.ready() else relay.own(503, b"not ready\n"))
+        if message.start in HEALTH:
+            self.give(self.server.health())
             return
         try:
             opened = self.server.admit(self.server.take_in(message, came_us), self)
@@ -208,15 +227,6 @@
 
     # ---- out: what the host calls ------------------------------------------------------------
 
-    def served(self, answer: Any) -> None:
-        self.give(relay.served(answer))
-
-    def rejected(self, retry_after_us: int) -> None:
-        self.give(relay.rejected(retry_after_us))
-
-    def failed(self) -> None:
-        self.give(relay.failed())
-
     def give(self, answer: Message) -> None:
         """Write the one answer of the request that is taken."""
         if self.over:
@@ -383,6 +393,10 @@
         for connection in [*spent, *silent, *resting][:count]:
             connection.close()
 
+    def health(self) -> Message:
+        """What the front asks before it brings clients."""
+        return relay.own(200, b"ready\n") if self.ready() else relay.own(503, b"not ready\n")
+
     def gone(self, connection: Connection) -> None:
         self.endings[connection.ending] += 1
         self._connections.pop(connection, None)
--- a/millfront/usage/audit.py
+++ b/millfront/usage/audit.py
@@ -87,7 +87,8 @@
         elif isinstance(record, Opened):
             seen.open[seq] = record
         elif isinstance(record, Settled):
-            if seen.open.pop(record.opened, None) is None and not _is_start(record, head):
+            if seen.open.pop(record.opened, None) is None and record.result != Result.ABANDONED:
+                # A former life's tries are settled at the beginning of the next one, whose head names none
                 seen.faults.append(f"{name}: {seq} settles {record.opened}, which is not out")
             if seq > acknowledged:
                 seen.waiting[Result(record.result).name.lower()] += 1
@@ -109,11 +110,6 @@
     return hashlib.blake2b(data[: scan.end], digest_size=16).hexdigest(), scan.next_seq - 1
 
 
-def _is_start(record: Settled, head: Head | None) -> bool:
-    """A former life's tries are settled at the beginning of the next one, whose head names none."""
-    return record.result == Result.ABANDONED
-
-
 # ---- reconciling ---------------------------------------------------------------------------------
 
 
