Word a failed connection in one place for all peers

Read again: what an error on connecting means stood twice, and a dialler was generic for one caller that is left.

--- a/millfront/node/http.py
+++ b/millfront/node/http.py
@@ -1,9 +1,9 @@
 """What the peers that speak HTTP share, over h11: limits, headers of one hop, reading and dialling."""
 
 import math
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Protocol, TypeVar
+from typing import Protocol
 
 import anyio
 import h11
@@ -37,7 +37,6 @@
 )
 FRAMING = (b"content-length", b"transfer-encoding")  # both in one message: one may hide what the other shows
 Fields = list[tuple[bytes, bytes]]
-S = TypeVar("S")
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,17 +154,18 @@
 
 
 async def dial(address: Address, timeout_us: int) -> SocketStream:
-    return await dialled(address, timeout_us, anyio.connect_tcp)
-
-
-async def dialled(address: Address, timeout_us: int, connect: Callable[[str, int], Awaitable[S]]) -> S:
-    """Connect within the time; refused, unreachable and silent are one thing to the caller."""
+    """Connect within the time; 0 is without a limit."""
     try:
         with anyio.fail_after(timeout_us / 1e6 if timeout_us else math.inf):
-            return await connect(address.host, address.port)
-    except (OSError, TimeoutError) as wrong:
+            return await anyio.connect_tcp(address.host, address.port)
+    except OSError as wrong:  # a time-out is one too
         cause = wrong.__cause__ or wrong  # anyio words the system's error anew
-        # Out of descriptors or ports is this machine's own want: the other side is not to blame for it
-        own = getattr(cause, "errno", None) in NO_ROOM
-        ending = Ending.NOT_SENT if own else Ending.UNCONNECTED
-        raise Ended(ending, f"{address}: {cause!r}", again=isinstance(cause, ConnectionResetError)) from None
+        raise unconnected(address, cause) from None
+
+
+def unconnected(address: Address, cause: BaseException) -> Ended:
+    """Refused, unreachable and silent are one thing to the caller."""
+    # Out of descriptors or ports is this machine's own want: the other side is not to blame for it
+    own = getattr(cause, "errno", None) in NO_ROOM
+    ending = Ending.NOT_SENT if own else Ending.UNCONNECTED
+    return Ended(ending, f"{address}: {cause!r}", again=isinstance(cause, ConnectionResetError))
--- a/millfront/node/members.py
+++ b/millfront/node/members.py
@@ -12,9 +12,9 @@
 from millfront.node.config import Address
 from millfront.node.endings import Ended, Ending
 from millfront.node.host import Clock
-from millfront.node.http import Fields, Message
+from millfront.node.http import Fields, Message, unconnected
 from millfront.node.http1 import Answers, request_bytes
-from millfront.node.link import NO_ROOM, Dialling, Link
+from millfront.node.link import Dialling, Link
 
 IDLE_SHARE = 0.5  # of KeepaliveUs: a request written after the member closed would count as a reset
 WORN_SHARE = 0.15  # of the requests on connections idle for so long that broke
@@ -341,11 +341,3 @@
                     self._drop_idle(connection)
             for member in [m for m in self._by_id.values() if not m.ready]:
                 self.close_idle(member)
-
-
-def unconnected(address: Address, wrong: OSError) -> Ended:
-    """Refused, unreachable and silent are one thing to the caller."""
-    # Out of descriptors or ports is this machine's own want: the other side is not to blame for it
-    own = wrong.errno in NO_ROOM
-    ending = Ending.NOT_SENT if own else Ending.UNCONNECTED
-    return Ended(ending, f"{address}: {wrong!r}", again=isinstance(wrong, ConnectionResetError))
