Give cold members their part by the pool's capacity of now, not by its full one

The list was right at every gatekeeper, no member was ejected, none turned a connection away, so health, list and connections are ruled out.

Cause: spend_credit() gave a cold member cold share / members of the sends, the part it would have if all others were warm. With 36 of 60 cold that part is half of what their capacity takes, and the warm rest gets what they cannot take. The part now goes by capacity over the capacity of all members of now; in a pool with one cold member it is the same as before.

--- a/millfront/choice.py
+++ b/millfront/choice.py
@@ -460,15 +460,14 @@
         self.actions.append(api.Send(request.id, backend.id, max(1, request.give_up_us - now), standing))
 
     def spend_credit(self, now: int, chosen: Backend) -> None:
-        """Rule 4 by this gateway alone: a send anywhere earns every cold backend its part of a fair share.
+        """Rule 4 by this gateway alone: a send anywhere earns every cold backend its part by capacity of now,
+        or few warm ones would be left with what most of the pool should take.
         The first credit is drawn: of many gateways that all save from none, none would come in time."""
-        listed = [b for b in self.backends.values() if not b.stopped]
-        whole = sum(b.weight for b in listed) or 1.0
-        for backend in listed:
-            share = self.cold_share(now, backend)
-            if share < 1.0:
-                gain = COLD_HEADROOM * share * backend.weight / whole
-                backend.credit = min(COLD_CREDIT, backend.credit + gain)
+        able = [(b, b.weight * self.cold_share(now, b)) for b in self.backends.values() if not b.stopped]
+        whole = sum(capacity for _, capacity in able) or 1.0
+        for backend, capacity in able:
+            if capacity < backend.weight:
+                backend.credit = min(COLD_CREDIT, backend.credit + COLD_HEADROOM * capacity / whole)
         chosen.credit -= 1.0
 
     # ---- an attempt ends ---------------------------------------------------------------------
