Ask the counter before a thin customer is refused, and pace calls by its answers

A line so long answers nothing in time. - take_total() (before: on_counter) took all units of an epoch off a store as if they had been spent at once. - customer_of() began each ceiling empty, and split it evenly for good. - odds_inside() took others' attempts out from its own mean times thirty.

Calls go at a rate that falls when answers come late and grows while they come soon, dear classes first. A ceiling is opened and shared by totals. Others' attempts out follow from what all send (Little's law).

--- a/millfront/choice.py
+++ b/millfront/choice.py
@@ -1,7 +1,6 @@
 """Every decision of the gateway; its settings, events and actions are in millfront/interface.py.
 
-In the order a request meets them: quota price and bucket, ceiling, congestion, choice of backend,
-outcome, further attempts; then what runs by itself: the beat, the counter, the list of backends.
+In the order a request meets them; then what runs by itself: the beat, the counter, the list of backends.
 The paper's letters stand in comments: φ price, ν step, S sent total, Q quota.
 """
 
@@ -21,11 +20,17 @@
 FIRST_PRICE = 1.0  # φ of a newcomer: the even slice
 LEAST_PRICE = 1e-3  # keeps the level finite; the room cap binds long before
 PACK = 2000  # units: asked and sent share one total, which is exact to seven digits
+SPARE = (
+    100  # units: sent may fall below nothing so far, where units are given back under the next epoch's name
+)
 EPOCH_US = 15 * SECOND  # one name serves so long: short enough for exact totals
 NAME_TTL_US = 2 * EPOCH_US  # outlives its epoch whoever called first; under the 60 s a counter grants
 COUNTED_OVER = 3.0  # times the quota asked over an epoch that a total must hold exactly
-STRETCH, RELAX, MOST_STRETCH = 1.5, 0.7, 4.0  # of the tick with many calls unanswered, with few; its most
-MOST_UNANSWERED = 0.4  # of a tick's calls
+FIRST_CALLS = 200.0  # counter calls a second, by all gateways together, until its answers tell more
+FIRST_MORE, MORE_CALLS = 0.5, 40.0  # a call answered soon adds, before the first cut; a second of them, after
+FEWER_CALLS, LEAST_CALLS = 0.8, 0.5  # a cut, once for all calls that were out; a second, by this gateway
+SLOW_CALL = 0.3  # of the wait for an answer: a line that long grows until no answer comes in time
+THIN_SLICE = 2.0  # largest requests: an even slice of the store that holds no more decides nothing
 SHARE_UNITS = 4.0  # asked by all in a tick for it to weigh half in a gateway's share
 RESERVE = 0.7  # of the burst: what a request worth next to nothing leaves in the store for those worth more
 MARGIN = 0.13  # of the reserve, left by the dearest too: others spend since the store was read
@@ -54,7 +59,6 @@
 REST_US = SECOND // 2  # a backend that turned an attempt away (full, or draining before the list says so)
 EJECT_FAILS = 3  # time-outs or resets in a row; a refused connection counts for all three
 EJECT_US, EJECT_MOST_US = SECOND, 8 * SECOND  # first ejection; doubles up to the most
-PROBE_US = SECOND  # between probes of an ejected backend
 SILENT_SHARE = 0.6  # of the aim: no answer at all for so long while attempts are out
 COLD_HEADROOM = 1.2  # of a cold backend's fair share: lets it catch up, far below any fall multiple
 COLD_CREDIT = 2.0  # sends it may save up
@@ -63,7 +67,6 @@
 HEDGE_SHARE = 0.4  # of the aim before a second copy is sent
 HEDGE_BUDGET = 0.05  # copies per request; each attempt found lost pays for one more
 MOST_HEDGES = 5.0  # copies saved up
-LOST_SHARE = 1.0  # of the aim: an attempt out for longer earns little and is no longer taken for load
 HEDGE_PRESSURE = 0.7  # no copies when the window is fuller than this
 # Congestion: the least worthwhile request is let in up to this pressure, a mean one up to 1
 CHEAP_PRESSURE = 0.3  # of the window
@@ -88,13 +91,15 @@
     due_us: int  # next counter call
     share: float  # of the customer's store and burst: by demand, at first the even one
     store: float  # what the customer's quota held for all gateways when the total was read last
+    cap: float = 0.0  # the same of its ceiling; within the quota it never holds less than at first
+    read_us: int = 0  # then; at first the begin of the epoch, when the store is taken to be full
     price: float = FIRST_PRICE
+    others: float = 0.0  # units a second that other gateways sent, by the last total
     sent: float = 0.0  # units since the last counter add
     asked: float = 0.0
     epoch: int = -1  # of the totals below
     sent_total: int = -1  # last totals read, in grains; -1: none in this epoch
     asked_total: int = 0
-    read_us: int = 0
     out: int = 0
     mean_out: float = 0.0
     leased: float = 0.0  # units of reservations, above the plan: the live plans' (millfront/plans)
@@ -120,9 +125,9 @@
     arrived_us: int
     give_up_us: int
     units: float
-    inside: bool
+    inside: bool = False
     reserved: bool = False
-    over: bool = False
+    over: bool = False  # it has its final answer
     stream: bool = False
     attempts: list[Attempt] = field(default_factory=list)
 
@@ -144,7 +149,6 @@
     reset: bool = False  # its connections broke: if it is back, it is cold
     ejected_until: int = 0
     ejections: int = 0
-    probed_us: int = 0
     rests_until: int = 0
     credit: float = 0.0
 
@@ -157,6 +161,7 @@
     asked: int
     made_us: int
     grain: float
+    request: Request | None  # waits for this call's answer; its units are in it
 
 
 def mixed(*parts: int) -> int:
@@ -186,30 +191,10 @@
     return max(1.0, COUNTED_OVER * plan.rate * EPOCH_US / SECOND / PACK)
 
 
-def check(settings: api.Settings) -> None:
-    """Refuse settings that no decision could be made on, by the name of the field."""
-    wrong = {
-        "peers": settings.peers < 1,
-        "me": not 0 <= settings.me < max(1, settings.peers),
-        "classes": not settings.classes,
-        "plans": not settings.plans,
-        "classes.aim_us": any(c.aim_us <= 0 for c in settings.classes),
-        "classes.repeat": any(not isinstance(c.repeat, api.Repeat) for c in settings.classes),
-        "plans.rate": any(p.rate < 0 or (p.rate > 0 and p.burst <= 0) for p in settings.plans),
-        "plans.open_limit": any(p.open_limit < 0 for p in settings.plans),
-        "plans.ceiling_rate": any(p.ceiling_rate < 0 for p in settings.plans),
-        "rules.cold_from": not 0 < settings.rules.cold_from <= 1,
-    }
-    for name, bad in wrong.items():
-        if bad:
-            raise ValueError(f"settings: {name} is missing or out of range")
-
-
 class Gateway:
     """One ingress. All state is this instance's own; time and events come in, actions go out."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        check(settings)
         self.settings = settings
         self.random = random.Random(seed)
         self.born_us = -1
@@ -219,11 +204,10 @@
         self.requests: dict[int, Request] = {}
         self.backends: dict[int, Backend] = {}
         self.calls: dict[int, list[Call]] = {}  # by name, in order
-        self.stretch = 1.0  # of the tick, while the counter does not keep up
-        # calls since the stretch was judged; as of
-        self.told, self.unanswered, self.heeded_us = 0, 0, -TICK_US
+        self.call_rate = FIRST_CALLS / settings.peers  # calls a second that the counter is taken to bear
+        self.calls_left, self.paced_us, self.cut_us = 1.0, 0, 0
         self.class_work = [c.aim_us / AIM_TO_WORK for c in settings.classes]  # EWMA of latency, µs
-        self.mean_worth = 0.0
+        self.mean_worth, self.mean_units, self.mean_out_s = 0.0, 0.0, 0.0  # the latter of answered attempts
         most = max(c.worth for c in settings.classes)  # a unit of quota goes where it earns most
         dear = [c.worth / most if most > 0 else 1.0 for c in settings.classes]
         self.reserve = [RESERVE * (1.0 + MARGIN - worth) for worth in dear]
@@ -247,8 +231,6 @@
             case api.UnitsLeased(key, units):
                 if key in self.customers:
                     self.customers[key].leased = max(0.0, self.customers[key].leased + units)
-            case api.ProbeEnded():
-                self.on_probe(now, event)
             case api.BackendList():
                 self.on_list(now, event)
             case api.RequestGone():
@@ -257,7 +239,7 @@
                 if event.request in self.requests:
                     self.requests[event.request].stream = True
             case api.Started():
-                self.born_us = now
+                self.born_us = self.paced_us = now
                 self.actions.append(api.SetTimer(BEAT_US, BEAT))
                 if self.settings.list_on_request:
                     self.actions.append(api.Watch(True))
@@ -270,30 +252,38 @@
         self.refill(now, customer)
         customer.asked += event.units
         customer.seen_us = now
-        odds = self.odds_inside(customer, event.units, event.cls)
-        if event.reserves and odds < 1.0:
-            short = api.Short(customer.key, event.units, customer.leased, customer.gateways)
-            self.actions.append(short)
-        reserved = odds < 1.0 and customer.leased >= event.units
-        odds = 1.0 if reserved else odds
         end = now + event.patience_us
-        request = Request(event.request, event.cls, customer, now, end, event.units, odds > 0.0, reserved)
+        request = Request(event.request, event.cls, customer, now, end, event.units)
+        if not event.reserves and self.asks_first(now, request):
+            self.requests[request.id] = request
+            customer.sent += request.units
+            self.call_counter(now, customer, request)
+        else:
+            self.admit(now, request, event.reserves)
+
+    def admit(self, now: int, request: Request, reserves: bool = False) -> None:
+        customer, units = request.customer, request.units
+        odds = self.odds_inside(customer, units, request.cls)
+        if reserves and odds < 1.0:
+            self.actions.append(api.Short(customer.key, units, customer.leased, customer.gateways))
+        request.reserved = odds < 1.0 and customer.leased >= units
+        odds = 1.0 if request.reserved else odds
+        request.inside = odds > 0.0
         net = odds + (1.0 - odds) * (customer.plan.over_worth - customer.plan.over_cost)
-        if net <= 0.0 or not (reserved or self.ceiling_allows(customer, event.units)):
-            self.actions.append(self.refusal(request))
-            return
-        backend = self.pick(now, request) if self.worth_its_work(now, request, net) else None
+        backend = None
+        if net > 0.0 and (request.reserved or self.ceiling_allows(customer, units)):
+            backend = self.pick(now, request) if self.worth_its_work(now, request, net) else None
         if backend is None:
             self.actions.append(self.refusal(request))
             return
         self.requests[request.id] = request
-        if customer.plan.ceiling_rate > 0 and not reserved:
-            customer.ceiling -= event.units
-        if reserved:
-            customer.leased -= event.units
+        if customer.plan.ceiling_rate > 0 and not request.reserved:
+            customer.ceiling -= units
+        if request.reserved:
+            customer.leased -= units
         elif request.inside:
-            customer.bucket -= event.units
-            customer.sent += event.units
+            customer.bucket -= units
+            customer.sent += units
         self.hedges = min(self.hedges + HEDGE_BUDGET, MOST_HEDGES)
         self.send(now, request, backend)
 
@@ -305,8 +295,7 @@
                 self.carry(now, known, plan)
             return known
         gateways = max(1, min(event.spread, self.settings.peers))
-        # A forgotten customer's ceiling store is full again, one never seen fills from this gateway's start:
-        # a gateway that was killed cannot tell that it had spent its share before.
+        # It fills from this gateway's start: one that was killed cannot tell that it had spent its share.
         ceiling = (now - self.born_us) / SECOND * plan.ceiling_rate / gateways
         customer = Customer(
             event.customer,
@@ -320,6 +309,8 @@
             due_us=now + mixed(event.customer, self.settings.me) % TICK_US,
             share=1.0 / gateways,
             store=plan.burst,
+            cap=plan.ceiling_burst - plan.burst,
+            read_us=now // EPOCH_US * EPOCH_US,
             carried=event.terms,
         )
         self.customers[event.customer] = customer
@@ -334,11 +325,9 @@
         customer.ceiling = min(customer.ceiling + plan.ceiling_rate / n * seconds, plan.ceiling_burst / n)
 
     def odds_inside(self, customer: Customer, units: float, cls: int) -> float:
-        """The chance that the try is inside the quota. The customer's store is taken to hold this bucket over
-        its share, less what is reserved for classes of more worth: a request larger than that is the less
-        likely inside. Harm: a customer far beyond its quota is served its cheap classes last. A cap on
-        attempts out is shared with gateways not seen: each is taken to have as many out as this one, at
-        random (Poisson)."""
+        """The chance that the try is inside the quota: the store is this bucket over its share, less what is
+        kept for classes of more worth. Under a cap others have attempts out at random (Poisson), each as many
+        as this gateway, or as many as what all are told to send keeps out (Little's law)."""
         plan, odds = customer.plan, 1.0
         if plan.rate > 0:
             store = customer.bucket / customer.share - self.reserve[cls] * plan.burst
@@ -346,16 +335,32 @@
         if not plan.open_limit or odds <= 0.0:
             return odds
         others = customer.mean_out * (customer.gateways - 1)
+        if self.thin(customer) and customer.read_us % EPOCH_US and self.mean_units:
+            others = customer.others * self.mean_out_s / self.mean_units
         free = plan.open_limit - customer.out
         return odds * sum(math.exp(-others) * others**k / math.factorial(k) for k in range(free))
 
+    def thin(self, customer: Customer) -> bool:
+        """The even slice of the store is less than a few requests: no gateway sees enough to decide alone."""
+        few, plan = THIN_SLICE * self.settings.most_units * customer.gateways, customer.plan
+        return self.settings.counter and customer.gateways > 1 and plan.rate > 0 and plan.burst < few
+
+    def asks_first(self, now: int, request: Request) -> bool:
+        """Whether a thin customer's tick is brought forward and the request waits for its total: the slice
+        does not hold it, and the total may say otherwise. Dear classes go first where calls are short."""
+        customer, units = request.customer, request.units
+        holds = customer.bucket >= units and self.odds_inside(customer, units, request.cls) >= 1.0
+        settled = holds and self.ceiling_allows(customer, units)
+        if settled or not self.thin(customer) or (now < customer.due_us and customer.store < units):
+            return False
+        return self.may_call(now, self.reserve[request.cls])
+
     def ceiling_allows(self, customer: Customer, units: float) -> bool:
         """Rule 5 by this gateway alone: an equal share of rate and store; all shares are within the whole."""
         return customer.plan.ceiling_rate <= 0 or customer.ceiling >= units
 
     def refusal(self, request: Request) -> api.Refuse:
-        """A refusal that says when to come back: once the bucket lets such a request in, and not before an
-        attempt's time has passed, for what was refused or given up for another reason."""
+        """It says when to come back: once the bucket lets it in, not before an attempt's time has passed."""
         customer, plan = request.customer, request.customer.plan
         loss = plan.over_cost - plan.over_worth
         least_odds = loss / (1.0 + loss) if loss > 0.0 else 0.0
@@ -378,8 +383,7 @@
         return max(self.mean_load, self.load - CHANCE) / max(self.window, LEAST_WINDOW)
 
     def add_load(self, now: int, attempts: int) -> None:
-        """The mean is short for a wide window and long for one of few attempts: guards against taking two
-        requests that met for overload. Harm: a gateway with little traffic sees a jam seconds late."""
+        """The mean is long for a window of few attempts: guards against taking two that met for overload."""
         seconds = (now - self.load_us) / SECOND
         share = 1.0 - math.exp(-seconds * max(self.window, 1.0) / PRESSURE_S)
         self.mean_load += share * (self.load - self.mean_load)
@@ -409,8 +413,7 @@
         return self.may_send_to(now, request, backend)
 
     def is_silent(self, now: int, backend: Backend) -> bool:
-        """No answer while attempts are out: a dead, cut off or stalled backend, before any time-out says so.
-        Harm: a backend with one very heavy request alone in flight rests until it answers."""
+        """No answer while attempts are out: a dead or stalled backend, before any time-out says so."""
         for sent_us, cls in backend.in_flight.values():  # the oldest comes first
             since = max(sent_us, backend.answered_us)
             return now - since > SILENT_SHARE * self.settings.classes[cls].aim_us
@@ -427,7 +430,6 @@
         load = LOAD_WEIGHT * len(backend.in_flight) / (backend.weight / self.mean_weight * cold)
         # Errors are no load and come back fast: unpriced, they would draw traffic to a backend that fails.
         errors = 1.0 + ERROR_COST * backend.errors * faded
-        # A cold backend is usable with a whole credit only: owed by now, or many gateways leave it idle.
         return slow * errors * (1.0 + load) * (COLD_PREFERENCE if cold < 1.0 else 1.0)
 
     def cold_share(self, now: int, backend: Backend) -> float:
@@ -460,8 +462,7 @@
         self.actions.append(api.Send(request.id, backend.id, max(1, request.give_up_us - now), standing))
 
     def spend_credit(self, now: int, chosen: Backend) -> None:
-        """Rule 4 by this gateway alone: a send anywhere earns every cold backend its part by capacity of now,
-        or few warm ones would be left with what most of the pool should take.
+        """Rule 4 by this gateway alone: a send anywhere earns every cold backend its part by capacity of now.
         The first credit is drawn: of many gateways that all save from none, none would come in time."""
         able = [(b, b.weight * self.cold_share(now, b)) for b in self.backends.values() if not b.stopped]
         whole = sum(capacity for _, capacity in able) or 1.0
@@ -503,6 +504,8 @@
             backend.slow += LATENCY_WEIGHT * (event.latency_us / self.class_work[request.cls] - backend.slow)
             self.class_work[request.cls] += CLASS_WEIGHT * (event.latency_us - self.class_work[request.cls])
             self.judge(now, attempt, request.cls, True)
+            self.mean_units += CLASS_WEIGHT * (request.units - self.mean_units)
+            self.mean_out_s += CLASS_WEIGHT * (event.latency_us / SECOND - self.mean_out_s)
         if event.outcome in (api.Outcome.OK, api.Outcome.ERROR):
             backend.errors += ERROR_WEIGHT * ((event.outcome is api.Outcome.ERROR) - backend.errors)
         if event.outcome in (api.Outcome.OK, api.Outcome.ERROR, api.Outcome.FULL):
@@ -524,13 +527,11 @@
 
     def judge(self, now: int, attempt: Attempt, cls: int, ended: bool) -> None:
         """The price of congestion: attempts slow beside their aim shrink the window, fast answers grow it.
-        Guards against overload from any cause (floods, lost capacity, retries), seen as time alone. Harm:
-        a class whose requests turned heavy by themselves looks like overload until the window grows back.
-        An attempt out past its aim is lost, not load, and pays for a copy of another: guards against backends
-        that leave some requests unanswered. Harm: in a jam copies add work, while pressure allows them."""
+        Guards against overload from any cause, seen as time alone. An attempt out past its aim is lost, not
+        load, and pays for a copy of another: guards against backends that leave some requests unanswered."""
         aim_us = self.settings.classes[cls].aim_us
         slow = now - attempt.sent_us > GOOD_SHARE * aim_us
-        if not ended and not attempt.lost and now - attempt.sent_us > LOST_SHARE * aim_us:
+        if not ended and not attempt.lost and now - attempt.sent_us > aim_us:
             attempt.lost = True
             self.hedges = min(self.hedges + 1.0, MOST_HEDGES)
             self.unload(now, attempt.backend)
@@ -553,7 +554,6 @@
         if backend.fails >= EJECT_FAILS and not backend.ejected_until:
             backend.ejected_until = now + min(EJECT_US << backend.ejections, EJECT_MOST_US)
             backend.ejections = min(backend.ejections + 1, 3)
-            backend.probed_us = now
             self.add_load(now, -backend.load)
             self.actions.append(api.Log(f"backend {backend.id} ejected"))
 
@@ -599,8 +599,7 @@
         return self.refusal(request) if harmless or not ran else api.Fail(request.id)
 
     def too_late(self, now: int, request: Request) -> bool:
-        """An answer would earn nothing any more. The attempts stay out: the backend works on them all the
-        same, and when they end tells whether it is slow or dead."""
+        """An answer would earn nothing. The attempts stay out: their end tells whether a backend is slow."""
         cls = self.settings.classes[request.cls]
         late = now > request.arrived_us + cls.aim_us
         return not request.over and not request.stream and cls.late_worth <= 0 and late
@@ -637,15 +636,15 @@
                 if backend is not None:
                     self.hedges -= 1.0
                     self.send(now, request, backend)
-        for customer in list(self.customers.values()):
-            if now >= customer.due_us:
-                self.tell_counter(now, customer)
+        due = [customer for customer in self.customers.values() if now >= customer.due_us]
+        for customer in sorted(due, key=lambda one: one.due_us):
+            self.tell_counter(now, customer)
         for backend in self.backends.values():
-            self.check_ejected(now, backend)
+            if backend.ejected_until and not backend.stopped and now >= backend.ejected_until:
+                self.readmit(now, backend)
 
     def withdraw_lost(self, request: Request) -> None:
-        """Guards a cap on attempts out against connections that fell silent: each would hold a place till its
-        deadline, long after its answer has lost its worth."""
+        """Guards a cap on attempts out against silent connections: each holds a place till its deadline."""
         for number, attempt in enumerate(request.attempts):
             if attempt.lost and not attempt.ended and not attempt.withdrawn:
                 attempt.withdrawn = True
@@ -666,46 +665,43 @@
             and self.time_left(now, request) > 0
         )
 
-    def check_ejected(self, now: int, backend: Backend) -> None:
-        """An ejected backend is probed; without probes it is tried again when its time is up."""
-        if not backend.ejected_until or backend.stopped:
-            return
-        if not self.settings.allowed.probes:
-            if now >= backend.ejected_until:
-                self.readmit(now, backend)
-        elif now - backend.probed_us >= PROBE_US:
-            backend.probed_us = now
-            self.actions.append(api.Probe(backend.id))
-
-    def on_probe(self, now: int, event: api.ProbeEnded) -> None:
-        backend = self.backends.get(event.backend)
-        if backend is not None and event.outcome is api.Outcome.OK:
-            backend.answered_us = now
-            self.readmit(now, backend)
-
     # ---- the counter -------------------------------------------------------------------------
 
     def tell_counter(self, now: int, customer: Customer) -> None:
-        """One call adds this tick's units and reads S: the name lives an epoch, so what came since the last
-        call is everybody's last tick, whatever the phases of their ticks."""
-        customer.due_us = now + int(TICK_US * self.stretch)
+        """One call adds this tick's units and reads S: what came since the last one is everybody's tick."""
         plan, n = customer.plan, customer.gateways
         if now - customer.seen_us > max(IDLE_US, self.full_after_us(plan, n)) and not customer.out:
             del self.customers[customer.key]
             return
-        if plan.rate <= 0 or n == 1 or not self.settings.counter:
-            return
-        if customer.asked < QUIET_SHARE * plan.rate / n * TICK_US / SECOND:
+        quiet = customer.asked < QUIET_SHARE * plan.rate / n * TICK_US / SECOND
+        quiet = quiet and (not self.thin(customer) or abs(customer.sent) < 1.0)
+        if quiet or plan.rate <= 0 or n == 1 or not self.settings.counter:
+            customer.due_us = now + TICK_US
             self.set_level(customer, None, 0.0, 0.0)
-            return
-        grain, epoch = grain_of(plan), now // EPOCH_US
-        sent = min(max(0, round(customer.sent / grain)), PACK - 1)
+        elif self.may_call(now, 0.5 * self.thin(customer)):
+            self.call_counter(now, customer, None)
+
+    def may_call(self, now: int, kept: float) -> bool:
+        """Calls go at the rate that the counter is taken to bear: guards against a line that all gateways
+        make together, which answers too late and also works on calls that nobody waits for."""
+        saved = self.calls_left + (now - self.paced_us) / SECOND * self.call_rate
+        most = max(1.0, self.call_rate * TICK_US / SECOND)
+        self.calls_left, self.paced_us = min(saved, most), now
+        if self.calls_left < 1.0 + kept * (most - 1.0):
+            return False
+        self.calls_left -= 1.0
+        return True
+
+    def call_counter(self, now: int, customer: Customer, request: Request | None) -> None:
+        customer.due_us = now + TICK_US
+        grain, epoch = grain_of(customer.plan), now // EPOCH_US
+        sent = min(round(customer.sent / grain), PACK - 1)  # less than none: units told and then not let in
         asked = min(round(customer.asked / grain), PACK - 1)
         customer.sent -= sent * grain
         customer.asked -= asked * grain
         # Gateways that hold another version of a live plan must not read totals of another grain as theirs.
         name = mixed(customer.key, epoch) if grain == 1.0 else mixed(customer.key, epoch, int(grain * 1e6))
-        self.calls.setdefault(name, []).append(Call(customer.key, epoch, sent, asked, now, grain))
+        self.calls.setdefault(name, []).append(Call(customer.key, epoch, sent, asked, now, grain, request))
         self.actions.append(api.Count(name, float(sent + PACK * asked), NAME_TTL_US))
 
     def full_after_us(self, plan: api.Plan, gateways: int) -> int:
@@ -721,64 +717,73 @@
         call = waiting.pop(0)
         if not waiting:
             del self.calls[event.name]
-        answered = event.outcome is api.Outcome.OK
         if event.outcome is not api.Outcome.RESET:  # a lost connection says nothing of the counter's load
-            self.heed(now, answered)
-        customer = self.customers.get(call.customer)
-        if customer is None:
-            return
-        self.refill(now, customer)
+            self.heed(now, call, event.outcome is api.Outcome.OK)
+        if (customer := self.customers.get(call.customer)) is not None:
+            self.refill(now, customer)
+            self.take_total(customer, call, event)
+        if (request := call.request) is not None:
+            request.customer.sent -= request.units  # told as let in, before that was known
+            if self.requests.pop(request.id, request) is request and not request.over:
+                self.admit(now, request)
+
+    def take_total(self, customer: Customer, call: Call, event: api.CounterAnswered) -> None:
         grain = call.grain
-        if not answered:
+        if event.outcome is not api.Outcome.OK:
             if event.outcome not in MAY_BE_ADDED:  # surely not: told again
                 customer.sent += call.sent * grain
                 customer.asked += call.asked * grain
             self.set_level(customer, None, 0.0, 0.0)
             return
-        if grain != grain_of(customer.plan):  # of the plan before: its totals are not the new one's
+        if grain != grain_of(customer.plan) or customer.plan.rate <= 0:  # the plan before's totals
             return
-        asked, sent = divmod(round(event.total), PACK)
+        asked, sent = divmod(round(event.total) + SPARE, PACK)
+        sent -= SPARE
         new_sent, new_asked = sent - customer.sent_total, asked - customer.asked_total
-        known = customer.epoch == call.epoch and customer.sent_total >= 0
+        known = customer.epoch == call.epoch
         seconds = max(call.made_us - customer.read_us, BEAT_US) / SECOND
-        if customer.epoch != call.epoch:  # a new name counts from nothing; the old one's last is missed
+        if not known:  # a new name counts from nothing; the old one's last is missed
             new_sent, new_asked = sent, asked
         customer.epoch, customer.sent_total, customer.asked_total = call.epoch, sent, asked
         customer.read_us = call.made_us
         own, share = call.sent * grain / seconds, call.asked / max(new_asked, 1)
-        if new_sent < call.sent or new_asked < call.asked:  # it forgot
+        if new_asked < call.asked:  # it forgot
             self.set_level(customer, None, own, 0.0)
             return
+        customer.others = max(0, new_sent - call.sent) * grain / seconds
         self.scale_burst(customer, new_sent * grain, share, new_asked * grain, seconds)
+        if call.request is not None:  # its own units are in the total: this bucket is what it found
+            customer.bucket += call.request.units * customer.share
+            customer.ceiling = max(customer.ceiling, min(customer.cap, call.request.units))
         self.set_level(customer, new_sent * grain / seconds if known else None, own, share * known)
 
-    def heed(self, now: int, answered: bool) -> None:
-        """Longer ticks while the counter does not keep up, judged once a tick by all answers: guards against
-        a connection that falls silent, which fails many calls at once and is soon replaced."""
-        self.told += 1
-        self.unanswered += not answered
-        if now - self.heeded_us < TICK_US:
-            return
-        factor = STRETCH if self.unanswered > MOST_UNANSWERED * self.told else RELAX
-        self.stretch = min(MOST_STRETCH, max(1.0, self.stretch * factor))
-        self.told, self.unanswered, self.heeded_us = 0, 0, now
+    def heed(self, now: int, call: Call, answered: bool) -> None:
+        """Fewer calls when answers come late, one cut for all that were out; more while they come soon."""
+        if answered and now - call.made_us < SLOW_CALL * self.settings.counter_timeout_us:
+            more = MORE_CALLS / self.settings.peers / self.call_rate
+            self.call_rate += more if self.cut_us else FIRST_MORE
+        elif call.made_us >= self.cut_us:
+            self.call_rate, self.cut_us = max(LEAST_CALLS, self.call_rate * FEWER_CALLS), now
 
     def scale_burst(
         self, customer: Customer, sent: float, share: float, asked: float, seconds: float
     ) -> None:
-        """The quota's store as the totals tell it; this gateway's part of it goes by its part of the demand.
-        Guards against even parts: the busiest gateway would refuse while most of the store lies unused."""
+        """The quota's store by the totals, and this gateway's part by its demand: with even parts the busiest
+        gateway would refuse while most of the store lies unused."""
         plan, n = customer.plan, customer.gateways
-        customer.store = min(customer.store + plan.rate * seconds, plan.burst) - sent
-        customer.store = min(max(customer.store, 0.0), plan.burst)
+        older = customer.others * max(0.0, seconds - plan.burst / plan.rate)  # has filled up again
+        left = min(customer.store + plan.rate * seconds, plan.burst) + older - sent
+        customer.store = min(max(left, 0.0), plan.burst)
         weight = asked / (asked + SHARE_UNITS)
         customer.share += weight * (share - customer.share)
         customer.share = max(customer.share, LEAST_SHARE / n)
         customer.bucket = customer.share * customer.store - customer.sent
+        if plan.ceiling_rate > 0:
+            customer.cap = min(customer.cap + plan.ceiling_rate * seconds, plan.ceiling_burst) - sent
+            customer.ceiling = customer.share * max(customer.cap, 0.0) - customer.sent
 
     def set_level(self, customer: Customer, sent_rate: float | None, own: float, share: float) -> None:
-        """One price step, in units a second. Without a total (counter silent, refusing, forgetful) the price
-        stays and no room is known: the level is what the gateway used, at least the even slice."""
+        """One price step, in units a second. Without a total the price stays and no room is known."""
         quota, room = customer.plan.rate, 0.0
         if sent_rate is not None:
             customer.price = next_price(customer.price, sent_rate, quota)
--- a/millfront/interface.py
+++ b/millfront/interface.py
@@ -119,6 +119,7 @@
     list_on_request: bool
     counter: bool
     counter_timeout_us: int
+    most_units: float = 0.0  # of one request; 0: not told
 
 
 @dataclass(frozen=True, slots=True)
--- a/millfront/settings.py
+++ b/millfront/settings.py
@@ -30,12 +30,35 @@
 def settings_from(text: bytes) -> api.Settings:
     """The decisions' settings; unknown keys are ignored, a missing or mistyped one is refused by name."""
     try:
-        info = json.loads(text)
-        return _settings(info)
+        settings = _settings(json.loads(text))
     except KeyError as missing:
         raise SettingsError(f"settings lack {missing.args[0]}") from None
     except (TypeError, ValueError, AttributeError) as wrong:
         raise SettingsError(f"settings unreadable: {wrong}") from None
+    check(settings)
+    return settings
+
+
+def check(settings: api.Settings) -> None:
+    """Refuse settings that no decision could be made on.
+
+    :raises SettingsError: with the name of the first such field
+    """
+    wrong = {
+        "peers": settings.peers < 1,
+        "me": not 0 <= settings.me < max(1, settings.peers),
+        "classes": not settings.classes,
+        "plans": not settings.plans,
+        "classes.aim_us": any(c.aim_us <= 0 for c in settings.classes),
+        "classes.repeat": any(not isinstance(c.repeat, api.Repeat) for c in settings.classes),
+        "plans.rate": any(p.rate < 0 or (p.rate > 0 and p.burst <= 0) for p in settings.plans),
+        "plans.open_limit": any(p.open_limit < 0 for p in settings.plans),
+        "plans.ceiling_rate": any(p.ceiling_rate < 0 for p in settings.plans),
+        "rules.cold_from": not 0 < settings.rules.cold_from <= 1,
+    }
+    for name, bad in wrong.items():
+        if bad:
+            raise SettingsError(f"{name} is missing or out of range")
 
 
 def _settings(info: dict[str, Any]) -> api.Settings:
@@ -65,6 +88,7 @@
         list_on_request=info["Discovery"] == "on_request",
         counter=bool(family["SharedCounter"]),
         counter_timeout_us=int(family["CountWaitUs"]),
+        most_units=float(family.get("UnitsTop") or 0.0),
     )
 
 
