Give the counter's line time to go before calls are cut again

Cause: heed() cut again for every call made after the cut, while the line of before was still being served. The next cut now waits for three waits for an answer.

--- a/millfront/choice.py
+++ b/millfront/choice.py
@@ -28,7 +28,7 @@
 COUNTED_OVER = 3.0  # times the quota asked over an epoch that a total must hold exactly
 FIRST_CALLS = 200.0  # counter calls a second, by all gateways together, until its answers tell more
 FIRST_MORE, MORE_CALLS = 0.5, 40.0  # a call answered soon adds, before the first cut; a second of them, after
-FEWER_CALLS, LEAST_CALLS = 0.8, 0.5  # a cut, once for all calls that were out; a second, by this gateway
+FEWER_CALLS, CUT_REST, LEAST_CALLS = 0.8, 3.0, 0.5  # a cut; waits till the next, for the line to go; at least
 SLOW_CALL = 0.3  # of the wait for an answer: a line that long grows until no answer comes in time
 THIN_SLICE = 2.0  # largest requests: an even slice of the store that holds no more decides nothing
 SHARE_UNITS = 4.0  # asked by all in a tick for it to weigh half in a gateway's share
@@ -762,7 +762,7 @@
         if answered and now - call.made_us < SLOW_CALL * self.settings.counter_timeout_us:
             more = MORE_CALLS / self.settings.peers / self.call_rate
             self.call_rate += more if self.cut_us else FIRST_MORE
-        elif call.made_us >= self.cut_us:
+        elif call.made_us >= self.cut_us + CUT_REST * self.settings.counter_timeout_us:
             self.call_rate, self.cut_us = max(LEAST_CALLS, self.call_rate * FEWER_CALLS), now
 
     def scale_burst(
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -688,4 +688,7 @@
         for customer in range(20):
             bench.ask(plan=1, customer=customer, spread=30)
         rates.append(bench.gateway.call_rate)
-    assert rates[0] > rates[1] >= rates[2] < rates[4]
+    assert rates[0] > rates[1] > rates[2] < rates[4]
+    assert (
+        rates[2] >= rates[0] * choice.FEWER_CALLS**8
+    )  # the line of one jam is not answered with ever more cuts
