--- a/millfront/choice.py
+++ b/millfront/choice.py
@@ -349,11 +349,11 @@
         """Whether a thin customer's tick is brought forward and the request waits for its total: the slice
         does not hold it, and the total may say otherwise. Dear classes go first where calls are short."""
         customer, units = request.customer, request.units
-        holds = customer.bucket >= units and self.odds_inside(customer, units, request.cls) >= 1.0
-        settled = holds and self.ceiling_allows(customer, units)
-        if settled or not self.thin(customer) or (now < customer.due_us and customer.store < units):
+        if not self.thin(customer) or (now < customer.due_us and customer.store < units):
             return False
-        return self.may_call(now, self.reserve[request.cls])
+        holds = customer.bucket >= units and self.odds_inside(customer, units, request.cls) >= 1.0
+        holds = holds and self.ceiling_allows(customer, units)
+        return not holds and self.may_call(now, self.reserve[request.cls])
 
     def ceiling_allows(self, customer: Customer, units: float) -> bool:
         """Rule 5 by this gateway alone: an equal share of rate and store; all shares are within the whole."""
