--- a/millfront/choice.py
+++ b/millfront/choice.py
@@ -356,7 +356,7 @@
         return not holds and self.may_call(now, self.reserve[request.cls])
 
     def ceiling_allows(self, customer: Customer, units: float) -> bool:
-        """Rule 5 by this gateway alone: an equal share of rate and store; all shares are within the whole."""
+        """Rule 5: a share of what totals leave of the store; without totals an equal share of the rate."""
         return customer.plan.ceiling_rate <= 0 or customer.ceiling >= units
 
     def refusal(self, request: Request) -> api.Refuse:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -40,9 +40,7 @@
 class Fleet:
     """Gateways, their clocks alike; each request is answered well at once."""
 
-    def __init__(
-        self, gateways: int, plan: api.Plan, seed: int = 1, lost: float = 0.0, most_units: float = 0.0
-    ) -> None:
+    def __init__(self, gateways: int, plan: api.Plan, seed: int = 1, lost: float = 0.0) -> None:
         self.draws = random.Random(seed)
         self.counter = Counter(self.draws, lost)
         self.now = BEGIN_US
@@ -56,9 +54,7 @@
         self.gateways = []
         self.leases = [Leases(True) for _ in range(gateways)]
         for me in range(gateways):
-            told = replace(
-                SETTINGS, me=me, peers=gateways, classes=classes, plans=(plan,), most_units=most_units
-            )
+            told = replace(SETTINGS, me=me, peers=gateways, classes=classes, plans=(plan,))
             self.gateways.append(Gateway(told, seed + me))
             self._born(me)
 
