Answer operators on admin_addr; one drain for them and for SIGTERM

The listener is set up with SO_REUSEPORT, so that a successor can start. An idle connection is closed only after a look that nothing has come on it, and a new one has 0.6 s for its request: a head may take 2 s, so an ending process waits 2.1 s for the rest of one (0.5 before).

--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -16,7 +16,7 @@
 from millfront.node.host import Clock, Host, OpenRequest
 from millfront.node.http import MOST_BODY, MOST_HEAD, Message
 from millfront.node.http1 import Requests
-from millfront.node.link import NO_ROOM, Link
+from millfront.node.link import NO_ROOM, Link, accept, listener_at
 from millfront.node.stages import relay
 from millfront.node.stages.admit import Admit
 from millfront.node.stages.take_in import NotTaken, TakeIn
@@ -28,12 +28,13 @@
 # A request begun and not whole by then is given up; the first one of a connection counts from its start, so
 # that one that says nothing ends too. 3 s are owed, and an answer takes its time to go out.
 PARTIAL_US = 2_300_000
-PARTIAL_LAST_US = 500_000  # the same while the gatekeeper ends
+PARTIAL_LAST_US = 2_100_000  # the same while the gatekeeper ends: a head may take 2 s
 UNREAD_US = 10_000_000  # an answer that the client has not taken by then: guards buffers and descriptors
 AT_REST_US = (
     15_000_000  # an idle connection is closed: guards the table against clients that ask once and stay
 )
 RESTED_US = 200_000  # before one gives way to another when there is no room
+NEW_US = 600_000  # in a drain a new connection has so long to bring its request; it is closed after it
 LINGER_US = 1_000_000  # for the client to read a last answer: closed at once, a reset could overtake it
 SWEEP_S = 0.25
 NO_ROOM_S = 0.05
@@ -205,7 +206,9 @@
         """Its next answer says `Connection: close`."""
 
     def close_at_rest(self) -> None:
-        if self.at_rest():
+        """Not one on which a request is just coming: a look costs less than a request turned back."""
+        new = not self.asked and self.rests_since_us > self.server.clock.now() - NEW_US
+        if self.at_rest() and not new and self.link.quiet():
             self.close()
 
     def end(self, ending: Ending) -> None:
@@ -273,13 +276,6 @@
         self.link.finish_sending()
 
 
-def accept(listener: socket.socket) -> socket.socket:
-    sock = listener.accept()[0]
-    sock.setblocking(False)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return sock
-
-
 class VirtualServer:
     """Listens for clients, and holds their connections within bounds."""
 
@@ -318,10 +314,7 @@
     def listen(self, address: Address) -> Address:
         """Accept from now on; returns where. Raises OSError."""
         self.loop = asyncio.get_running_loop()
-        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-        listener = socket.create_server((address.host, address.port), family=family, backlog=BACKLOG)
-        listener.setblocking(False)
-        self._listener = listener
+        listener = self._listener = listener_at(address.host, address.port, BACKLOG)
         self.address = Address(address.host, listener.getsockname()[1])
         self.loop.add_reader(listener.fileno(), self._acceptable)
         return self.address
@@ -329,11 +322,12 @@
     async def sweep(self) -> None:
         """See to it that what should end does."""
         try:
-            while not (self.closing and self._listener is None and not self._connections):
-                await anyio.sleep(0.05 if self.closing else SWEEP_S)
+            while self._listener is not None or self._connections:
+                ends = self._listener is None
+                await anyio.sleep(0.05 if ends else SWEEP_S)
                 now = self.clock.now()
                 for connection in list(self._connections):
-                    connection.expire(now, PARTIAL_LAST_US if self.closing else PARTIAL_US)
+                    connection.expire(now, PARTIAL_LAST_US if ends else PARTIAL_US)
         finally:
             self.stop_accepting()
             for connection in list(self._connections):
@@ -355,7 +349,10 @@
                     self._wait(NO_ROOM_S)
                     return
                 continue
-            self._connections[self.made(self, sock)] = None
+            made = self.made(self, sock)
+            self._connections[made] = None
+            if self.closing:
+                made.drain()
 
     def _room(self) -> bool:
         """Room for one more, made where there is none; else it is looked for again soon."""
@@ -410,13 +407,14 @@
         if connection in self._connections:
             self._connections.move_to_end(connection)
 
-    # ---- a planned end -----------------------------------------------------------------------
+    # ---- clients are sent away ------------------------------------------------------------------
 
-    def drain(self) -> None:
-        """Clients are asked to go elsewhere from now on."""
-        self.closing = True
-        for connection in list(self._connections):
-            connection.drain()
+    def send_away(self, away: bool) -> None:
+        """Whether clients are asked to go elsewhere from now on."""
+        if away and not self.closing:
+            for connection in list(self._connections):
+                connection.drain()
+        self.closing = away
 
     def stop_accepting(self) -> None:
         if self._waits is not None:
--- a/millfront/node/config.py
+++ b/millfront/node/config.py
@@ -9,9 +9,9 @@
 from millfront import interface as api
 from millfront.settings import NodeSettings, SettingsError, node_settings_from, settings_from
 
-SPARE_SOCKETS = (
-    48  # of the limit: standard streams, the loop's own, the pool's, the counter's, an accept at hand
-)
+# Of the limit: standard streams, the loop's own, the pool's, the counter's, the operators' callers, an accept
+# at hand.
+SPARE_SOCKETS = 72
 
 
 class ConfigError(Exception):
@@ -40,6 +40,7 @@
     listen: Address
     discovery: Address
     counter: Address | None
+    admin: Address | None  # the operators' line
     seed: int
     sockets: int
     known: dict[str, Any]
@@ -59,12 +60,12 @@
 
 def load(environment: Mapping[str, str]) -> Config:
     """On starting: NODE_* win over the file."""
-    return _loaded(environment, "name", "listen", "discovery")
+    return _loaded(environment, "name", "listen", "discovery", "admin_addr")
 
 
 def load_anew(environment: Mapping[str, str]) -> Config:
     """On SIGHUP: the environment is still that of the start, so where discovery is now stands in the file."""
-    return _loaded(environment, "name", "listen")
+    return _loaded(environment, "name", "listen", "admin_addr")
 
 
 def _loaded(environment: Mapping[str, str], *over_file: str) -> Config:
@@ -79,7 +80,7 @@
         raise ConfigError(f"NODE_CONFIG: {path} is not JSON: {wrong}") from None
     if not isinstance(data, dict):
         raise ConfigError(f"NODE_CONFIG: {path} holds no object")
-    for field in ("name", "listen", "discovery"):
+    for field in ("name", "listen", "discovery", "admin_addr"):
         told = environment.get(f"NODE_{field.upper()}")
         if told and (field in over_file or data.get(field) is None):
             data[field] = told
@@ -110,6 +111,7 @@
         listen=Address.parse(data.get("listen"), "listen"),
         discovery=Address.parse(data.get("discovery"), "discovery"),
         counter=counter,
+        admin=Address.parse(data["admin_addr"], "admin_addr") if data.get("admin_addr") is not None else None,
         seed=_seed(data.get("seed")),
         sockets=sockets,
         known=known,
--- a/millfront/node/drain.py
+++ b/millfront/node/drain.py
@@ -22,10 +22,13 @@
     def __init__(self) -> None:
         self.reasons = Reason.NONE
         self.since_us = 0  # when the first of the reasons in force came up
+        self.end_us = 0  # when the end was planned
 
     def on(self, reason: Reason, now_us: int) -> None:
         if not self.reasons:
             self.since_us = now_us
+        if reason & Reason.END and not self.ending:
+            self.end_us = now_us
         self.reasons |= reason
 
     def off(self, reason: Reason) -> None:
@@ -50,3 +53,7 @@
     def closes_at_rest(self, now_us: int) -> bool:
         """Connections without a request are closed."""
         return bool(self.reasons) and now_us >= self.since_us + ACCEPT_US + AT_REST_US
+
+    def takes_no_more(self, now_us: int) -> bool:
+        """Nobody new is brought any more. Counted from the signal, however long a drain was on before."""
+        return self.ending and now_us >= self.end_us + ACCEPT_US + AT_REST_US
--- a/millfront/node/link.py
+++ b/millfront/node/link.py
@@ -160,6 +160,30 @@
         self._sock.close()
 
 
+def listener_at(host: str, port: int, backlog: int) -> socket.socket:
+    """A listening socket at that address, which a successor may share; raises OSError."""
+    sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if port:  # a port that is chosen is this process's alone
+            with suppress(OSError):  # without it a successor can't start beside this process, no more
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind((host, port))
+        sock.listen(backlog)
+        sock.setblocking(False)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+def accept(listener: socket.socket) -> socket.socket:
+    sock = listener.accept()[0]
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
 def open_socket(host: str) -> socket.socket:
     """A socket for that address; raises OSError where descriptors are wanting."""
     sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
--- /dev/null
+++ b/millfront/node/operators_line.py
@@ -0,0 +1,143 @@
+"""The operators' line (`admin_addr`): a call is one line in, one line out, and a close.
+
+It has nothing to do with the HTTP admin API of operators/admin.py; both ask the node, which owns every act.
+"""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+
+from millfront.logs import Log
+from millfront.node.config import Address
+from millfront.node.link import NO_ROOM, Link, accept, listener_at
+
+log = Log(__name__)
+
+MOST_LINE = 256
+MOST_CALLERS = 24  # at once; each costs a descriptor of those that the configuration keeps back
+STAY_S = 5.0  # a caller that says nothing, or half a call: they may stay 4 s
+LINGER_S = 0.5  # for a caller to read its answer: closed at once, a reset could overtake it
+NO_ROOM_S = 0.05
+
+Calls = dict[str, Callable[[], str]]  # a call's name to its act: what it says, or Refused
+
+
+class Refused(Exception):
+    """A call that can't be carried out now, and why."""
+
+
+class Caller:
+    """One connection of an operator."""
+
+    def __init__(self, line: "OperatorsLine", sock: socket.socket) -> None:
+        self.line = line
+        self.said = b""
+        self.answered = False
+        self.link = Link(sock, self, line.loop)
+        self.timer = line.loop.call_later(STAY_S, self.close)
+
+    def received(self, data: bytes) -> None:
+        if self.answered:
+            return  # read away, so that the close is no reset
+        self.said += data
+        text, end, _ = self.said.partition(b"\n")
+        if end or len(self.said) > MOST_LINE:
+            self.answer(self.line.answer(text))
+
+    def answer(self, text: str) -> None:
+        self.answered = True
+        try:
+            self.link.write(text.encode() + b"\n")
+        except OSError:
+            self.close()
+            return
+        self.link.finish_sending()
+        self.timer.cancel()
+        self.timer = self.line.loop.call_later(LINGER_S, self.close)
+
+    def ended(self, why: str) -> None:
+        """It has ended its sending: half a call is no call, and one that leaves before its answer is
+        nothing."""
+        if self.said and not self.answered and not why:
+            self.answer("FAILURE the line has no end")
+        else:
+            self.close()
+
+    def drained(self) -> None:
+        pass
+
+    def close(self) -> None:
+        self.timer.cancel()
+        self.link.close()
+        self.line.callers.pop(self, None)
+
+
+class OperatorsLine:
+    def __init__(self, calls: Calls) -> None:
+        self.calls = calls
+        self.callers: dict[Caller, None] = {}  # the one that has been there longest first
+        self.address: Address | None = None
+        self.loop: asyncio.AbstractEventLoop
+        self._listener: socket.socket | None = None
+
+    def listen(self, address: Address) -> Address:
+        """Answer from now on; returns where. Raises OSError."""
+        self.loop = asyncio.get_running_loop()
+        self._listener = listener_at(address.host, address.port, MOST_CALLERS)
+        self.loop.add_reader(self._listener.fileno(), self._acceptable)
+        self.address = Address(address.host, self._listener.getsockname()[1])
+        return self.address
+
+    def answer(self, said: bytes) -> str:
+        """What one line gets, whatever it is; the line's end, CRLF or LF, is off."""
+        said = said.removesuffix(b"\r")
+        if len(said) >= MOST_LINE:
+            return f"FAILURE a call has fewer than {MOST_LINE} bytes"
+        if not said.isascii():
+            return "FAILURE a call is in ASCII"
+        name = said.decode()
+        if name not in self.calls:
+            return f"FAILURE {name!r} is not a call; there are {', '.join(self.calls)}"
+        try:
+            return f"SUCCESS {self.calls[name]()}"
+        except Refused as why:
+            return f"FAILURE {why}"
+        except Exception:  # a call's fault is the call's
+            log.exception("a call of the operators failed", call=name)
+            return "FAILURE a fault of our own: see the log"
+
+    def _acceptable(self) -> None:
+        assert self._listener is not None
+        for _ in range(MOST_CALLERS):
+            if len(self.callers) >= MOST_CALLERS:
+                next(
+                    iter(self.callers)
+                ).close()  # guards the others against callers that stay and say nothing
+            try:
+                sock = accept(self._listener)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as wrong:
+                if wrong.errno in NO_ROOM and self.callers:
+                    next(iter(self.callers)).close()
+                    continue
+                if wrong.errno in NO_ROOM:  # the loop would ask again at once, and spin
+                    self.loop.remove_reader(self._listener.fileno())
+                    self.loop.call_later(NO_ROOM_S, self._go_on)
+                    return
+                continue
+            self.callers[Caller(self, sock)] = None
+
+    def _go_on(self) -> None:
+        if self._listener is not None:
+            self.loop.add_reader(self._listener.fileno(), self._acceptable)
+
+    def close(self) -> None:
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            with suppress(ValueError):
+                self.loop.remove_reader(listener.fileno())
+            listener.close()
+        for caller in list(self.callers):
+            caller.close()
--- a/millfront/node/service.py
+++ b/millfront/node/service.py
@@ -10,9 +10,11 @@
 from millfront.node.clients import VirtualServer
 from millfront.node.config import Address, Config, ConfigError
 from millfront.node.counter import Counter
+from millfront.node.drain import Drain, Reason
 from millfront.node.endings import Ended
 from millfront.node.host import Clock, Host
 from millfront.node.members import Members
+from millfront.node.operators_line import OperatorsLine, Refused
 from millfront.node.parts import Parts
 from millfront.node.pool import Pool
 from millfront.node.stages.admit import Admit
@@ -23,11 +25,9 @@
 
 log = Log(__name__)
 
-# After SIGTERM: the front brings new connections for up to 0.4 s, and keeps the ones it has until told.
-ACCEPT_S = 0.42
 LAST_READ_S = 0.5
 AGAIN_S = 0.1  # before a task that failed is started anew
-CLOSE_AT_REST_S = 0.1  # later: answers have said Connection: close meanwhile
+LOOK_S = 0.02  # between two looks at who is still to be sent away
 
 
 class Node:
@@ -48,15 +48,47 @@
         )
         self.fronts = [self.server]  # and what is switched on beside it
         self.parts = Parts()
+        self.drain = Drain()
+        self.operators_line = OperatorsLine(
+            {"check": self.check, "drain-on": self.drain_on, "drain-off": self.drain_off}
+        )
         self._tasks: TaskGroup
-        self._stop = anyio.Event()
+        self._sending_away = anyio.Event()
 
     def ready(self) -> bool:
-        """Able to serve: a pool member is known, and no end is planned."""
-        return self.members.any_ready() and not self._stop.is_set()
+        """What the front is told: this gatekeeper is able to serve, and clients are wanted here."""
+        return self.members.any_ready() and self.drain.wanted
+
+    # ---- what operators ask, by a signal or on their line ----------------------------------------
 
     def stop(self) -> None:
-        self._stop.set()
+        """Send clients away and end. For good."""
+        self._send_away_for(Reason.END)
+
+    def check(self) -> str:
+        if self.drain.ending:
+            raise Refused("ends")
+        if self.server.address is None or not self.members.any_ready():
+            raise Refused("no pool member is known yet")
+        return "serves" if self.drain.wanted else "serves; clients are sent away"
+
+    def drain_on(self) -> str:
+        self._send_away_for(Reason.OPERATORS)
+        return "clients are sent away"
+
+    def drain_off(self) -> str:
+        if self.drain.ending:
+            raise Refused("ends")
+        if not self.drain.wanted:
+            self.drain.off(Reason.OPERATORS)
+            log.info("drain off")
+        return "clients are taken"
+
+    def _send_away_for(self, reason: Reason) -> None:
+        if reason not in self.drain.reasons:
+            self.drain.on(reason, self.clock.now())
+            log.info("clients are sent away", why=reason.name)
+        self._sending_away.set()
 
     async def run(self, *, task_status: TaskStatus[Address] = anyio.TASK_STATUS_IGNORED) -> None:
         """Serve until stop() and everything taken is answered."""
@@ -76,6 +108,8 @@
             except Ended as ended:
                 log.warning("the known list can't be used", why=ended)
             tasks.start_soon(self._kept_up, self.pool.watch)
+            if config.admin is not None:
+                self._open_line(config.admin)
             await self.parts.start(lambda run: tasks.start_soon(self._kept_up, run))
             try:
                 address = await tasks.start(self.server.run, config.listen)
@@ -83,11 +117,20 @@
                 raise ConfigError(f"listen: {config.listen}: {wrong.strerror}") from None
             log.info("serves", name=config.name, address=address)
             task_status.started(address)
-            await self._stop.wait()
-            await self._wind_down()
-            await self.parts.stop()
+            try:
+                await self._send_away()
+                await self._wind_down()
+                await self.parts.stop()
+            finally:
+                self.operators_line.close()
             tasks.cancel_scope.cancel()
 
+    def _open_line(self, address: Address) -> None:
+        try:
+            log.info("operators are answered", address=self.operators_line.listen(address))
+        except OSError as wrong:
+            raise ConfigError(f"admin_addr: {address}: {wrong.strerror}") from None
+
     def move(self, discovery: Address, counter: Address | None) -> None:
         """A new configuration names these: go over to them, and serve on meanwhile."""
         if discovery != self.pool.discovery:
@@ -117,16 +160,28 @@
                 log.exception("a task failed and starts anew")
             await anyio.sleep(AGAIN_S)
 
+    async def _send_away(self) -> None:
+        """Do what the drain says, until it ends with the gatekeeper and nobody new is brought."""
+        while True:
+            now = self.clock.now()
+            for front in self.fronts:
+                front.send_away(self.drain.sends_away(now))
+                if self.drain.closes_at_rest(now):
+                    front.close_at_rest()
+            if self.drain.takes_no_more(now):
+                return
+            if self.drain.wanted:
+                self._sending_away = anyio.Event()
+                await self._sending_away.wait()
+            await anyio.sleep(LOOK_S)
+
     async def _wind_down(self) -> None:
-        await anyio.sleep(ACCEPT_S)
         for front in self.fronts:
-            front.drain()
             front.stop_accepting()
-        await anyio.sleep(CLOSE_AT_REST_S)
         while any(front.unanswered() for front in self.fronts):
             for front in self.fronts:
                 front.close_at_rest()
-            await anyio.sleep(0.02)
+            await anyio.sleep(LOOK_S)
         for front in self.fronts:
             front.close_at_rest()
         with anyio.move_on_after(LAST_READ_S):  # clients are still reading their last answers
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -223,6 +223,7 @@
     def __init__(self, node: Node, address: str, discovery: Discovery) -> None:
         self.node = node
         self.address = address
+        self.line = ""  # where operators are answered
         self.discovery = discovery
         self.ended = anyio.Event()
 
@@ -230,6 +231,14 @@
         host, _, port = self.address.rpartition(":")
         return await anyio.connect_tcp(host, int(port))
 
+    async def call(self, said: bytes) -> bytes:
+        """What the operators' line answers, up to its close."""
+        host, _, port = self.line.rpartition(":")
+        with anyio.fail_after(PAST):
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await stream.send(said)
+                return b"".join([data async for data in stream])
+
     async def ask(self, data: bytes, stream: SocketStream | None = None) -> bytes:
         with anyio.fail_after(PAST):
             stream = stream or await self.client()
@@ -260,6 +269,7 @@
     return {
         "name": "n0",
         "listen": "127.0.0.1:0",
+        "admin_addr": "127.0.0.1:0",
         "discovery": discovery,
         "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -293,6 +303,7 @@
                 made.ended.set()
 
             made.address = str(await tasks.start(run))
+            made.line = str(node.operators_line.address)
             await discovery.until(lambda _: discovery.watches > 0)
             yield made
             tasks.cancel_scope.cancel()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,9 +11,8 @@
 
 from millfront import interface as api
 from millfront.node import config
-from millfront.node.clients import accept
 from millfront.node.host import Arrival, Clock, Host, Timers
-from millfront.node.link import Link
+from millfront.node.link import Link, accept
 from millfront.node.members import MemberConnection, Members
 from tests.peers import (
     CLASSES,
@@ -508,7 +507,7 @@
 
         monkeypatch.setattr(on.node.host._gateway, "handle", fails_once)
         with anyio.move_on_after(0.1):
-            await on.node._stop.wait()  # the beat fails, and beats again
+            await on.ended.wait()  # the beat fails, and beats again
         assert not faults
         assert status(await on.ask(request())) == 200
         faults.append(ZeroDivisionError())
