Take new settings on SIGHUP, whole or not at all; open requests keep their class

Cause: at 9.89 s discovery moved to an address where nobody listens, named by a file that should have been refused: settings.check() did not look at deadlines and attempts, and a missing key that has a default passed. Ruled out: the watch itself (it moves back within one file).

The module gets one event. Room in it: the class hangs on the request, lost attempts are withdrawn where they are found, the hash that all share is in the interface.

--- a/millfront/choice.py
+++ b/millfront/choice.py
@@ -114,13 +114,14 @@
     may_have_run: bool = True
     slow: bool = False
     lost: bool = False  # out for so long that it is no longer load
-    withdrawn: bool = False
 
 
 @dataclass(slots=True)
 class Request:
     id: int
     cls: int
+    kind: api.RequestClass  # it came under this one, and keeps it
+    tries: int  # attempts at most
     customer: Customer
     arrived_us: int
     give_up_us: int
@@ -165,17 +166,6 @@
     request: Request | None  # waits for this call's answer; its units are in it
 
 
-def mixed(*parts: int) -> int:
-    """A 64-bit hash (splitmix), the same at every gateway."""
-    state = 0
-    for part in parts:
-        state = (state ^ part) + 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
-        state = (state ^ state >> 30) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
-        state = (state ^ state >> 27) * 0x94D049BB133111EB & 0xFFFFFFFFFFFFFFFF
-        state ^= state >> 31
-    return state
-
-
 def next_price(price: float, sent_total: float, quota: float) -> float:
     """The paper's projected step, φ ← min{max{φ - ν(1 - S/Q), 0}, 1}."""
     return min(max(price - STEP * (1.0 - sent_total / quota), 0.0), 1.0)
@@ -207,11 +197,10 @@
         self.calls: dict[int, list[Call]] = {}  # by name, in order
         self.call_rate = FIRST_CALLS / settings.peers  # calls a second that the counter is taken to bear
         self.calls_left, self.paced_us, self.cut_us = 1.0, 0, 0
-        self.class_work = [c.aim_us / AIM_TO_WORK for c in settings.classes]  # EWMA of latency, µs
+        self.class_work: list[float] = []  # EWMA of latency, µs
         self.mean_worth, self.mean_units, self.mean_out_s = 0.0, 0.0, 0.0  # the latter of answered attempts
-        most = max(c.worth for c in settings.classes)  # a unit of quota goes where it earns most
-        dear = [c.worth / most if most > 0 else 1.0 for c in settings.classes]
-        self.reserve = [RESERVE * (1.0 + MARGIN - worth) for worth in dear]
+        self.reserve: list[float] = []
+        self.weigh_classes()
         self.hedges = 0.0
         self.mean_weight = 1.0
         self.window = 0.0  # attempts this gateway may have in flight
@@ -236,6 +225,8 @@
                 self.on_list(now, event)
             case api.RequestGone():
                 self.on_gone(event)
+            case api.Retuned():
+                self.on_retuned(event)
             case api.StreamStarted():
                 if event.request in self.requests:
                     self.requests[event.request].stream = True
@@ -246,6 +237,23 @@
                     self.actions.append(api.Watch(True))
         return self.actions
 
+    def on_retuned(self, event: api.Retuned) -> None:
+        """Decide by them from now on; open requests keep what they came under, customers what they hold."""
+        plans = {id(self.settings.plans[old]): event.settings.plans[new] for old, new in event.plans}
+        self.settings = event.settings
+        for request in self.requests.values():
+            request.tries = min(request.tries, self.settings.allowed.max_attempts)
+        for customer in self.customers.values():
+            customer.plan = plans.get(id(customer.plan), customer.plan)
+        self.weigh_classes()
+
+    def weigh_classes(self) -> None:
+        """A unit of quota goes where it earns most."""
+        classes = self.settings.classes
+        self.class_work += [c.aim_us / AIM_TO_WORK for c in classes[len(self.class_work) :]]
+        most = max(c.worth for c in classes) or 1.0
+        self.reserve = [RESERVE * (1.0 + MARGIN - c.worth / most) for c in classes]
+
     # ---- a request arrives -------------------------------------------------------------------
 
     def on_request(self, now: int, event: api.RequestArrived) -> None:
@@ -254,7 +262,8 @@
         customer.asked += event.units
         customer.seen_us = now
         end = now + event.patience_us
-        request = Request(event.request, event.cls, customer, now, end, event.units)
+        kind, tries = self.settings.classes[event.cls], self.settings.allowed.max_attempts
+        request = Request(event.request, event.cls, kind, tries, customer, now, end, event.units)
         if not event.reserves and self.asks_first(now, request):
             self.requests[request.id] = request
             customer.sent += request.units
@@ -307,7 +316,7 @@
             filled_us=now,
             ceiling=min(ceiling, plan.ceiling_burst / gateways),
             seen_us=now,
-            due_us=now + mixed(event.customer, self.settings.me) % TICK_US,
+            due_us=now + api.mixed(event.customer, self.settings.me) % TICK_US,
             share=1.0 / gateways,
             store=plan.burst,
             cap=plan.ceiling_burst - plan.burst,
@@ -371,8 +380,7 @@
 
     def worth_its_work(self, now: int, request: Request, net: float) -> bool:
         """Utility less the price of congestion: what earns least for its work is refused first."""
-        cls = self.settings.classes[request.cls]
-        value = net * cls.worth * request.customer.plan.worth_factor / self.class_work[request.cls]
+        value = net * request.kind.worth * request.customer.plan.worth_factor / self.class_work[request.cls]
         self.mean_worth += WORTH_WEIGHT * (value - self.mean_worth) if self.mean_worth else value
         relative = min(1.0, value / self.mean_worth)
         self.add_load(now, 0)
@@ -439,12 +447,12 @@
     def may_send_to(self, now: int, request: Request, backend: Backend) -> bool:
         """Rule 2: what may have run goes again only as its class allows."""
         ran = [a for a in request.attempts if a.may_have_run]
-        cls = self.settings.classes[request.cls]
-        if not ran or cls.repeat is api.Repeat.SAFE:
+        kind = request.kind
+        if not ran or kind.repeat is api.Repeat.SAFE:
             return True
-        if cls.repeat is api.Repeat.UNSAFE or now >= ran[0].sent_us + cls.window_us:
+        if kind.repeat is api.Repeat.UNSAFE or now >= ran[0].sent_us + kind.window_us:
             return False
-        return all(same_group(cls.group, a.backend, backend) for a in ran)
+        return all(same_group(kind.group, a.backend, backend) for a in ran)
 
     def send(self, now: int, request: Request, backend: Backend) -> None:
         number = len(request.attempts)
@@ -482,11 +490,13 @@
         if not attempt.lost:
             self.unload(now, attempt.backend)
         self.learn(now, attempt.backend, request, event)
-        if event.outcome is api.Outcome.OK and event.true_units > 0 and request.reserved:
-            request.customer.leased -= event.true_units - request.units
-        elif event.outcome is api.Outcome.OK and event.true_units > 0 and request.inside:
-            request.customer.bucket -= event.true_units - request.units
-            request.customer.sent += event.true_units - request.units
+        told = event.outcome is api.Outcome.OK and event.true_units > 0
+        more = event.true_units - request.units if told else 0.0
+        if request.reserved:
+            request.customer.leased -= more
+        elif request.inside:
+            request.customer.bucket -= more
+            request.customer.sent += more
         if event.closed and not request.over:
             self.close(request)
         elif not request.over and all(a.ended for a in request.attempts):
@@ -500,7 +510,7 @@
             backend.ejections = 0
             backend.slow += LATENCY_WEIGHT * (event.latency_us / self.class_work[request.cls] - backend.slow)
             self.class_work[request.cls] += CLASS_WEIGHT * (event.latency_us - self.class_work[request.cls])
-            self.judge(now, attempt, request.cls, True)
+            self.judge(now, request, event.attempt)
             self.mean_units += CLASS_WEIGHT * (request.units - self.mean_units)
             self.mean_out_s += CLASS_WEIGHT * (event.latency_us / SECOND - self.mean_out_s)
         if event.outcome in (api.Outcome.OK, api.Outcome.ERROR):
@@ -511,7 +521,7 @@
             if not backend.ejected_until:
                 backend.reset = False  # it answered without having been away
             self.readmit(now, backend)
-        if event.outcome not in (api.Outcome.OK, api.Outcome.ERROR, api.Outcome.FULL):
+        else:
             backend.links = max(0, backend.links - 1)
         if event.outcome is api.Outcome.FULL:
             backend.rests_until = now + REST_US
@@ -522,27 +532,29 @@
             backend.reset = True
             self.blame(now, backend, 1)
         if event.outcome is api.Outcome.CONNECT_FAILED:
-            if backend.links and now - backend.answered_us < self.settings.classes[request.cls].aim_us:
+            if backend.links and now - backend.answered_us < request.kind.aim_us:
                 backend.rests_until = now + REST_US  # short of connections: another one is up and answers
             else:
                 self.blame(now, backend, EJECT_FAILS)
 
-    def judge(self, now: int, attempt: Attempt, cls: int, ended: bool) -> None:
+    def judge(self, now: int, request: Request, number: int) -> None:
         """The price of congestion: attempts slow beside their aim shrink the window, fast answers grow it.
         Guards against overload from any cause, seen as time alone. An attempt out past its aim is lost, not
         load, and pays for a copy of another: guards against backends that leave some requests unanswered."""
-        aim_us = self.settings.classes[cls].aim_us
+        attempt, aim_us = request.attempts[number], request.kind.aim_us
         slow = now - attempt.sent_us > GOOD_SHARE * aim_us
-        if not ended and not attempt.lost and now - attempt.sent_us > aim_us:
+        if not attempt.ended and not attempt.lost and now - attempt.sent_us > aim_us:
             attempt.lost = True
             self.hedges = min(self.hedges + 1.0, MOST_HEDGES)
             self.unload(now, attempt.backend)
-        if not ended and attempt.backend.answered_us < attempt.sent_us:
+            if request.customer.plan.open_limit and self.settings.allowed.cancel:
+                self.actions.append(api.Cancel(request.id, number))  # it would hold a place to its deadline
+        if not attempt.ended and attempt.backend.answered_us < attempt.sent_us:
             return  # silence may be loss (a dead or cut off backend), which less load would not cure
         if slow and not attempt.slow:
             attempt.slow = True
             self.window = max(LEAST_WINDOW, self.window * SHRINK)
-        elif ended and not slow and self.pressure() >= USED_SHARE:
+        elif attempt.ended and not slow and self.pressure() >= USED_SHARE:
             depth = MOST_DEPTH * len(self.backends) / self.settings.peers
             self.window = min(self.window * GROW, max(depth, LEAST_WINDOW))
 
@@ -584,7 +596,7 @@
 
     def go_on(self, now: int, request: Request) -> None:
         """Nothing is out any more and no answer came: another attempt, or the final answer."""
-        if self.time_left(now, request) > 0 and len(request.attempts) < self.settings.allowed.max_attempts:
+        if self.time_left(now, request) > 0 and len(request.attempts) < request.tries:
             backend = self.pick(now, request)
             if backend is not None:
                 self.send(now, request, backend)
@@ -594,23 +606,20 @@
 
     def final_answer(self, request: Request) -> api.Action:
         """Rule 2: a refusal says that another try is harmless, a failure promises nothing."""
-        cls = self.settings.classes[request.cls]
-        ran = any(a.may_have_run for a in request.attempts)
-        keyed_anywhere = cls.repeat is api.Repeat.KEYED and cls.group is api.Group.ALL
-        harmless = cls.repeat is api.Repeat.SAFE or keyed_anywhere
+        kind, ran = request.kind, any(a.may_have_run for a in request.attempts)
+        keyed_anywhere = kind.repeat is api.Repeat.KEYED and kind.group is api.Group.ALL
+        harmless = kind.repeat is api.Repeat.SAFE or keyed_anywhere
         return self.refusal(request) if harmless or not ran else api.Fail(request.id)
 
     def too_late(self, now: int, request: Request) -> bool:
         """An answer would earn nothing. The attempts stay out: their end tells whether a backend is slow."""
-        cls = self.settings.classes[request.cls]
-        late = now > request.arrived_us + cls.aim_us
-        return not request.over and not request.stream and cls.late_worth <= 0 and late
+        late = now > request.arrived_us + request.kind.aim_us
+        return not request.over and not request.stream and request.kind.late_worth <= 0 and late
 
     def time_left(self, now: int, request: Request) -> float:
         """Until an answer earns too little, less the time that an attempt takes."""
-        cls = self.settings.classes[request.cls]
-        aim_end_us = request.arrived_us + cls.aim_us
-        end_us = request.give_up_us if cls.late_worth > 0 else min(request.give_up_us, aim_end_us)
+        aim_end_us = request.arrived_us + request.kind.aim_us
+        end_us = request.give_up_us if request.kind.late_worth > 0 else min(request.give_up_us, aim_end_us)
         return end_us - now - self.class_work[request.cls]
 
     def on_gone(self, event: api.RequestGone) -> None:
@@ -625,11 +634,9 @@
     def on_beat(self, now: int) -> None:
         self.actions.append(api.SetTimer(BEAT_US, BEAT))
         for request in list(self.requests.values()):
-            for attempt in request.attempts:
+            for number, attempt in enumerate(request.attempts):
                 if not attempt.ended:
-                    self.judge(now, attempt, request.cls, False)
-            if request.customer.plan.open_limit and self.settings.allowed.cancel:
-                self.withdraw_lost(request)
+                    self.judge(now, request, number)
             if self.too_late(now, request):
                 request.over = True
                 self.actions.append(self.final_answer(request))
@@ -645,23 +652,15 @@
             if backend.ejected_until and not backend.stopped and now >= backend.ejected_until:
                 self.readmit(now, backend)
 
-    def withdraw_lost(self, request: Request) -> None:
-        """Guards a cap on attempts out against silent connections: each holds a place till its deadline."""
-        for number, attempt in enumerate(request.attempts):
-            if attempt.lost and not attempt.ended and not attempt.withdrawn:
-                attempt.withdrawn = True
-                self.actions.append(api.Cancel(request.id, number))
-
     def wants_hedge(self, now: int, request: Request) -> bool:
-        cls = self.settings.classes[request.cls]
         return (
             not request.over
             and not request.stream
-            and cls.repeat is not api.Repeat.UNSAFE
+            and request.kind.repeat is not api.Repeat.UNSAFE
             and not request.customer.plan.open_limit  # a copy would take a place of the customer's next try
-            and len(request.attempts) == 1 < self.settings.allowed.max_attempts
+            and len(request.attempts) == 1 < request.tries
             and self.settings.allowed.second_copies
-            and now - request.arrived_us >= HEDGE_SHARE * cls.aim_us
+            and now - request.arrived_us >= HEDGE_SHARE * request.kind.aim_us
             and self.hedges >= 1.0
             and self.pressure() < HEDGE_PRESSURE
             and self.time_left(now, request) > 0
@@ -701,7 +700,8 @@
         customer.sent -= sent * grain
         customer.asked -= asked * grain
         # Gateways that hold another version of a live plan must not read totals of another grain as theirs.
-        name = mixed(customer.key, epoch) if grain == 1.0 else mixed(customer.key, epoch, int(grain * 1e6))
+        grains = () if grain == 1.0 else (int(grain * 1e6),)
+        name = api.mixed(customer.key, epoch, *grains)
         self.calls.setdefault(name, []).append(Call(customer.key, epoch, sent, asked, now, grain, request))
         self.actions.append(api.Count(name, float(sent + PACK * asked), NAME_TTL_US))
 
@@ -740,11 +740,10 @@
             return
         asked, sent = divmod(round(event.total) + SPARE, PACK)
         sent -= SPARE
-        new_sent, new_asked = sent - customer.sent_total, asked - customer.asked_total
-        known = customer.epoch == call.epoch
+        known = customer.epoch == call.epoch  # a new name counts from nothing; the old one's last is missed
+        new_sent = sent - customer.sent_total if known else sent
+        new_asked = asked - customer.asked_total if known else asked
         seconds = max(call.made_us - customer.read_us, BEAT_US) / SECOND
-        if not known:  # a new name counts from nothing; the old one's last is missed
-            new_sent, new_asked = sent, asked
         customer.epoch, customer.sent_total, customer.asked_total = call.epoch, sent, asked
         customer.read_us = call.made_us
         own, share = call.sent * grain / seconds, call.asked / max(new_asked, 1)
--- a/millfront/daemon.py
+++ b/millfront/daemon.py
@@ -45,8 +45,7 @@
 def reload(node: Node) -> None:
     """Read whole before anything moves: guards a gatekeeper that serves against a file that can't be used."""
     try:
-        told = config.load_anew(os.environ)
-        node.move(told.discovery, told.counter)
+        node.retune(config.load_anew(os.environ, node.config))
     except Exception as wrong:
         log.error("SIGHUP: the configuration stays as it was", why=wrong)
     node.parts.reload()
--- a/millfront/interface.py
+++ b/millfront/interface.py
@@ -1,4 +1,4 @@
-"""Settings, events and actions of the gateway: plain data, no logic.
+"""Settings, events and actions of the gateway: plain data, no logic but the hash that all must compute alike.
 
 Times are microseconds of the host's clock, which has no particular origin and never goes back.
 Ids are the host's own and are handed back unaltered.
@@ -159,6 +159,15 @@
     reserves: bool = False  # a reservation of the customer is in force: say when its plan runs short
 
 
+@dataclass(frozen=True, slots=True)
+class Retuned:
+    """New settings. Classes and plans of before keep their places; those that are new, or that say something
+    new, come after them."""
+
+    settings: Settings
+    plans: tuple[tuple[int, int], ...] = ()  # of plans that say something new: the place before, the one now
+
+
 @dataclass(frozen=True, slots=True)
 class RequestGone:
     request: int
@@ -218,6 +227,7 @@
     Started
     | BackendList
     | RequestArrived
+    | Retuned
     | RequestGone
     | AttemptEnded
     | StreamStarted
@@ -327,3 +337,14 @@
     | CloseIdle
     | Log
 )
+
+
+def mixed(*parts: int) -> int:
+    """A 64-bit hash (splitmix), the same at every gateway."""
+    state = 0
+    for part in parts:
+        state = (state ^ part) + 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
+        state = (state ^ state >> 30) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
+        state = (state ^ state >> 27) * 0x94D049BB133111EB & 0xFFFFFFFFFFFFFFFF
+        state ^= state >> 31
+    return state
--- a/millfront/node/config.py
+++ b/millfront/node/config.py
@@ -46,6 +46,7 @@
     known: dict[str, Any]
     settings: api.Settings
     node: NodeSettings
+    keys: frozenset[str] = frozenset()  # that stand in the file
 
     @property
     def most_clients(self) -> int:
@@ -63,9 +64,15 @@
     return _loaded(environment, "name", "listen", "discovery", "admin_addr")
 
 
-def load_anew(environment: Mapping[str, str]) -> Config:
-    """On SIGHUP: the environment is still that of the start, so where discovery is now stands in the file."""
-    return _loaded(environment, "name", "listen", "admin_addr")
+def load_anew(environment: Mapping[str, str], before: Config) -> Config:
+    """On SIGHUP: the environment is still that of the start, so where discovery is now stands in the file.
+
+    :raises ConfigError: also where a key is missing that stood in the file before: it was cut or mistyped
+    """
+    told = _loaded(environment, "name", "listen", "admin_addr")
+    if missing := sorted(before.keys - told.keys):
+        raise ConfigError(f"{missing[0]}: is missing, and was there before")
+    return told
 
 
 def _loaded(environment: Mapping[str, str], *over_file: str) -> Config:
@@ -117,9 +124,19 @@
         known=known,
         settings=module,
         node=node,
+        keys=frozenset(_keys({key: value for key, value in data.items() if key != "known"})),
     )
 
 
+def _keys(data: object, path: str = "") -> set[str]:
+    """The paths of all keys; in a list of objects those that all of them have."""
+    if isinstance(data, list):
+        return set.intersection(*(_keys(entry, path) for entry in data)) if data else set()
+    if not isinstance(data, dict):
+        return set()
+    return {path + key for key in data}.union(*(_keys(v, f"{path}{key}.") for key, v in data.items()))
+
+
 def _object(data: dict[str, Any], field: str) -> dict[str, Any]:
     value = data.get(field)
     if not isinstance(value, dict):
--- a/millfront/node/host.py
+++ b/millfront/node/host.py
@@ -129,6 +129,7 @@
     ran: bool = False  # an attempt may have run
     units: float = 0.0  # the true ones, where a good answer told them
     tallied: Any = None  # the tally's own mark
+    most_sends: int = 0
     flows: dict[int, Flow] = field(default_factory=dict)
 
     @property
@@ -224,8 +225,14 @@
     def start(self) -> None:
         self.tell(api.Started())
 
+    def retune(self, retuned: api.Retuned) -> None:
+        """New settings, for the module as for what is held to them here."""
+        self.settings = retuned.settings
+        self.tell(retuned)
+
     def arrive(self, arrival: Arrival, caller: Caller) -> OpenRequest:
         opened = OpenRequest(next(self._ids), arrival, caller)
+        opened.most_sends = self.settings.allowed.max_attempts
         self.open[opened.id] = opened
         self._names.add(arrival.name)
         self.owed += 1
@@ -302,7 +309,7 @@
         if opened:
             opened.sends += 1
         late = opened is None or opened.over or self.clock.now() >= opened.deadline_us
-        if opened is None or late or number >= self.settings.allowed.max_attempts:
+        if opened is None or late or number >= opened.most_sends:
             self._ended(send.request, number, send.backend, api.Outcome.MOOT, opened is None or opened.over)
             return
         if self.tally is not None and opened.tallied is None:
--- a/millfront/node/members.py
+++ b/millfront/node/members.py
@@ -192,8 +192,7 @@
 class Members:
     def __init__(self, clock: Clock, connect_timeout_us: int, keepalive_us: int, most: int) -> None:
         self.clock = clock
-        self.connect_timeout_us = connect_timeout_us
-        self.idle_us = int(keepalive_us * IDLE_SHARE)
+        self.retune(connect_timeout_us, keepalive_us)
         self.most = most
         self.wear = Wear()
         self.connections = 0
@@ -203,6 +202,10 @@
             OrderedDict()
         )  # of all members, the longest idle first
 
+    def retune(self, connect_timeout_us: int, keepalive_us: int) -> None:
+        self.connect_timeout_us = connect_timeout_us
+        self.idle_us = int(keepalive_us * IDLE_SHARE)
+
     # ---- the pool tells ----------------------------------------------------------------------
 
     def get(self, member: int) -> PoolMember | None:
--- a/millfront/node/service.py
+++ b/millfront/node/service.py
@@ -17,6 +17,7 @@
 from millfront.node.operators_line import OperatorsLine, Refused
 from millfront.node.parts import Parts
 from millfront.node.pool import Pool
+from millfront.node.retune import OVERLAP_US, Tuning
 from millfront.node.stages.admit import Admit
 from millfront.node.stages.book import Book
 from millfront.node.stages.route import Route
@@ -39,12 +40,13 @@
         self.members = Members(self.clock, node.connect_timeout_us, node.keepalive_us, config.most_flows)
         self.pool = Pool(self.host, self.members, node, config.discovery)
         self.counter: Counter | None = None
+        self.tuning = Tuning(settings, node)
         self.book = Book(self.host, node.most_units)
         self.send = Send(self.clock, self.members, Route(self.members), self.book)
-        admit = Admit(self.host, min(node.max_open, config.most_clients))
-        self.take_in = TakeIn(settings, node)
+        self.admit = Admit(self.host, min(node.max_open, config.most_clients))
+        self.take_in = TakeIn(self.tuning, node.most_units)
         self.server = VirtualServer(
-            self.clock, self.host, self.take_in, admit, self.ready, config.most_clients
+            self.clock, self.host, self.take_in, self.admit, self.ready, config.most_clients
         )
         self.fronts = [self.server]  # and what is switched on beside it
         self.parts = Parts()
@@ -131,8 +133,28 @@
         except OSError as wrong:
             raise ConfigError(f"admin_addr: {address}: {wrong.strerror}") from None
 
+    def retune(self, told: Config) -> None:
+        """A new configuration, checked as a whole: go over to it, and serve on meanwhile. Addresses to listen
+        at and limits take effect at the next start."""
+        before, self.config = self.config, told
+        self.move(told.discovery, told.counter)
+        if (told.settings, told.node) == (before.settings, before.node):
+            return
+        log.info("settings change", classes=",".join(told.node.classes), plans=",".join(told.node.plans))
+        self._tell(self.tuning.take(told.settings, told.node, self.clock.now()), told)
+        self.host.timers.after(OVERLAP_US, lambda: self._tell(self.tuning.settle(self.clock.now()), told))
+
+    def _tell(self, retuned: api.Retuned, told: Config) -> None:
+        node = told.node
+        self.take_in.take(self.tuning, node.most_units)
+        self.book.most_units = node.most_units
+        self.admit.most_open = min(node.max_open, told.most_clients)
+        self.members.retune(node.connect_timeout_us, node.keepalive_us)
+        if self.counter is not None:
+            self.counter.wait_us = told.settings.counter_timeout_us
+        self.host.retune(retuned)
+
     def move(self, discovery: Address, counter: Address | None) -> None:
-        """A new configuration names these: go over to them, and serve on meanwhile."""
         if discovery != self.pool.discovery:
             log.info("discovery moves", before=self.pool.discovery, now=discovery)
             self.pool.move(discovery)
--- a/millfront/node/stages/take_in.py
+++ b/millfront/node/stages/take_in.py
@@ -8,13 +8,14 @@
 from millfront import interface as api
 from millfront.node.host import Arrival
 from millfront.node.http import Message
-from millfront.settings import NodeSettings
+from millfront.node.retune import Tuning
 
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
 MOST_CUSTOMER = 1 << 33
 REQUEST_ID = re.compile(rb"[0-9a-fA-F]{1,16}")
 TIMEOUT = re.compile(rb"([0-9]{1,10}(?:\.[0-9]{1,20})?)([mu])")
 QUOTA = re.compile(rb"\s*(?:(units)=([0-9]{1,6}(?:\.[0-9]{1,20})?)|(spread|first)=([0-9]{1,6}))\s*")
+METHODS = {api.Repeat.SAFE: b"GET", api.Repeat.KEYED: b"POST", api.Repeat.UNSAFE: b"POST"}
 MICROSECONDS = {b"m": 1000, b"u": 1}
 
 
@@ -40,25 +41,27 @@
 
 
 class TakeIn:
-    def __init__(self, settings: api.Settings, node: NodeSettings) -> None:
-        self.settings = settings
-        self.most_units = node.most_units
-        self.classes = {name.encode(): position for name, position in node.classes.items()}
-        self.plans = {name.encode(): position for name, position in node.plans.items()}
+    def __init__(self, tuning: Tuning, most_units: float) -> None:
+        self.take(tuning, most_units)
         # Live plans: (customer, the request's plan, Unix time in µs) to what holds instead; None where silent
         self.live: Callable[[int, str, int], Live | None] | None = None
 
+    def take(self, tuning: Tuning, most_units: float) -> None:
+        """Go by these from now on. Names are looked up as they come on the wire."""
+        self.settings, self.most_units = tuning.settings, most_units
+        self.classes = {name.encode(): places for name, places in tuning.forms().items()}
+        self.plans = {name.encode(): place for name, place in tuning.plans.items()}
+
     def __call__(self, message: Message, came_us: int) -> Arrival:
         assert isinstance(message.start, tuple)
         method, target = message.start
         parts = target.partition(b"?")[0].split(b"/")
         if len(parts) < 3 or parts[0] or parts[1] not in self.classes:
             raise NotTaken(404, "no such class")
-        cls = self.classes[parts[1]]
         if not CUSTOMER.fullmatch(parts[-1]) or (customer := int(parts[-1], 16)) >= MOST_CUSTOMER:
             raise NotTaken(404, "no such customer")
         fields = dict(reversed(message.fields))  # of several of a name the first counts
-        self._check_method(cls, method, fields)
+        cls = self._class_of(self.classes[parts[1]], method, fields)
         named = fields.get(b"plan", b"")
         plan, live = self.plans.get(named), None
         if self.live is not None:
@@ -90,13 +93,21 @@
             arrival, plan_name=live.name, plan_version=version, terms=terms, reserves=live.reserves
         )
 
-    def _check_method(self, cls: int, method: bytes, fields: dict[bytes, bytes]) -> None:
+    def _class_of(self, places: tuple[int, ...], method: bytes, fields: dict[bytes, bytes]) -> int:
+        """Of several under one name, while clients may use the old one yet, the one whose form this is."""
+        keyed = bool(fields.get(b"idempotency-key"))
+        for cls in places if len(places) > 1 else ():
+            repeat = self.settings.classes[cls].repeat
+            if method == METHODS[repeat] and keyed is (repeat is api.Repeat.KEYED):
+                return cls
+        cls = places[0]
         repeat = self.settings.classes[cls].repeat
-        if method != (b"GET" if repeat is api.Repeat.SAFE else b"POST"):
+        if method != METHODS[repeat]:
             raise NotTaken(405, "not this class's method")
-        if repeat is api.Repeat.KEYED and not fields.get(b"idempotency-key"):
+        if repeat is api.Repeat.KEYED and not keyed:
             # sent on without its key, a repeat of it would run twice
             raise NotTaken(400, "Idempotency-Key: missing")
+        return cls
 
     def _quota(self, text: bytes) -> tuple[float, int, int]:
         values = {}
--- a/millfront/plans/leases.py
+++ b/millfront/plans/leases.py
@@ -24,7 +24,6 @@
 from dataclasses import dataclass, field
 
 from millfront import interface as api
-from millfront.choice import mixed
 
 SECOND = 1_000_000
 EPOCH_US = 15 * SECOND
@@ -170,7 +169,7 @@
 
     def _call(self, pool: _Pool, period: int, introduced: float, chunk: float) -> api.Count:
         windowed = pool.held.rate is not None
-        name = mixed(pool.held.key, windowed, period)
+        name = api.mixed(pool.held.key, windowed, period)
         pool.calling = pool.calling or chunk > 0.0
         pool.added[period] = pool.added.get(period, 0.0) + introduced + chunk
         pool.own += chunk
--- a/millfront/plans/part.py
+++ b/millfront/plans/part.py
@@ -38,10 +38,13 @@
         self._seen: tuple[int, int, int] | None = None  # of the file that was read last
         self._look = anyio.Event()
         self._changing = anyio.Lock()
-        names = node.config.node.plans
-        self.settings_plans = {name: node.config.settings.plans[at] for name, at in names.items()}
         self.leases = Leases(node.config.counter is not None and node.config.settings.counter)
 
+    @property
+    def settings_plans(self) -> dict[str, api.Plan]:
+        tuning = self.node.tuning
+        return {name: tuning.settings.plans[place] for name, place in tuning.plans.items()}
+
     # ---- as a part ---------------------------------------------------------------------------
 
     async def start(self) -> None:
--- a/millfront/settings.py
+++ b/millfront/settings.py
@@ -1,6 +1,7 @@
 """The settings JSON, read here for both hosts: what the module decides on, and what only a node needs."""
 
 import json
+import math
 from dataclasses import dataclass
 from typing import Any
 
@@ -50,6 +51,8 @@
         "classes": not settings.classes,
         "plans": not settings.plans,
         "classes.aim_us": any(c.aim_us <= 0 for c in settings.classes),
+        "classes.deadline_us": any(c.deadline_us <= 0 for c in settings.classes),
+        "allowed.max_attempts": settings.allowed.max_attempts <= 0,
         "classes.repeat": any(not isinstance(c.repeat, api.Repeat) for c in settings.classes),
         "plans.rate": any(p.rate < 0 or (p.rate > 0 and p.burst <= 0) for p in settings.plans),
         "plans.open_limit": any(p.open_limit < 0 for p in settings.plans),
@@ -61,62 +64,80 @@
             raise SettingsError(f"{name} is missing or out of range")
 
 
+def _number(entry: dict[str, Any], key: str, otherwise: float | None = None) -> float:
+    """:raises SettingsError: it is no number, and which one; a text that reads as one is a slip too"""
+    value = entry[key] if otherwise is None else entry.get(key) or otherwise
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise SettingsError(f"{key}: {value!r} is not a number")
+    return float(value)
+
+
+def _whole(entry: dict[str, Any], key: str) -> int:
+    return int(_number(entry, key))
+
+
+def _flag(entry: dict[str, Any], key: str) -> bool:
+    if not isinstance(entry[key], bool | int):
+        raise SettingsError(f"{key}: {entry[key]!r} is not yes or no")
+    return bool(entry[key])
+
+
 def _settings(info: dict[str, Any]) -> api.Settings:
     allowed, rules, family = info["Allowed"], info["Rules"], info["FamilyInfo"]
     return api.Settings(
-        me=int(info["Me"]),
-        peers=int(info["PeersTotal"]),
-        zone=int(info["MyZone"]),
+        me=_whole(info, "Me"),
+        peers=_whole(info, "PeersTotal"),
+        zone=_whole(info, "MyZone"),
         classes=tuple(_class(entry) for entry in info["Classes"]),
         plans=tuple(_plan(entry) for entry in info["Packages"]),
         allowed=api.Allowed(
-            probes=bool(allowed["Probes"]),
-            cancel=bool(allowed["Cancel"]),
-            second_copies=bool(allowed["SecondCopies"]),
-            retry_after=bool(allowed["RetryAfter"]),
-            max_attempts=int(allowed["MostTries"]),
-            max_retry_after_us=int(allowed["MaxRetryAfterUs"]),
+            probes=_flag(allowed, "Probes"),
+            cancel=_flag(allowed, "Cancel"),
+            second_copies=_flag(allowed, "SecondCopies"),
+            retry_after=_flag(allowed, "RetryAfter"),
+            max_attempts=_whole(allowed, "MostTries"),
+            max_retry_after_us=_whole(allowed, "MaxRetryAfterUs"),
         ),
         rules=api.Rules(
-            drain_grace_us=int(rules["DrainGraceUs"]),
-            cold_from=float(rules["ColdFrom"]),
-            ramp_us=int(rules["RampTimeUs"]),
-            fall_multiple=float(rules["FallMultiple"]),
-            fall_us=int(rules["FallUs"]),
+            drain_grace_us=_whole(rules, "DrainGraceUs"),
+            cold_from=_number(rules, "ColdFrom"),
+            ramp_us=_whole(rules, "RampTimeUs"),
+            fall_multiple=_number(rules, "FallMultiple"),
+            fall_us=_whole(rules, "FallUs"),
         ),
         weights_known=info["Weights"] != "none",
         list_on_request=info["Discovery"] == "on_request",
-        counter=bool(family["SharedCounter"]),
-        counter_timeout_us=int(family["CountWaitUs"]),
-        most_units=float(family.get("UnitsTop") or 0.0),
-        handshake_price=float(info.get("Charges", {}).get("Handshake") or 0.0),
+        counter=_flag(family, "SharedCounter"),
+        counter_timeout_us=_whole(family, "CountWaitUs"),
+        most_units=_number(family, "UnitsTop", 0.0),
+        handshake_price=_number(info.get("Charges") or {}, "Handshake", 0.0),
     )
 
 
 def _class(entry: dict[str, Any]) -> api.RequestClass:
     return api.RequestClass(
-        aim_us=int(entry["AimUs"]),
-        deadline_us=int(entry["HardLimitUs"]),
-        worth=float(entry["Worth"]),
-        late_worth=float(entry["LateValue"]),
+        aim_us=_whole(entry, "AimUs"),
+        deadline_us=_whole(entry, "HardLimitUs"),
+        worth=_number(entry, "Worth"),
+        late_worth=_number(entry, "LateValue"),
         repeat=api.Repeat(entry["Repeat"]),
         group=api.Group(entry["Group"]),
-        window_us=int(entry["WindowUs"]),
-        stream=bool(entry["Stream"]),
+        window_us=_whole(entry, "WindowUs"),
+        stream=_flag(entry, "Stream"),
     )
 
 
 def _plan(entry: dict[str, Any]) -> api.Plan:
     return api.Plan(
-        rate=float(entry["Refill"]),
-        burst=float(entry["MostAtOnce"]),
-        open_limit=int(entry["Concurrency"]),
-        worth_factor=float(entry["WorthFactor"]),
-        over_worth=float(entry["ExtraWorth"]),
-        over_cost=float(entry["OverrunCost"]),
-        ceiling_rate=float(entry["CeilingRate"]),
-        ceiling_burst=float(entry["CapDepth"]),
-        ceiling_slack=float(entry["CeilingSlack"]),
+        rate=_number(entry, "Refill"),
+        burst=_number(entry, "MostAtOnce"),
+        open_limit=_whole(entry, "Concurrency"),
+        worth_factor=_number(entry, "WorthFactor"),
+        over_worth=_number(entry, "ExtraWorth"),
+        over_cost=_number(entry, "OverrunCost"),
+        ceiling_rate=_number(entry, "CeilingRate"),
+        ceiling_burst=_number(entry, "CapDepth"),
+        ceiling_slack=_number(entry, "CeilingSlack"),
     )
 
 
@@ -129,10 +150,10 @@
             plans=_positions([entry["Name"] for entry in info["Packages"]]),
             zones=_positions(info["Zones"]),
             kinds=_positions(info["Kinds"]),
-            keepalive_us=int(allowed["KeepaliveUs"]),
-            connect_timeout_us=int(allowed["ConnectTimeoutUs"]),
-            max_open=int(allowed["MaxOpen"]),
-            most_units=float(info["FamilyInfo"].get("UnitsTop") or LARGEST_UNITS),
+            keepalive_us=_whole(allowed, "KeepaliveUs"),
+            connect_timeout_us=_whole(allowed, "ConnectTimeoutUs"),
+            max_open=_whole(allowed, "MaxOpen"),
+            most_units=_number(info["FamilyInfo"], "UnitsTop", LARGEST_UNITS),
         )
     except KeyError as missing:
         raise SettingsError(f"settings lack {missing.args[0]}") from None
--- a/millfront/usage/part.py
+++ b/millfront/usage/part.py
@@ -44,8 +44,6 @@
         self.told = told
         config = node.config
         self.ledger = Ledger(told.folder, config.name, told, node.clock.now)
-        self._classes = {position: name for name, position in config.node.classes.items()}
-        self._plans = {position: name for name, position in config.node.plans.items()}
         self._ready = False
         self._running = anyio.CancelScope()
         self._ended = anyio.Event()
@@ -138,9 +136,9 @@
                 self.node.clock.now(),
                 arrival.name.decode("latin-1"),
                 arrival.customer,
-                arrival.plan_name or self._plans[arrival.plan],
+                arrival.plan_name or self.node.tuning.plan_names[arrival.plan],
                 arrival.plan_version,
-                self._classes[arrival.cls],
+                self.node.tuning.class_names[arrival.cls],
                 STANDINGS[standing],
                 arrival.units,
             )
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -231,9 +231,9 @@
 
 
 def test_names_are_alike_at_all_gateways_and_differ_by_customer_and_epoch() -> None:
-    names = {choice.mixed(c, e) for c in range(300) for e in range(300)}
+    names = {api.mixed(c, e) for c in range(300) for e in range(300)}
     assert len(names) == 90_000
-    assert choice.mixed(7, 3) == choice.mixed(7, 3)
+    assert api.mixed(7, 3) == api.mixed(7, 3)
 
 
 def test_cap_on_attempts_out_is_held() -> None:
@@ -407,10 +407,13 @@
     def window_after(slow_every: int) -> float:
         bench = Bench()
         gateway, backend = bench.gateway, bench.gateway.backends[0]
+        customer = gateway.customer_of(bench.now, api.RequestArrived(1, 0, 0, 7, SAFE.deadline_us, 1.0, 1, 0))
         gateway.load = gateway.mean_load = 6
         for i in range(1, 101):
             age = int(choice.GOOD_SHARE * SAFE.aim_us) + 1 if i % slow_every == 0 else 0
-            gateway.judge(bench.now, choice.Attempt(backend, bench.now - age), 0, True)
+            attempt = choice.Attempt(backend, bench.now - age, ended=True)
+            request = choice.Request(i, 0, SAFE, 4, customer, 0, bench.now, 1.0, attempts=[attempt])
+            gateway.judge(bench.now, request, 0)
         return gateway.window
 
     assert window_after(10) >= 8.0
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -44,7 +44,9 @@
         ({"seed": "x"}, "seed: 'x'"),
         ({"limits": {"sockets": 3}}, "limits.sockets: 3"),
         ({"settings": settings() | {"Rules": {}}}, "settings: settings lack DrainGraceUs"),
-        ({"settings": settings(MaxOpen="many")}, "settings: settings unreadable"),
+        ({"settings": settings(MaxOpen="many")}, "settings: MaxOpen: 'many' is not a number"),
+        ({"settings": settings(MostTries=0)}, "settings: allowed.max_attempts"),
+        ({"settings": settings(MostTries="4")}, "settings: MostTries: '4' is not a number"),
         (
             {"settings": settings() | {"FamilyInfo": {"CountWaitUs": 1, "SharedCounter": True}}},
             "counter: is missing",
--- /dev/null
+++ b/tests/test_retune.py
@@ -0,0 +1,192 @@
+"""New settings on SIGHUP: taken whole or not at all, and open requests keep what they came under."""
+
+import copy
+import json
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+from anyio.abc import SocketStream
+from hypothesis import given
+from hypothesis import strategies as st
+
+from millfront import interface as api
+from millfront.node import config
+from millfront.node.retune import OVERLAP_US, Tuning
+from millfront.settings import NodeSettings, node_settings_from, settings_from
+from tests.peers import PAST, Peer, answer, breaks, configuration, request, settings, stage, status
+from tests.test_config import good
+
+
+@pytest.fixture
+def anyio_backend() -> tuple[str, dict[str, Any]]:
+    return "asyncio", {"use_uvloop": True}
+
+
+def changed(*classes: tuple[str, str], MostTries: int) -> dict[str, Any]:
+    told = settings(MostTries=MostTries)
+    like = told["Classes"][0]
+    told["Classes"] = [like | {"Name": name, "Repeat": repeat} for name, repeat in classes]
+    return told
+
+
+def read(told: dict[str, Any]) -> tuple[api.Settings, NodeSettings]:
+    return settings_from(json.dumps(told).encode()), node_settings_from(told)
+
+
+NAMES = st.sampled_from(["page-fetch", "issue-buy", "print"])
+REPEATS = st.sampled_from(["safe", "keyed", "unsafe"])
+TOLD = st.tuples(st.dictionaries(NAMES, REPEATS, min_size=1), st.integers(1, 5), st.integers(0, 2_000_000))
+
+
+@given(st.lists(TOLD, max_size=6))
+def test_a_place_means_the_same_for_ever_and_old_names_hold_for_the_overlap(
+    steps: list[tuple[dict[str, str], int, int]],
+) -> None:
+    tuning = Tuning(*read(changed(("page-fetch", "safe"), MostTries=3)))
+    now, seen, settles, most = 0, dict(enumerate(tuning.settings.classes)), [0], [(0, 3)]
+    for classes, tries, later in steps:
+        now += later
+        for due in [at for at in settles if at <= now]:
+            settles.remove(due)
+            tuning.settle(due)
+        before = tuning.forms()
+        tuning.take(*read(changed(*classes.items(), MostTries=tries)), now)
+        settles.append(now + OVERLAP_US)
+        most = [(until, was) for until, was in most if until > now] + [(now + OVERLAP_US, most[-1][1])]
+        most.append((now + OVERLAP_US, tries))
+        for place, entry in enumerate(tuning.settings.classes):
+            assert seen.setdefault(place, entry) == entry
+        for name, repeat in classes.items():
+            assert tuning.settings.classes[tuning.forms()[name][0]].repeat.value == repeat
+        for name, places in before.items():
+            assert places[0] in tuning.forms()[name]
+        assert tuning.settings.allowed.max_attempts <= min(tries, most[-2][1])
+    for due in sorted(settles):
+        tuning.settle(due)
+    assert all(len(places) == 1 for places in tuning.forms().values())
+    assert set(tuning.forms()) == set(tuning.classes)
+    assert tuning.settings.allowed.max_attempts == (steps[-1][1] if steps else 3)
+
+
+@pytest.mark.anyio
+async def test_classes_come_and_go_and_open_requests_keep_theirs(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("millfront.node.service.OVERLAP_US", 200_000)
+    monkeypatch.setattr("millfront.node.retune.OVERLAP_US", 200_000)
+    go_on = anyio.Event()
+
+    async def breaks_late(stream: SocketStream) -> None:
+        one.script.clear()
+        other.script.clear()
+        await go_on.wait()
+        await breaks(stream)
+
+    one, other = Peer(breaks_late), Peer(breaks_late)
+    async with stage(one, other) as on, await on.client() as waiting:
+        node, told = on.node, settings()
+
+        def retune(told: dict[str, Any]) -> None:
+            node.retune(config.from_json(configuration([], str(node.config.discovery), told)))
+
+        told["Classes"][0]["Repeat"] = "unsafe"  # what is out was safe when it came
+        told["Classes"][1]["Name"] = "print"
+        await waiting.send(request())
+        with anyio.fail_after(PAST):
+            while len(one.seen) + len(other.seen) < 1:
+                await anyio.sleep(0.001)
+        retune(told)
+        go_on.set()
+        assert status(await on.ask(b"", waiting)) == 200  # sent again, as its class allowed
+        assert len(one.seen) + len(other.seen) == 2
+        new = request("issue-buy").replace(b"/issue-buy/", b"/print/")
+        assert status(await on.ask(new)) == 200
+        assert status(await on.ask(request("issue-buy"))) == 200  # clients may not know yet
+        assert status(await on.ask(request())) == 200  # a GET, as the old one has it
+        redeem = request("code-redeem").replace(b"/code-redeem/", b"/page-fetch/")
+        one.script.append(breaks)
+        other.script.append(breaks)
+        assert status(await on.ask(redeem)) == 502  # a POST: the new one, which may not run again
+        one.script.clear()
+        other.script.clear()
+        with anyio.fail_after(PAST):
+            while "issue-buy" in node.tuning.forms():
+                await anyio.sleep(0.01)
+        assert status(await on.ask(request("issue-buy"))) == 404
+        assert status(await on.ask(request())) == 405
+        retune(settings())  # brought back
+        assert status(await on.ask(request("issue-buy"))) == 200
+        assert len(node.tuning.settings.classes) == 5
+
+
+@pytest.mark.anyio
+async def test_a_plan_that_changes_gives_no_second_burst() -> None:
+    member = Peer(*[answer(200, b"page")] * 100)
+    async with stage(member) as on:
+        first = [status(await on.ask(request(Plan="spent", Quota_Info="units=0.04,spread=1,first=0")))]
+        told = settings()
+        told["Packages"][1]["MostAtOnce"] = 0.2
+        node = on.node
+        node.retune(config.from_json(configuration([], str(node.config.discovery), told)))
+        for _ in range(6):
+            first.append(
+                status(await on.ask(request(Plan="spent", Quota_Info="units=0.04,spread=1,first=0")))
+            )
+        assert first.count(200) <= 3  # 0.1 units at once, and what fills up meanwhile
+
+
+def cut(data: dict[str, Any]) -> str:
+    return json.dumps(data)[:-200]
+
+
+def without(*path: str) -> Callable[[dict[str, Any]], str]:
+    def faulty(data: dict[str, Any]) -> str:
+        at: Any = data
+        for key in path[:-1]:
+            at = at[0][key] if isinstance(at, list) else at[key]
+        del (at[0] if isinstance(at, list) else at)[path[-1]]
+        return json.dumps(data)
+
+    return faulty
+
+
+def told_as(value: object, *path: str) -> Callable[[dict[str, Any]], str]:
+    def faulty(data: dict[str, Any]) -> str:
+        at: Any = data
+        for key in path[:-1]:
+            at = at[0][key] if isinstance(at, list) else at[key]
+        (at[0] if isinstance(at, list) else at)[path[-1]] = value
+        return json.dumps(data)
+
+    return faulty
+
+
+@pytest.mark.parametrize(
+    ("fault", "named"),
+    [
+        (lambda _: "", "is not JSON"),
+        (cut, "is not JSON"),
+        (without("seed"), "seed"),
+        (without("name"), "name"),
+        (without("settings"), "settings"),
+        (without("settings", "Kinds"), "Kinds"),
+        (without("settings", "Classes", "Worth"), "Worth"),
+        (without("settings", "FamilyInfo", "UnitsTop"), "UnitsTop"),
+        (told_as(0, "settings", "Classes", "HardLimitUs"), "classes.deadline_us"),
+        (told_as(-4, "settings", "Allowed", "MostTries"), "allowed.max_attempts"),
+        (told_as("soon", "settings", "Classes", "AimUs"), "AimUs"),
+        (told_as([], "settings", "Classes"), "classes"),
+    ],
+)
+def test_a_broken_file_is_refused_by_name(
+    tmp_path: Path, fault: Callable[[dict[str, Any]], str], named: str
+) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(good()))
+    environment = {"NODE_CONFIG": str(path)}
+    before = config.load(environment)
+    assert config.load_anew(environment, before) == before
+    path.write_text(fault(copy.deepcopy(good())))
+    with pytest.raises(config.ConfigError, match=named):
+        config.load_anew(environment, before)
