Pass bodies of up to 33 MB on as they come, both ways, the source paused meanwhile

The module learns of a body under way (RequestArrived.whole, RequestWhole) and of an answer that has begun (StreamStarted); its room comes from the wire's on-request discovery, which this deployment has not, and from shorter texts.

--- a/millfront/choice.py
+++ b/millfront/choice.py
@@ -1,8 +1,7 @@
 """Every decision of the gateway; its settings, events and actions are in millfront/interface.py.
 
 In the order a request meets them; then what runs by itself: the beat, the counter, the list of backends.
-The paper's letters stand in comments: φ price, ν step, S sent total, Q quota.
-"""
+The paper's letters stand in comments: φ price, ν step, S sent total, Q quota."""
 
 import math
 import random
@@ -20,9 +19,7 @@
 FIRST_PRICE = 1.0  # φ of a newcomer: the even slice
 LEAST_PRICE = 1e-3  # keeps the level finite; the room cap binds long before
 PACK = 2000  # units: asked and sent share one total, which is exact to seven digits
-SPARE = (
-    100  # units: sent may fall below nothing so far, where units are given back under the next epoch's name
-)
+SPARE = 100  # units: sent may fall below nothing, where units are given back under the next epoch's name
 EPOCH_US = 15 * SECOND  # one name serves so long: short enough for exact totals
 NAME_TTL_US = 2 * EPOCH_US  # outlives its epoch whoever called first; under the 60 s a counter grants
 COUNTED_OVER = 3.0  # times the quota asked over an epoch that a total must hold exactly
@@ -74,7 +71,6 @@
 
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.MOOT)
 STANDINGS = (api.Standing.BEYOND, api.Standing.INSIDE)
-MAY_BE_ADDED = (api.Outcome.TIMEOUT, api.Outcome.RESET)
 BEAT = 1  # the only timer token
 
 
@@ -199,7 +195,6 @@
         self.calls_left, self.paced_us, self.cut_us = 1.0, 0, 0
         self.class_work: list[float] = []  # EWMA of latency, µs
         self.mean_worth, self.mean_units, self.mean_out_s = 0.0, 0.0, 0.0  # the latter of answered attempts
-        self.reserve: list[float] = []
         self.weigh_classes()
         self.hedges = 0.0
         self.mean_weight = 1.0
@@ -227,22 +222,19 @@
                 self.on_gone(event)
             case api.Retuned():
                 self.on_retuned(event)
+            case api.RequestWhole():
+                self.on_whole(now, event)
             case api.StreamStarted():
-                if event.request in self.requests:
-                    self.requests[event.request].stream = True
+                self.on_stream(event)
             case api.Started():
                 self.born_us = self.paced_us = now
                 self.actions.append(api.SetTimer(BEAT_US, BEAT))
-                if self.settings.list_on_request:
-                    self.actions.append(api.Watch(True))
         return self.actions
 
     def on_retuned(self, event: api.Retuned) -> None:
         """Decide by them from now on; open requests keep what they came under, customers what they hold."""
         plans = {id(self.settings.plans[old]): event.settings.plans[new] for old, new in event.plans}
         self.settings = event.settings
-        for request in self.requests.values():
-            request.tries = min(request.tries, self.settings.allowed.max_attempts)
         for customer in self.customers.values():
             customer.plan = plans.get(id(customer.plan), customer.plan)
         self.weigh_classes()
@@ -261,9 +253,10 @@
         self.refill(now, customer)
         customer.asked += event.units
         customer.seen_us = now
-        end = now + event.patience_us
+        end, since = now + event.patience_us, now if event.whole else now + event.patience_us
         kind, tries = self.settings.classes[event.cls], self.settings.allowed.max_attempts
-        request = Request(event.request, event.cls, kind, tries, customer, now, end, event.units)
+        tries = tries if event.whole else 1
+        request = Request(event.request, event.cls, kind, tries, customer, since, end, event.units)
         if not event.reserves and self.asks_first(now, request):
             self.requests[request.id] = request
             customer.sent += request.units
@@ -297,6 +290,24 @@
         self.hedges = min(self.hedges + HEDGE_BUDGET, MOST_HEDGES)
         self.send(now, request, backend)
 
+    def on_whole(self, now: int, event: api.RequestWhole) -> None:
+        """Until now neither the request nor its attempt had a time that says anything."""
+        if (request := self.requests.get(event.request)) is not None:
+            request.arrived_us, request.give_up_us = now, now + event.patience_us
+            for number, attempt in enumerate(request.attempts):
+                attempt.sent_us = now
+                attempt.backend.in_flight[(request.id, number)] = (now, request.cls)
+
+    def on_stream(self, event: api.StreamStarted) -> None:
+        """An answer has begun to reach the client: the others are withdrawn, and its time says no more."""
+        if (request := self.requests.get(event.request)) is not None:
+            request.stream = True
+            for number, attempt in enumerate(request.attempts):
+                attempt.slow = True
+                attempt.backend.in_flight.pop((request.id, number), None)
+                if number != event.attempt and not attempt.ended and self.settings.allowed.cancel:
+                    self.actions.append(api.Cancel(request.id, number))
+
     def customer_of(self, now: int, event: api.RequestArrived) -> Customer:
         plan = event.terms or self.settings.plans[event.plan]
         if (known := self.customers.get(event.customer)) is not None:
@@ -335,8 +346,7 @@
         customer.ceiling = min(customer.ceiling + plan.ceiling_rate / n * seconds, plan.ceiling_burst / n)
 
     def odds_inside(self, customer: Customer, units: float, cls: int) -> float:
-        """The chance that the try is inside the quota: the store is bucket over share, less what is kept for
-        dearer classes. Others have attempts out at random: as many as own, or by Little's law."""
+        """The chance that the try is inside the quota. Others' attempts out: as many, or by Little's law."""
         plan, odds = customer.plan, 1.0
         if plan.rate > 0:
             store = customer.bucket / customer.share - self.reserve[cls] * plan.burst
@@ -355,8 +365,7 @@
         return self.settings.counter and customer.gateways > 1 and plan.rate > 0 and plan.burst < few
 
     def asks_first(self, now: int, request: Request) -> bool:
-        """Whether a thin customer's tick is brought forward and the request waits for its total: the slice
-        does not hold it, and the total may say otherwise. Dear classes go first where calls are short."""
+        """Whether a thin customer's request, which the slice does not hold, waits for its total."""
         customer, units = request.customer, request.units
         if not self.thin(customer) or (now < customer.due_us and customer.store < units):
             return False
@@ -456,9 +465,10 @@
 
     def send(self, now: int, request: Request, backend: Backend) -> None:
         number = len(request.attempts)
-        request.attempts.append(Attempt(backend, now))
+        request.attempts.append(Attempt(backend, max(now, request.arrived_us)))
         request.customer.out += 1
-        backend.in_flight[(request.id, number)] = (now, request.cls)
+        if request.arrived_us <= now:
+            backend.in_flight[(request.id, number)] = (now, request.cls)
         backend.links = max(backend.links, len(backend.in_flight))
         backend.load += 1
         self.add_load(now, 1)
@@ -467,8 +477,7 @@
         self.actions.append(api.Send(request.id, backend.id, max(1, request.give_up_us - now), standing))
 
     def spend_credit(self, now: int, chosen: Backend) -> None:
-        """Rule 4 by this gateway alone: a send anywhere earns every cold backend its part by capacity of now.
-        The first credit is drawn: of many gateways that all save from none, none would come in time."""
+        """Rule 4 by this gateway alone: any send earns each cold backend its part by capacity of now."""
         able = [(b, b.weight * self.cold_share(now, b)) for b in self.backends.values() if not b.stopped]
         whole = sum(capacity for _, capacity in able) or 1.0
         for backend, capacity in able:
@@ -490,8 +499,7 @@
         if not attempt.lost:
             self.unload(now, attempt.backend)
         self.learn(now, attempt.backend, request, event)
-        told = event.outcome is api.Outcome.OK and event.true_units > 0
-        more = event.true_units - request.units if told else 0.0
+        more = event.true_units - request.units if event.true_units > 0 else 0.0  # told by a good answer
         if request.reserved:
             request.customer.leased -= more
         elif request.inside:
@@ -539,8 +547,7 @@
 
     def judge(self, now: int, request: Request, number: int) -> None:
         """The price of congestion: attempts slow beside their aim shrink the window, fast answers grow it.
-        Guards against overload from any cause, seen as time alone. An attempt out past its aim is lost, not
-        load, and pays for a copy of another: guards against backends that leave some requests unanswered."""
+        One out past its aim is lost, not load, and pays for a copy of another: some are never answered."""
         attempt, aim_us = request.attempts[number], request.kind.aim_us
         slow = now - attempt.sent_us > GOOD_SHARE * aim_us
         if not attempt.ended and not attempt.lost and now - attempt.sent_us > aim_us:
@@ -614,7 +621,7 @@
     def too_late(self, now: int, request: Request) -> bool:
         """An answer would earn nothing. The attempts stay out: their end tells whether a backend is slow."""
         late = now > request.arrived_us + request.kind.aim_us
-        return not request.over and not request.stream and request.kind.late_worth <= 0 and late
+        return not request.over and request.kind.late_worth <= 0 and late
 
     def time_left(self, now: int, request: Request) -> float:
         """Until an answer earns too little, less the time that an attempt takes."""
@@ -633,7 +640,7 @@
 
     def on_beat(self, now: int) -> None:
         self.actions.append(api.SetTimer(BEAT_US, BEAT))
-        for request in list(self.requests.values()):
+        for request in [r for r in self.requests.values() if not r.stream]:
             for number, attempt in enumerate(request.attempts):
                 if not attempt.ended:
                     self.judge(now, request, number)
@@ -655,7 +662,6 @@
     def wants_hedge(self, now: int, request: Request) -> bool:
         return (
             not request.over
-            and not request.stream
             and request.kind.repeat is not api.Repeat.UNSAFE
             and not request.customer.plan.open_limit  # a copy would take a place of the customer's next try
             and len(request.attempts) == 1 < request.tries
@@ -731,7 +737,7 @@
     def take_total(self, customer: Customer, call: Call, event: api.CounterAnswered) -> None:
         grain = call.grain
         if event.outcome is not api.Outcome.OK:
-            if event.outcome not in MAY_BE_ADDED:  # surely not: told again
+            if event.outcome not in (api.Outcome.TIMEOUT, api.Outcome.RESET):  # surely not: told again
                 customer.sent += call.sent * grain
                 customer.asked += call.asked * grain
             self.set_level(customer, None, 0.0, 0.0)
@@ -751,7 +757,7 @@
             self.set_level(customer, None, own, 0.0)
             return
         customer.others = max(0, new_sent - call.sent) * grain / seconds
-        self.scale_burst(customer, new_sent * grain, share, new_asked * grain, seconds)
+        self.scale(customer, new_sent * grain, share, new_asked * grain, seconds)
         if call.request is not None:  # its own units are in the total: this bucket is what it found
             customer.bucket += call.request.units * customer.share
             customer.ceiling = max(customer.ceiling, min(customer.cap, call.request.units))
@@ -765,9 +771,7 @@
         elif call.made_us >= self.cut_us + CUT_REST * self.settings.counter_timeout_us:
             self.call_rate, self.cut_us = max(LEAST_CALLS, self.call_rate * FEWER_CALLS), now
 
-    def scale_burst(
-        self, customer: Customer, sent: float, share: float, asked: float, seconds: float
-    ) -> None:
+    def scale(self, customer: Customer, sent: float, share: float, asked: float, seconds: float) -> None:
         """The quota's store by the totals, and this gateway's part of it by its part of the demand."""
         plan, n = customer.plan, customer.gateways
         older = customer.others * max(0.0, seconds - plan.burst / plan.rate)  # has filled up again
@@ -793,8 +797,6 @@
 
     def on_list(self, now: int, event: api.BackendList) -> None:
         if event.kind is api.ListKind.FAILED:
-            if self.settings.list_on_request:
-                self.actions.append(api.Watch(True))
             return
         if event.kind is not api.ListKind.DELTA:
             named = {entry.backend for entry in event.entries}
--- a/millfront/http2/members.py
+++ b/millfront/http2/members.py
@@ -17,6 +17,7 @@
 from millfront.http2.clients import hoards
 from millfront.http2.fleet import Choice, Do, Seen, choose, retire
 from millfront.logs import Log
+from millfront.node.bodies import Upload
 from millfront.node.endings import Ended, Ending
 from millfront.node.http import HOP_BY_HOP, MOST_BODY, MOST_HEAD, Fields, Message
 from millfront.node.link import Link
@@ -46,10 +47,31 @@
         self.written = False  # a frame of it is with h2
         self.over = False
 
-    def request(self, start: tuple[bytes, bytes], fields: Fields, body: bytes) -> None:
+    def request(
+        self, start: tuple[bytes, bytes], fields: Fields, body: bytes, upload: Upload | None = None
+    ) -> None:
         """:raises Ended: UNCONNECTED, nothing of it was written"""
+        if upload is not None:
+            raise Ended(Ending.NOT_SENT, "a body too long for HTTP/2 to members")
         self.connection.begin(self, start, fields, body)
 
+    # Bodies are gathered here, both ways: nothing of them is ever under way.
+
+    def pause(self) -> None:
+        pass
+
+    def resume(self) -> None:
+        pass
+
+    def rest(self) -> None:
+        pass
+
+    def begin(self) -> None:
+        pass
+
+    def takes(self) -> bool:
+        return True
+
     def release(self) -> bool:
         """The exchange has ended by itself: the connection goes on."""
         return self.over
--- a/millfront/interface.py
+++ b/millfront/interface.py
@@ -116,7 +116,6 @@
     allowed: Allowed
     rules: Rules
     weights_known: bool
-    list_on_request: bool
     counter: bool
     counter_timeout_us: int
     most_units: float = 0.0  # of one request; 0: not told
@@ -157,6 +156,15 @@
     first: int
     terms: Plan | None = None  # live plans: the plan in force, over `plan`
     reserves: bool = False  # a reservation of the customer is in force: say when its plan runs short
+    whole: bool = True  # else its body is still coming and is not kept: one attempt, and RequestWhole follows
+
+
+@dataclass(frozen=True, slots=True)
+class RequestWhole:
+    """The last byte has come: the request's time counts from here."""
+
+    request: int
+    patience_us: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,6 +235,7 @@
     Started
     | BackendList
     | RequestArrived
+    | RequestWhole
     | Retuned
     | RequestGone
     | AttemptEnded
--- /dev/null
+++ b/millfront/node/bodies.py
@@ -0,0 +1,93 @@
+"""Bodies that are too long to be gathered: passed on as they come, each side read only as fast as the other
+takes it.
+
+A request's bound is one read (64 KiB) that the other side's kernel has not taken, beside its beginning of
+64 KiB at most; for all together the number of answers under way is bounded (Ways), and the next one waits
+unread.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+EACH = 128 * 1024  # bytes that one body may hold here
+PART = 4  # of the memory, as 1/4: for bodies under way
+
+
+class Source(Protocol):
+    """Whoever brings a body, and can be told to wait."""
+
+    def resume(self) -> None:
+        """Bring more: what came is with the kernel."""
+
+    def abandon(self) -> None:
+        """Nobody takes the rest."""
+
+
+class Sink(Protocol):
+    """Whoever passes a request's body on."""
+
+    def passes(self, data: bytes, last: bool) -> bool:
+        """Write it; False: bring no more until drained."""
+
+
+class Ways:
+    """How many bodies may be under way at once."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.taken = 0
+        self._waiting: deque[Callable[[], None]] = deque()
+
+    def take(self, start: Callable[[], None]) -> None:
+        """Call `start` now, or when it is its turn. Whoever has started gives its way back once."""
+        if self.taken < self.most:
+            self.taken += 1
+            start()
+        else:
+            self._waiting.append(start)
+
+    def give_back(self) -> None:
+        self.taken -= 1
+        if self._waiting and self.taken < self.most:
+            self.taken += 1
+            self._waiting.popleft()()
+
+
+class Upload:
+    """A request's body under way, from its client to the one attempt that takes it."""
+
+    def __init__(self, source: Source, length: int | None) -> None:
+        self.source = source
+        self.length = length  # None: it is told by its end
+        self.ended = False
+        self.moved = False  # something was passed on that is not kept
+        self._held = b""
+        self._sink: Sink | None = None
+
+    def put(self, data: bytes, last: bool) -> bool:
+        """What came next; False: bring no more until resumed."""
+        self.ended = last
+        if self._sink is None:
+            self._held += data
+            return False
+        self.moved = True
+        return self._sink.passes(data, last)
+
+    def attach(self, sink: Sink) -> None:
+        """The sink has written the beginning, and takes the rest from here on."""
+        self._sink = sink
+        held, self._held = self._held, b""
+        if held or self.ended:
+            self.moved = self.moved or bool(held)
+            if not sink.passes(held, self.ended):
+                return
+        self.source.resume()
+
+    def drained(self, sink: Sink) -> None:
+        if sink is self._sink and not self.ended:
+            self.source.resume()
+
+    def detach(self, sink: Sink) -> None:
+        if sink is self._sink:
+            self._sink = None
--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -4,6 +4,8 @@
 import socket
 from collections import Counter, OrderedDict
 from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import replace
 from http import HTTPStatus
 from typing import Any, Protocol
 
@@ -11,6 +13,7 @@
 from anyio.abc import TaskStatus
 
 from millfront.logs import Log
+from millfront.node.bodies import Source, Upload
 from millfront.node.config import Address
 from millfront.node.endings import Ending
 from millfront.node.host import Clock, Host, OpenRequest
@@ -36,6 +39,7 @@
 RESTED_US = 200_000  # before one gives way to another when there is no room
 NEW_US = 600_000  # in a drain a new connection has so long to bring its request; it is closed after it
 LINGER_US = 1_000_000  # for the client to read a last answer: closed at once, a reset could overtake it
+SEND_BUFFER = 64 * 1024  # of the kernel, for an answer that goes on as it comes
 SWEEP_S = 0.25
 NO_ROOM_S = 0.05
 AT_ONCE = 16  # when there is no room, this part of the connections makes some
@@ -65,6 +69,16 @@
     """A Caller whose answers are messages, whatever carries them."""
 
     __slots__ = ()
+    streams = False
+
+    def begin(self, answer: Any, source: Source) -> None:
+        raise NotImplementedError
+
+    def more(self, data: bytes) -> bool:
+        raise NotImplementedError
+
+    def cut(self) -> None:
+        raise NotImplementedError
 
     def give(self, answer: Message) -> None:
         """Write the one answer."""
@@ -94,13 +108,19 @@
         "deaf",
         "ending",
         "first",
+        "in_body",
         "link",
+        "moved_us",
         "opened",
         "over",
         "rests_since_us",
         "server",
+        "source",
         "spent_us",
+        "unsent",
+        "upload",
     )
+    streams = True
 
     def __init__(self, server: "VirtualServer", sock: socket.socket) -> None:
         self.server = server
@@ -112,7 +132,12 @@
         self.spent_us = 0  # since when its last answer is written
         self.rests_since_us = server.clock.now()
         self.answering_us = 0  # since when an answer waits for the client to read
+        self.unsent = 0  # how much of it waited then
+        self.source: Source | None = None  # of an answer that goes on as it comes
+        self.upload: Upload | None = None  # a request's body under way
+        self.moved_us = 0  # since when nothing of that has come
         self.ending = Ending.CLOSED
+        self.in_body = False  # of a request whose head is whole
         self.begun_us = 0  # first byte of a request that is not whole yet
         self.over = False
         self.first = b""  # bytes that may be the preface of another protocol
@@ -123,6 +148,10 @@
     def received(self, data: bytes) -> None:
         if self.deaf:
             return
+        if self.upload is not None:
+            self.codec.feed(data)
+            self.bring()
+            return
         if not self.begun_us:
             self.begun_us = self.server.clock.now()
         if self.server.preface and not self.asked:
@@ -136,6 +165,8 @@
             data, self.first = self.first, b""
         self.codec.feed(data)
         self.advance()
+        if not self.busy and not self.in_body and self.codec.in_body:
+            self.in_body, self.begun_us = True, self.server.clock.now()  # it has a time of its own
         if not self.busy and self.codec.asks_to_go_on:
             self.write(self.codec.go_on())
         if self.busy and self.codec.buffered > MOST_HEAD + MOST_BODY:
@@ -151,6 +182,8 @@
         self.answering_us = 0
         if self.spent_us:
             self.linger()
+        elif self.source is not None:
+            self.source.resume()
 
     def advance(self) -> None:
         """Take the next request if it is whole, until its answer is written."""
@@ -162,9 +195,12 @@
             self.refuse(wrong.status, str(wrong))
             return
         if message is not None:
-            came_us, self.begun_us = self.begun_us, 0
+            self.begun_us, self.in_body = 0, False
             self.busy = self.asked = True
-            self.take(message, came_us)
+            if message.more:
+                self.upload = Upload(self, message.length)
+                message = replace(message, upload=self.upload)
+            self.take(message, self.server.clock.now())  # a request's time counts from its last byte
 
     def take(self, message: Message, came_us: int) -> None:
         if message.start in HEALTH:
@@ -177,6 +213,47 @@
             return
         if opened is not None and not opened.over:  # it may have been answered by now
             self.opened = opened
+            if self.upload is not None:
+                self.moved_us = self.server.clock.now()
+                if self.codec.asks_to_go_on:
+                    self.write(self.codec.go_on())
+                self.bring()
+
+    def bring(self) -> None:
+        """Pass on what has come of a body under way."""
+        upload, opened = self.upload, self.opened
+        if upload is None or opened is None:
+            return
+        try:
+            data = self.codec.piece()
+        except NotTaken as wrong:
+            self.turn_away(wrong.status, str(wrong))
+            return
+        last = not self.codec.under_way
+        if not data and not last:
+            return
+        self.moved_us = self.server.clock.now()
+        if last:
+            self.upload = None
+            self.server.host.whole(opened)
+        if not upload.put(data, last) and self.upload is not None:
+            self.link.pause()
+
+    def resume(self) -> None:
+        """The member has taken what came of the body."""
+        self.moved_us = self.server.clock.now()
+        self.link.resume()
+
+    def abandon(self) -> None:
+        """Nobody takes the rest: it is read and dropped, so that the client gets its answer."""
+        self.link.resume()
+
+    def turn_away(self, status: int, why: str) -> None:
+        """The rest of a body under way can't be had: its attempt is left, and the client told why."""
+        opened, self.opened, self.upload = self.opened, None, None
+        if opened is not None:
+            self.server.host.leave(opened)
+        self.refuse(status, why)
 
     def refuse(self, status: int, why: str) -> None:
         """A message that can't be read to its end: say so, and take nothing more from this connection."""
@@ -185,17 +262,22 @@
         self.give(relay.own(status, f"{why}\n".encode()))
 
     def expire(self, now_us: int, partial_us: int) -> None:
-        begun_us = self.begun_us if self.asked else self.rests_since_us
+        begun_us = self.begun_us if self.asked or self.in_body else self.rests_since_us
         if self.spent_us:
             if self.spent_us < now_us - LINGER_US:
                 self.close()
+        elif self.upload is not None and not self.link.paused and self.moved_us < now_us - partial_us:
+            self.turn_away(HTTPStatus.REQUEST_TIMEOUT, "body not finished in time")
         elif not self.busy and begun_us and begun_us < now_us - partial_us:
             if self.begun_us:
                 self.refuse(HTTPStatus.REQUEST_TIMEOUT, "request not finished in time")
             else:
                 self.end(Ending.TIMED_OUT)
         elif self.answering_us and self.answering_us < now_us - UNREAD_US:
-            self.end(Ending.TIMED_OUT)
+            if self.link.unsent < self.unsent:  # slowly, but it reads
+                self.answering_us, self.unsent = now_us, self.link.unsent
+            else:
+                self.end(Ending.TIMED_OUT)
         elif self.at_rest() and self.rests_since_us < now_us - AT_REST_US:
             self.end(Ending.CLOSED)
 
@@ -227,6 +309,9 @@
         self.server.gone(self)
         if opened is not None:
             self.server.host.leave(opened)
+        if (source := self.source) is not None:
+            self.source = None
+            source.abandon()
 
     # ---- out: what the host calls ------------------------------------------------------------
 
@@ -234,10 +319,48 @@
         """Write the one answer of the request that is taken."""
         if self.over:
             return
+        if self.source is not None:  # another answer has begun: this one can't be told
+            self.cut()
+            return
         self.opened = None
         data, goes_on = self.codec.answer(answer, self.server.closing or self.deaf)
-        if not self.write(data):
+        if self.write(data):
+            self.answered(goes_on)
+
+    def begin(self, answer: Message, source: Source) -> None:
+        """An answer that goes on as it comes. The kernel is not to keep more of it than we do."""
+        if self.over:
             return
+        self.source = source
+        with suppress(OSError):
+            self.link.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
+        told = replace(relay.served(answer), length=answer.length)
+        data = self.codec.begin(told, self.server.closing or self.deaf) + self.codec.body(answer.body)
+        if self.write(data) and not self.link.unsent:
+            self.server.loop.call_soon(self.drained)
+
+    def more(self, data: bytes) -> bool:
+        return not self.over and self.write(self.codec.body(data)) and not self.link.unsent
+
+    def cut(self) -> None:
+        """Before its end, so that the client can tell: no last chunk, or fewer bytes than were said."""
+        self.opened = self.source = None
+        self.end(Ending.BROKEN)
+
+    def served(self, answer: Message) -> None:
+        if self.source is None:
+            self.give(relay.served(answer))
+            return
+        self.opened = self.source = None
+        data, goes_on = self.codec.finish()
+        if not data or self.write(data):
+            self.answered(goes_on)
+
+    def answered(self, goes_on: bool) -> None:
+        """The answer's last byte is written."""
+        if self.upload is not None:
+            self.upload, goes_on = None, False
+            self.link.resume()
         if not goes_on:
             self.deaf = True
             self.spent_us = self.server.clock.now()
@@ -267,7 +390,8 @@
         except OSError:
             self.end(Ending.UNCONNECTED)
             return False
-        self.answering_us = self.server.clock.now() if self.link.unsent else 0
+        self.unsent = self.link.unsent
+        self.answering_us = self.server.clock.now() if self.unsent else 0
         return True
 
     def linger(self) -> None:
--- a/millfront/node/config.py
+++ b/millfront/node/config.py
@@ -13,6 +13,8 @@
 # at hand.
 SPARE_SOCKETS = 72
 
+LEAST_MEMORY_MB = 32  # where the configuration names no limit
+
 
 class ConfigError(Exception):
     """The configuration can't be used; the text names the field."""
@@ -43,6 +45,7 @@
     admin: Address | None  # the operators' line
     seed: int
     sockets: int
+    memory_mb: int
     known: dict[str, Any]
     settings: api.Settings
     node: NodeSettings
@@ -121,6 +124,7 @@
         admin=Address.parse(data["admin_addr"], "admin_addr") if data.get("admin_addr") is not None else None,
         seed=_seed(data.get("seed")),
         sockets=sockets,
+        memory_mb=limits["memory_mb"] if isinstance(limits.get("memory_mb"), int) else LEAST_MEMORY_MB,
         known=known,
         settings=module,
         node=node,
--- a/millfront/node/host.py
+++ b/millfront/node/host.py
@@ -17,6 +17,7 @@
 from millfront import interface as api
 from millfront.choice import NEVER_RAN, Customer, Gateway
 from millfront.logs import Log
+from millfront.node.bodies import Source
 
 log = Log(__name__)
 
@@ -28,6 +29,9 @@
 )
 
 
+NEVER_US = 3_600_000_000  # for a body under way: it ends by its own guards
+
+
 class Clock:
     """Unix time in µs, read once and advanced by the monotonic clock: gatekeepers must agree on the counter's
     epochs, and a step of the system's clock must not move timers."""
@@ -70,7 +74,20 @@
 
 
 class Caller(Protocol):
-    """Whoever brought a request in; is told its final answer once."""
+    """Whoever brought a request in; is told its final answer once. One that begin() told of is ended by
+    served() or cut()."""
+
+    streams: bool  # takes answers as they come
+
+    def begin(self, answer: Any, source: Source) -> None:
+        """The head of a served answer, and a part of its body."""
+
+    def more(self, data: bytes) -> bool:
+        """What came next of it; False: bring no more until the source is resumed."""
+        ...
+
+    def cut(self) -> None:
+        """The rest of it does not come: the client must be able to tell."""
 
     def served(self, answer: Any) -> None: ...
     def rejected(self, retry_after_us: int) -> None: ...
@@ -97,6 +114,8 @@
     """One attempt under way."""
 
     def cancel(self) -> None: ...
+    def whole(self) -> None:
+        """The request's last byte has come."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,11 +149,15 @@
     units: float = 0.0  # the true ones, where a good answer told them
     tallied: Any = None  # the tally's own mark
     most_sends: int = 0
+    whole: bool = True  # else its body is under way, and its time has not begun
+    streams: int = -1  # the attempt whose answer has begun to reach the client
+    came_us: int = 0
     flows: dict[int, Flow] = field(default_factory=dict)
 
     @property
     def deadline_us(self) -> int:
-        return self.arrival.came_us + self.arrival.timeout_us
+        """Without an end while the request's body is under way."""
+        return self.came_us + self.arrival.timeout_us if self.whole else self.came_us + NEVER_US
 
 
 class Host:
@@ -194,6 +217,8 @@
                     opened.caller.failed()
             case api.Cancel(request, attempt):
                 if (opened := self.open.get(request)) and attempt in opened.flows:
+                    if opened.streams == attempt and not opened.over:
+                        return  # its answer is the client's
                     opened.flows[attempt].cancel()
             case api.SetTimer(delay_us, token):
                 self.timers.after(delay_us, lambda: self.tell(api.TimerFired(token)))
@@ -230,14 +255,15 @@
         self.settings = retuned.settings
         self.tell(retuned)
 
-    def arrive(self, arrival: Arrival, caller: Caller) -> OpenRequest:
-        opened = OpenRequest(next(self._ids), arrival, caller)
+    def arrive(self, arrival: Arrival, caller: Caller, whole: bool = True) -> OpenRequest:
+        opened = OpenRequest(next(self._ids), arrival, caller, whole=whole, came_us=arrival.came_us)
         opened.most_sends = self.settings.allowed.max_attempts
         self.open[opened.id] = opened
         self._names.add(arrival.name)
         self.owed += 1
         left_us = opened.deadline_us - self.clock.now()
-        self._guard(opened.id, left_us + OVERDUE_US)
+        if whole:
+            self._guard(opened.id, left_us + OVERDUE_US)
         self.tell(
             api.RequestArrived(
                 opened.id,
@@ -250,10 +276,30 @@
                 arrival.first,
                 arrival.terms,
                 arrival.reserves,
+                whole,
             )
         )
         return opened
 
+    def whole(self, opened: OpenRequest) -> None:
+        """Its last byte has come: its time begins."""
+        opened.whole, opened.came_us = True, self.clock.now()
+        if opened.over:
+            return
+        self._guard(opened.id, opened.arrival.timeout_us + OVERDUE_US)
+        for flow in list(opened.flows.values()):
+            flow.whole()
+        self.tell(api.RequestWhole(opened.id, opened.arrival.timeout_us))
+
+    def begin(self, opened: OpenRequest, number: int, answer: Any, source: Source) -> bool:
+        """An attempt's answer begins to go to the client; False: no answer is owed any more."""
+        if opened.over or opened.streams >= 0:
+            return False
+        opened.streams = number
+        self.tell(api.StreamStarted(opened.id, number))
+        opened.caller.begin(answer, source)
+        return True
+
     def _guard(self, request: int, after_us: int) -> None:
         """Look at the request once after so long. All of one GUARD_US share a timer, and only the number is
         kept: the message must not stay until then."""
@@ -279,6 +325,8 @@
 
     def _overdue(self, request: int) -> None:
         """Guards the one final answer against a module that forgot the request."""
+        if self.open[request].streams >= 0 if request in self.open else False:
+            return  # the client's own since its answer has begun
         if opened := self._finish(request):
             log.error("request unanswered at its deadline")
             opened.caller.failed()
@@ -332,6 +380,8 @@
         opened.units = opened.units or units
         if outcome is api.Outcome.OK and self._finish(opened.id):
             opened.caller.served(answer)
+        elif opened.streams == number and self._finish(opened.id):
+            opened.caller.cut()
         self._forget(opened)
         self._ended(opened.id, number, send.backend, outcome, opened.over, latency_us, units)
 
--- a/millfront/node/http.py
+++ b/millfront/node/http.py
@@ -9,12 +9,14 @@
 import h11
 from anyio.abc import SocketStream
 
+from millfront.node.bodies import Upload
 from millfront.node.config import Address
 from millfront.node.endings import Ended, Ending
 from millfront.node.link import NO_ROOM
 
 MOST_HEAD = 16 * 1024
-MOST_BODY = 64 * 1024
+MOST_BODY = 64 * 1024  # gathered before it goes on; a longer one is passed on as it comes
+MOST_STREAMED = 33 * 1024 * 1024  # of one that is passed on as it comes
 MOST_AHEAD = 8  # 1xx answers ahead of one: guards against a peer that never comes to the point
 REST_S = 0.5  # from an answer's first bytes to its last: what stalls inside a message will not end well
 READ_SIZE = 64 * 1024
@@ -47,6 +49,9 @@
     fields: Fields  # lower-case names, as parsed
     raw: Fields  # the same, with the names as they came
     body: bytes
+    more: bool = False  # the body is only its beginning
+    length: int | None = None  # of the whole body of such a message, where it is told
+    upload: Upload | None = None  # the rest of such a request
 
     def field(self, name: bytes) -> bytes | None:
         for key, value in self.fields:
--- a/millfront/node/link.py
+++ b/millfront/node/link.py
@@ -88,6 +88,10 @@
             self._paused = False
             self._loop.add_reader(self._fd, self._readable)
 
+    @property
+    def paused(self) -> bool:
+        return self._paused
+
     @property
     def sock(self) -> socket.socket:
         return self._sock
--- a/millfront/node/members.py
+++ b/millfront/node/members.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from millfront.node.bodies import Upload
 from millfront.node.config import Address
 from millfront.node.endings import Ended, Ending
 from millfront.node.host import Clock
@@ -37,7 +38,18 @@
 class Flow(Protocol):
     """Whoever waits for an answer on a connection."""
 
+    streams: bool  # an answer has begun to go on
+
     def answering(self) -> None: ...
+    def begun(self, answer: Message) -> None:
+        """An answer too long to be gathered: its head, and what came of its body."""
+
+    def piece(self, data: bytes, last: bool) -> None:
+        """What came next of it."""
+
+    def passed_on(self) -> None:
+        """The request's body goes on, or is whole with the kernel."""
+
     def answered(self, answer: Message) -> None: ...
     def nonsense(self, why: str) -> None: ...
     def broken(self, ended: Ended) -> None: ...
@@ -48,8 +60,25 @@
 
     flow: Flow | None
 
-    def request(self, start: tuple[bytes, bytes], fields: Fields, body: bytes) -> None:
-        """Write it. Raises Ended: UNCONNECTED, nothing of it ran."""
+    def request(
+        self, start: tuple[bytes, bytes], fields: Fields, body: bytes, upload: Upload | None = None
+    ) -> None:
+        """Write it, and what follows of its body. Raises Ended: UNCONNECTED, nothing of it ran."""
+
+    def pause(self) -> None:
+        """Bring no more of an answer under way until resumed."""
+
+    def resume(self) -> None: ...
+
+    def rest(self) -> None:
+        """Tell what came with an answer's beginning, or while paused."""
+
+    def begin(self) -> None:
+        """Tell the beginning of an answer without a length, whatever there is of it."""
+
+    def takes(self) -> bool:
+        """Nothing of the request waits for the member."""
+        ...
 
     def release(self) -> bool:
         """The answer is whole; False where nothing more can go over it, and drop() is owed."""
@@ -62,6 +91,13 @@
         """How it did with the request that was written on it."""
 
 
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data) if data else b""
+
+
 Up = Callable[[Exchange | None, Ended | None], None]
 
 
@@ -83,6 +119,7 @@
         "link",
         "member",
         "members",
+        "upload",
         "written",
     )
 
@@ -93,22 +130,60 @@
         self.answers = Answers()
         self.flow: Flow | None = None
         self.written = False  # the request's last byte is with the kernel
+        self.upload: Upload | None = None  # the rest of its body
         self.idle_since_us = 0
         self.idle_us = 0  # how long it lay idle before it was taken up; 0: it is new
         self.link = Link(sock, self, asyncio.get_running_loop())
 
-    def request(self, start: tuple[bytes, bytes], fields: Fields, body: bytes) -> None:
+    def request(
+        self, start: tuple[bytes, bytes], fields: Fields, body: bytes, upload: Upload | None = None
+    ) -> None:
         """:raises Ended: UNCONNECTED, it broke before the last byte was written"""
-        if body or start[0] == b"POST":
+        length = len(body) if upload is None else upload.length
+        if length is None:
+            fields = [*fields, (b"Transfer-Encoding", b"chunked")]
+            body = chunk(body)
+        elif length > len(body):
+            fields = [*fields, (b"Content-Length", b"%d" % length)]
+        elif body or start[0] == b"POST":
             fields = [*fields, (b"Content-Length", b"%d" % len(body))]
         request = request_bytes(start, fields, body)
         self.answers.expect(start[0])
-        self.written = False
+        self.written, self.upload = False, upload
         try:
             self.link.write(request)
         except OSError as wrong:
             raise Ended(Ending.UNCONNECTED, repr(wrong), again=True) from None
-        self.written = not self.link.unsent
+        if upload is not None:
+            upload.attach(self)
+        else:
+            self.written = not self.link.unsent
+
+    def passes(self, data: bytes, last: bool) -> bool:
+        """More of the request's body. A break is told by the link's reading side."""
+        upload = self.upload
+        if upload is None or self.link.closed:
+            return True
+        if upload.length is None:
+            data = chunk(data) + (LAST_CHUNK if last else b"")
+        try:
+            if data:
+                self.link.write(data)
+        except OSError as wrong:
+            self.ended(repr(wrong))
+            return True
+        if not self.link.unsent:
+            self.drained()
+        return not self.link.unsent
+
+    def takes(self) -> bool:
+        return not self.link.unsent
+
+    def pause(self) -> None:
+        self.link.pause()
+
+    def resume(self) -> None:
+        self.link.resume()
 
     def release(self) -> bool:
         return self.members.release(self)
@@ -121,7 +196,14 @@
             self.members.wear.note(self.idle_us, well)
 
     def drained(self) -> None:
-        self.written = True
+        upload, flow = self.upload, self.flow
+        if upload is None:
+            self.written = True
+            return
+        self.written = upload.ended
+        if flow is not None:
+            flow.passed_on()
+        upload.drained(self)
 
     def received(self, data: bytes) -> None:
         flow = self.flow
@@ -129,15 +211,36 @@
             self.members.spoilt(self)
             return
         try:
+            if self.answers.under_way:
+                piece = self.answers.piece(data)
+                flow.piece(piece, not self.answers.under_way)
+                return
             answer = self.answers.feed(data)
         except Ended as ended:
             self._fail(flow, ended)
             return
         if answer is None:
             flow.answering()
+        elif answer.more:
+            flow.begun(answer)
         else:
             flow.answered(answer)
 
+    def rest(self) -> None:
+        """What came with an answer's beginning, once that is passed on."""
+        if self.flow is not None and self.answers.under_way and not self.link.closed:
+            try:
+                piece = self.answers.piece(b"")
+            except Ended as ended:
+                self._fail(self.flow, ended)
+                return
+            self.flow.piece(piece, not self.answers.under_way)
+
+    def begin(self) -> None:
+        """An answer without a length has waited long enough: what there is of it goes on."""
+        if self.flow is not None and (answer := self.answers.begun_so_far()) is not None:
+            self.flow.begun(answer)
+
     def ended(self, why: str) -> None:
         flow = self.flow
         if flow is None:
@@ -155,7 +258,10 @@
             self._fail(flow, ended)
             return
         assert answer is not None
-        flow.answered(answer)
+        if flow.streams:
+            flow.piece(answer.body, True)
+        else:
+            flow.answered(answer)
 
     def _fail(self, flow: Flow, ended: Ended) -> None:
         if ended.ending is Ending.MALFORMED:
@@ -304,8 +410,8 @@
         member = connection.member
         if not member.ready or connection.address != member.dial:
             return False
-        if not connection.answers.reusable or connection.link.unsent:
-            return False
+        if not connection.answers.reusable or not connection.written:
+            return False  # also one that was answered before its body's end
         connection.idle_since_us = self.clock.now()
         member.idle.append(connection)
         self._idle[connection] = None
--- a/millfront/node/service.py
+++ b/millfront/node/service.py
@@ -7,6 +7,7 @@
 
 from millfront import interface as api
 from millfront.logs import Log
+from millfront.node.bodies import EACH, PART, Ways
 from millfront.node.clients import VirtualServer
 from millfront.node.config import Address, Config, ConfigError
 from millfront.node.counter import Counter
@@ -21,7 +22,7 @@
 from millfront.node.stages.admit import Admit
 from millfront.node.stages.book import Book
 from millfront.node.stages.route import Route
-from millfront.node.stages.send import Send
+from millfront.node.stages.send import Send, ServerSideFlow
 from millfront.node.stages.take_in import TakeIn
 
 log = Log(__name__)
@@ -42,7 +43,8 @@
         self.counter: Counter | None = None
         self.tuning = Tuning(settings, node)
         self.book = Book(self.host, node.most_units)
-        self.send = Send(self.clock, self.members, Route(self.members), self.book)
+        self.ways = Ways(max(1, config.memory_mb * 1024 * 1024 // PART // EACH))
+        self.send = Send(self.clock, self.members, Route(self.members), self.book, self.ways, self._begin)
         self.admit = Admit(self.host, min(node.max_open, config.most_clients))
         self.take_in = TakeIn(self.tuning, node.most_units)
         self.server = VirtualServer(
@@ -213,6 +215,9 @@
             said = ", ".join(f"{count} {ending.value}" for ending, count in endings.items())
             log.info("endings", of=what, were=said or "none")
 
+    def _begin(self, flow: ServerSideFlow) -> bool:
+        return self.host.begin(flow.opened, flow.number, flow.answer, flow)
+
     def _close_idle(self, backend: int) -> None:
         if member := self.members.get(backend):
             self.members.close_idle(member)
--- a/millfront/node/stages/book.py
+++ b/millfront/node/stages/book.py
@@ -16,7 +16,8 @@
 
     def __call__(self, flow: ServerSideFlow, ending: Ending, answer: Message | None) -> None:
         self.endings[ending] += 1
-        latency_us = self.host.clock.now() - flow.started_us
+        # Of an answer that went on as it came, the first bytes are timed
+        latency_us = (flow.first_us if flow.streams else self.host.clock.now()) - flow.started_us
         units = billed(answer, self.most_units) if answer is not None and ending is Ending.SERVED else 0.0
         outcome = FLOW_OUTCOMES[ending]
         self.host.flow_ended(flow.opened, flow.number, flow.send, outcome, latency_us, answer, units)
--- a/millfront/node/stages/send.py
+++ b/millfront/node/stages/send.py
@@ -5,6 +5,7 @@
 
 from millfront import interface as api
 from millfront.logs import Log
+from millfront.node.bodies import Ways
 from millfront.node.endings import Ended, Ending
 from millfront.node.host import Clock, OpenRequest
 from millfront.node.http import REST_S, Fields, Message, passed_on
@@ -15,6 +16,9 @@
 
 AGAIN = 2  # connections more: guards a member that is well against being blamed for one that broke at once
 LATE_S = 0.001  # the loop's timers may come so much early
+BEGIN_S = 0.2  # an answer without a length is gathered for so long, then what there is goes on
+STALL_US = 10_000_000  # a body under way of which nothing moves for so long, and not for want of its taker
+LOOK_S = 1.0  # between two looks at that
 
 
 class ServerSideFlow:
@@ -22,16 +26,22 @@
 
     __slots__ = (
         "again",
+        "answer",
         "connection",
         "dialling",
         "ends_us",
+        "first_us",
+        "has_way",
+        "moved_us",
         "number",
         "opened",
         "over",
+        "paused",
         "rest",
         "send",
         "stage",
         "started_us",
+        "streams",
         "timer",
     )
 
@@ -49,6 +59,12 @@
         self.dialling: Callable[[], None] | None = None  # gives the connection being set up up
         self.timer: asyncio.TimerHandle | None = None
         self.rest: asyncio.TimerHandle | None = None  # from an answer's first bytes
+        self.streams = False  # the answer goes on as it comes
+        self.answer: Message | None = None  # its beginning
+        self.first_us = 0  # when that came
+        self.moved_us = now_us  # when something of a body under way moved last
+        self.paused = False  # the client does not take the rest yet
+        self.has_way = False
 
     def cancel(self) -> None:
         self.end(Ending.CANCELLED)
@@ -67,15 +83,121 @@
         if connection is not None:
             connection.flow = None
             connection.drop()
+        if (upload := self.opened.arrival.message.upload) is not None and connection is not None:
+            upload.detach(connection)
+        if self.has_way:
+            self.has_way = False
+            self.stage.ways.give_back()
         self.stage.book(self, ending, answer)
 
+    def whole(self) -> None:
+        """The request's last byte has come: the attempt's time begins."""
+        now_us = self.stage.clock.now()
+        self.started_us, self.ends_us = now_us, self.opened.deadline_us
+        self.limit()
+
+    def limit(self) -> None:
+        """End with the attempt's time; a body under way ends by itself, or where nothing of it moves."""
+        if self.timer is not None:
+            self.timer.cancel()
+        loop = asyncio.get_running_loop()
+        if self.streams or not self.opened.whole:
+            self.timer = loop.call_later(LOOK_S, self.look)
+        else:
+            left_s = max(0.0, (self.ends_us - self.stage.clock.now()) / 1e6)
+            self.timer = loop.call_later(left_s + LATE_S, self.end, Ending.TIMED_OUT)
+
+    def look(self) -> None:
+        stalls = not self.paused if self.streams else self.held_up()
+        if stalls and self.moved_us < self.stage.clock.now() - STALL_US:
+            self.end(Ending.TIMED_OUT)
+        else:
+            self.limit()
+
+    def held_up(self) -> bool:
+        """The member does not take the request's body."""
+        return self.connection is not None and not self.connection.takes()
+
     # ---- what the connection tells -----------------------------------------------------------
 
     def answering(self) -> None:
-        """An answer has begun and is not whole: what stalls inside a message will not end well."""
-        if self.rest is None:
-            loop = asyncio.get_running_loop()
-            self.rest = loop.call_later(REST_S, self.nonsense, "an answer begun and not ended")
+        """An answer has begun and is not whole: what stalls inside a message will not end well. It may come
+        in many pieces, and one without a length is not to wait until it is long."""
+        loop = asyncio.get_running_loop()
+        if self.rest is not None:
+            self.rest.cancel()
+        if self.first_us == 0:
+            self.first_us = self.stage.clock.now()
+            loop.call_later(BEGIN_S, self.begin_now)
+        self.rest = loop.call_later(REST_S, self.nonsense, "an answer begun and not ended")
+
+    def begin_now(self) -> None:
+        if not self.over and not self.streams and self.answer is None and self.connection is not None:
+            self.connection.begin()
+
+    def begun(self, answer: Message) -> None:
+        if self.rest is not None:
+            self.rest.cancel()
+            self.rest = None
+        if self.over or not self.opened.caller.streams or ending_of(answer) is not Ending.SERVED:
+            if ending_of(answer) is Ending.SERVED:
+                self.nonsense("an answer too long to be gathered")
+            self.end(ending_of(answer))
+            return
+        assert self.connection is not None
+        self.connection.pause()
+        self.answer, self.first_us = answer, self.stage.clock.now()
+        self.stage.ways.take(self.go)
+
+    def go(self) -> None:
+        """It is this answer's turn to go on."""
+        self.has_way = True
+        if self.over:  # while it waited
+            self.has_way = False
+            self.stage.ways.give_back()
+            return
+        assert self.answer is not None
+        self.streams = self.stage.begin(self)
+        if not self.streams:
+            self.end(Ending.CANCELLED)
+        elif not self.over:
+            self.moved_us = self.first_us
+            self.limit()
+
+    def piece(self, data: bytes, last: bool) -> None:
+        if self.over:
+            return
+        self.moved_us = self.stage.clock.now()
+        goes_on = not data or self.opened.caller.more(data)
+        connection = self.connection
+        if self.over or connection is None:
+            return
+        if last:
+            connection.fared(True)
+            if connection.release():
+                connection.flow, self.connection = None, None
+                connection.resume()
+            self.end(Ending.SERVED, self.answer)
+        elif not goes_on:
+            self.paused = True
+            connection.pause()
+
+    def resume(self) -> None:
+        """The client has taken what came."""
+        self.paused, self.moved_us = False, self.stage.clock.now()
+        connection = self.connection
+        if connection is None:
+            return
+        connection.rest()
+        if not self.paused and not self.over:
+            connection.resume()
+
+    def abandon(self) -> None:
+        """The client is gone."""
+        self.end(Ending.CANCELLED)
+
+    def passed_on(self) -> None:
+        self.moved_us = self.stage.clock.now()
 
     def nonsense(self, why: str) -> None:
         if not self.over:
@@ -100,7 +222,9 @@
             if ended.ending is Ending.BROKEN:
                 connection.fared(False)
             connection.drop()
-        if ended.again and self.again > 0 and not self.over:
+        upload = self.opened.arrival.message.upload
+        kept = upload is None or not upload.moved  # what has gone on is not there any more
+        if ended.again and self.again > 0 and kept and not self.over and not self.streams:
             self.again -= 1
             self.stage.attempt(self)
         else:
@@ -114,7 +238,11 @@
         members: Members,
         route: Route,
         book: Callable[[ServerSideFlow, Ending, Message | None], None],
+        ways: Ways,
+        begin: Callable[[ServerSideFlow], bool],
     ) -> None:
+        self.ways = ways
+        self.begin = begin
         self.clock = clock
         self.members = members
         self.route = route
@@ -124,8 +252,7 @@
         """Begin a flow; its ending is booked once, perhaps before this returns."""
         flow = ServerSideFlow(self, opened, number, send, self.clock.now())
         opened.flows[number] = flow
-        left_s = max(0.0, (flow.ends_us - flow.started_us) / 1e6)
-        flow.timer = asyncio.get_running_loop().call_later(left_s + LATE_S, flow.end, Ending.TIMED_OUT)
+        flow.limit()
         self.attempt(flow)
 
     def attempt(self, flow: ServerSideFlow) -> None:
@@ -161,10 +288,12 @@
         flow.connection, connection.flow = connection, flow
         self.route.check(member)
         message = flow.opened.arrival.message
-        connection.request(message.start, self._fields(flow, member, message), message.body)
+        connection.request(message.start, self._fields(flow, member, message), message.body, message.upload)
 
     def _fields(self, flow: ServerSideFlow, member: PoolMember, message: Message) -> Fields:
         left_us = max(1, flow.ends_us - self.clock.now())
+        if not flow.opened.whole:
+            left_us = flow.opened.arrival.timeout_us
         fields = passed_on(message, b"request-timeout")
         if message.field(b"host") is None:  # HTTP/1.0 has none, and 1.1 must have one
             fields.insert(0, (b"Host", str(member.dial).encode()))
--- a/millfront/settings.py
+++ b/millfront/settings.py
@@ -106,7 +106,6 @@
             fall_us=_whole(rules, "FallUs"),
         ),
         weights_known=info["Weights"] != "none",
-        list_on_request=info["Discovery"] == "on_request",
         counter=_flag(family, "SharedCounter"),
         counter_timeout_us=_whole(family, "CountWaitUs"),
         most_units=_number(family, "UnitsTop", 0.0),
--- a/tests/test_http2_members.py
+++ b/tests/test_http2_members.py
@@ -293,12 +293,22 @@
 class Booked:
     """A flow that counts how it ended."""
 
+    streams = False
+
     def __init__(self) -> None:
         self.ends = 0
         self.exchange: Any = None
 
     def answering(self) -> None: ...
 
+    def passed_on(self) -> None: ...
+
+    def begun(self, answer: Any) -> None:
+        self.over()
+
+    def piece(self, data: bytes, last: bool) -> None:
+        self.over()
+
     def answered(self, answer: Any) -> None:
         self.over()
 
