Count a body on its way to or from its client as no load

Cause: Backend.load held each attempt until its answer's last byte, however slowly its client reads, and each upload from its head; the pressure refused others.

Also: a client that was answered early and still sends its body is read on for up to 10 s, so that it gets the answer.

--- a/millfront/choice.py
+++ b/millfront/choice.py
@@ -109,7 +109,7 @@
     ended: bool = False
     may_have_run: bool = True
     slow: bool = False
-    lost: bool = False  # out for so long that it is no longer load
+    lost: bool = False  # no load: out for too long, or on its way to or from the client
 
 
 @dataclass(slots=True)
@@ -197,7 +197,6 @@
         self.mean_worth, self.mean_units, self.mean_out_s = 0.0, 0.0, 0.0  # the latter of answered attempts
         self.weigh_classes()
         self.hedges = 0.0
-        self.mean_weight = 1.0
         self.window = 0.0  # attempts this gateway may have in flight
         self.load, self.mean_load, self.load_us = 0, 0.0, 0  # out, not at ejected ones; its mean; as of
 
@@ -213,9 +212,8 @@
                 self.on_beat(now)
             case api.CounterAnswered():
                 self.on_counter(now, event)
-            case api.UnitsLeased(key, units):
-                if key in self.customers:
-                    self.customers[key].leased = max(0.0, self.customers[key].leased + units)
+            case api.UnitsLeased(key, units) if key in self.customers:
+                self.customers[key].leased = max(0.0, self.customers[key].leased + units)
             case api.BackendList():
                 self.on_list(now, event)
             case api.RequestGone():
@@ -225,7 +223,7 @@
             case api.RequestWhole():
                 self.on_whole(now, event)
             case api.StreamStarted():
-                self.on_stream(event)
+                self.on_stream(now, event)
             case api.Started():
                 self.born_us = self.paced_us = now
                 self.actions.append(api.SetTimer(BEAT_US, BEAT))
@@ -296,14 +294,15 @@
             request.arrived_us, request.give_up_us = now, now + event.patience_us
             for number, attempt in enumerate(request.attempts):
                 attempt.sent_us = now
-                attempt.backend.in_flight[(request.id, number)] = (now, request.cls)
+                self.count_load(now, request, number)
 
-    def on_stream(self, event: api.StreamStarted) -> None:
-        """An answer has begun to reach the client: the others are withdrawn, and its time says no more."""
+    def on_stream(self, now: int, event: api.StreamStarted) -> None:
+        """An answer has begun to reach the client: it is no load any more, and others are withdrawn."""
         if (request := self.requests.get(event.request)) is not None:
             request.stream = True
             for number, attempt in enumerate(request.attempts):
-                attempt.slow = True
+                attempt.slow = True  # its time says no more
+                self.unload(now, attempt)
                 attempt.backend.in_flight.pop((request.id, number), None)
                 if number != event.attempt and not attempt.ended and self.settings.allowed.cancel:
                     self.actions.append(api.Cancel(request.id, number))
@@ -465,17 +464,22 @@
 
     def send(self, now: int, request: Request, backend: Backend) -> None:
         number = len(request.attempts)
-        request.attempts.append(Attempt(backend, max(now, request.arrived_us)))
+        request.attempts.append(Attempt(backend, max(now, request.arrived_us), lost=True))
         request.customer.out += 1
-        if request.arrived_us <= now:
-            backend.in_flight[(request.id, number)] = (now, request.cls)
+        if request.arrived_us <= now:  # else its body is still coming
+            self.count_load(now, request, number)
         backend.links = max(backend.links, len(backend.in_flight))
-        backend.load += 1
-        self.add_load(now, 1)
         self.spend_credit(now, backend)
         standing = api.Standing.RESERVED if request.reserved else STANDINGS[request.inside]
         self.actions.append(api.Send(request.id, backend.id, max(1, request.give_up_us - now), standing))
 
+    def count_load(self, now: int, request: Request, number: int) -> None:
+        attempt = request.attempts[number]
+        attempt.lost = False
+        attempt.backend.in_flight[(request.id, number)] = (now, request.cls)
+        attempt.backend.load += 1
+        self.add_load(now, 1)
+
     def spend_credit(self, now: int, chosen: Backend) -> None:
         """Rule 4 by this gateway alone: any send earns each cold backend its part by capacity of now."""
         able = [(b, b.weight * self.cold_share(now, b)) for b in self.backends.values() if not b.stopped]
@@ -496,8 +500,7 @@
         attempt.may_have_run = event.outcome not in NEVER_RAN
         request.customer.out -= 1
         attempt.backend.in_flight.pop((request.id, event.attempt), None)
-        if not attempt.lost:
-            self.unload(now, attempt.backend)
+        self.unload(now, attempt)
         self.learn(now, attempt.backend, request, event)
         more = event.true_units - request.units if event.true_units > 0 else 0.0  # told by a good answer
         if request.reserved:
@@ -525,7 +528,6 @@
             backend.errors += ERROR_WEIGHT * ((event.outcome is api.Outcome.ERROR) - backend.errors)
         if event.outcome in (api.Outcome.OK, api.Outcome.ERROR, api.Outcome.FULL):
             backend.answered_us = now
-            backend.fails = 0
             if not backend.ejected_until:
                 backend.reset = False  # it answered without having been away
             self.readmit(now, backend)
@@ -534,11 +536,9 @@
         if event.outcome is api.Outcome.FULL:
             backend.rests_until = now + REST_US
             self.window = max(LEAST_WINDOW, self.window * SHRINK)
-        if event.outcome is api.Outcome.TIMEOUT and attempt.slow:
-            self.blame(now, backend, 1)
-        if event.outcome is api.Outcome.RESET:  # one alone may be the connection's fault
-            backend.reset = True
-            self.blame(now, backend, 1)
+        backend.reset = backend.reset or event.outcome is api.Outcome.RESET
+        if event.outcome is api.Outcome.RESET or (event.outcome is api.Outcome.TIMEOUT and attempt.slow):
+            self.blame(now, backend, 1)  # one alone may be the connection's fault
         if event.outcome is api.Outcome.CONNECT_FAILED:
             if backend.links and now - backend.answered_us < request.kind.aim_us:
                 backend.rests_until = now + REST_US  # short of connections: another one is up and answers
@@ -551,9 +551,8 @@
         attempt, aim_us = request.attempts[number], request.kind.aim_us
         slow = now - attempt.sent_us > GOOD_SHARE * aim_us
         if not attempt.ended and not attempt.lost and now - attempt.sent_us > aim_us:
-            attempt.lost = True
             self.hedges = min(self.hedges + 1.0, MOST_HEDGES)
-            self.unload(now, attempt.backend)
+            self.unload(now, attempt)
             if request.customer.plan.open_limit and self.settings.allowed.cancel:
                 self.actions.append(api.Cancel(request.id, number))  # it would hold a place to its deadline
         if not attempt.ended and attempt.backend.answered_us < attempt.sent_us:
@@ -565,9 +564,12 @@
             depth = MOST_DEPTH * len(self.backends) / self.settings.peers
             self.window = min(self.window * GROW, max(depth, LEAST_WINDOW))
 
-    def unload(self, now: int, backend: Backend) -> None:
-        backend.load -= 1
-        if not backend.ejected_until:
+    def unload(self, now: int, attempt: Attempt) -> None:
+        if attempt.lost:
+            return
+        attempt.lost = True
+        attempt.backend.load -= 1
+        if not attempt.backend.ejected_until:
             self.add_load(now, -1)
 
     def blame(self, now: int, backend: Backend, fails: int) -> None:
@@ -630,8 +632,7 @@
         return end_us - now - self.class_work[request.cls]
 
     def on_gone(self, event: api.RequestGone) -> None:
-        request = self.requests.get(event.request)
-        if request is not None and not request.over:
+        if (request := self.requests.get(event.request)) is not None and not request.over:
             self.close(request)
             if all(a.ended for a in request.attempts):
                 del self.requests[request.id]
--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -39,6 +39,7 @@
 RESTED_US = 200_000  # before one gives way to another when there is no room
 NEW_US = 600_000  # in a drain a new connection has so long to bring its request; it is closed after it
 LINGER_US = 1_000_000  # for the client to read a last answer: closed at once, a reset could overtake it
+LONGEST_LINGER_US = 10_000_000  # for one that was answered early and still sends its request
 SEND_BUFFER = 64 * 1024  # of the kernel, for an answer that goes on as it comes
 SWEEP_S = 0.25
 NO_ROOM_S = 0.05
@@ -147,6 +148,7 @@
 
     def received(self, data: bytes) -> None:
         if self.deaf:
+            self.moved_us = self.server.clock.now()
             return
         if self.upload is not None:
             self.codec.feed(data)
@@ -264,7 +266,8 @@
     def expire(self, now_us: int, partial_us: int) -> None:
         begun_us = self.begun_us if self.asked or self.in_body else self.rests_since_us
         if self.spent_us:
-            if self.spent_us < now_us - LINGER_US:
+            heard_us = min(self.moved_us, self.spent_us + LONGEST_LINGER_US)
+            if max(self.spent_us, heard_us) < now_us - LINGER_US:
                 self.close()
         elif self.upload is not None and not self.link.paused and self.moved_us < now_us - partial_us:
             self.turn_away(HTTPStatus.REQUEST_TIMEOUT, "body not finished in time")
