Hold what a slow client has not taken, within a room, so that its attempt ends

Left: each attempt is out until its slow client has taken the answer, and holds a place under the cap.

Now an answer is read on into memory, up to a quarter of what is left of an eighth of the limit.

--- a/millfront/node/bodies.py
+++ b/millfront/node/bodies.py
@@ -1,9 +1,10 @@
 """Bodies that are too long to be gathered: passed on as they come, each side read only as fast as the other
 takes it.
 
-A request's bound is one read (64 KiB) that the other side's kernel has not taken, beside its beginning of
-64 KiB at most; for all together the number of answers under way is bounded (Ways), and the next one waits
-unread.
+A request's body is held up to one read (64 KiB) that the member's kernel has not taken, beside its beginning
+of 64 KiB at most. An answer may be held longer, so that its attempt ends and its member is free while a slow
+client still reads: up to a quarter of what the room for all of them (Room) has left, and one read always. The
+number of answers under way is bounded (Ways), and the next one waits unread.
 """
 
 from collections import deque
@@ -11,7 +12,8 @@
 from typing import Protocol
 
 EACH = 128 * 1024  # bytes that one body may hold here
-PART = 4  # of the memory, as 1/4: for bodies under way
+PART = 4  # of the memory, as 1/4: for bodies under way, each with what it always has
+ROOM_PART = 8  # of the memory, as 1/8: for what slow clients have not taken, beyond that
 
 
 class Source(Protocol):
@@ -54,6 +56,18 @@
             self._waiting.popleft()()
 
 
+class Room:
+    """For what slow clients have not taken yet of their answers."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.held = 0
+
+    def allows(self, held: int) -> bool:
+        """Whether one that holds so much may hold more."""
+        return held < max(1, (self.most - self.held) // 4)
+
+
 class Upload:
     """A request's body under way, from its client to the one attempt that takes it."""
 
--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -13,7 +13,7 @@
 from anyio.abc import TaskStatus
 
 from millfront.logs import Log
-from millfront.node.bodies import Source, Upload
+from millfront.node.bodies import Room, Source, Upload
 from millfront.node.config import Address
 from millfront.node.endings import Ending
 from millfront.node.host import Clock, Host, OpenRequest
@@ -108,7 +108,9 @@
         "codec",
         "deaf",
         "ending",
+        "finishing",
         "first",
+        "held",
         "in_body",
         "link",
         "moved_us",
@@ -135,6 +137,8 @@
         self.answering_us = 0  # since when an answer waits for the client to read
         self.unsent = 0  # how much of it waited then
         self.source: Source | None = None  # of an answer that goes on as it comes
+        self.held = 0  # of the room for slow clients' answers
+        self.finishing: bool | None = None  # its answer is whole and not taken: whether it goes on after
         self.upload: Upload | None = None  # a request's body under way
         self.moved_us = 0  # since when nothing of that has come
         self.ending = Ending.CLOSED
@@ -182,7 +186,11 @@
 
     def drained(self) -> None:
         self.answering_us = 0
-        if self.spent_us:
+        self.hold(0)
+        if self.finishing is not None:
+            goes_on, self.finishing = self.finishing, None
+            self.answered(goes_on)
+        elif self.spent_us:
             self.linger()
         elif self.source is not None:
             self.source.resume()
@@ -305,6 +313,7 @@
         if self.over:
             return
         self.over = True
+        self.hold(0)
         opened, self.opened = self.opened, None
         self.link.close()
         if opened is not None:
@@ -343,7 +352,15 @@
             self.server.loop.call_soon(self.drained)
 
     def more(self, data: bytes) -> bool:
-        return not self.over and self.write(self.codec.body(data)) and not self.link.unsent
+        if self.over or not self.write(self.codec.body(data)):
+            return False
+        self.hold(self.link.unsent)
+        return self.server.room.allows(self.held)
+
+    def hold(self, held: int) -> None:
+        """Of the room for all; between two pieces it is less than is counted, never more."""
+        self.server.room.held += held - self.held
+        self.held = held
 
     def cut(self) -> None:
         """Before its end, so that the client can tell: no last chunk, or fewer bytes than were said."""
@@ -356,7 +373,11 @@
             return
         self.opened = self.source = None
         data, goes_on = self.codec.finish()
-        if not data or self.write(data):
+        if data and not self.write(data):
+            return
+        if self.link.unsent:
+            self.finishing = goes_on  # the member is done, its client still reads
+        else:
             self.answered(goes_on)
 
     def answered(self, goes_on: bool) -> None:
@@ -423,6 +444,7 @@
         self.ready = ready
         self.most = most
         self.made = made
+        self.room = Room(0)  # for answers that clients take slowly
         self.preface = b""  # with which another protocol begins on this port
         self.upgraded: Callable[[ClientConnection, bytes], None]  # told of a connection that began with it
         self.endings: Counter[Ending] = Counter()  # of client connections
--- a/millfront/node/service.py
+++ b/millfront/node/service.py
@@ -7,7 +7,7 @@
 
 from millfront import interface as api
 from millfront.logs import Log
-from millfront.node.bodies import EACH, PART, Ways
+from millfront.node.bodies import EACH, PART, ROOM_PART, Room, Ways
 from millfront.node.clients import VirtualServer
 from millfront.node.config import Address, Config, ConfigError
 from millfront.node.counter import Counter
@@ -50,6 +50,7 @@
         self.server = VirtualServer(
             self.clock, self.host, self.take_in, self.admit, self.ready, config.most_clients
         )
+        self.server.room = Room(config.memory_mb * 1024 * 1024 // ROOM_PART)
         self.fronts = [self.server]  # and what is switched on beside it
         self.parts = Parts()
         self.drain = Drain()
