--- a/millfront/choice.py
+++ b/millfront/choice.py
@@ -465,7 +465,6 @@
     def send(self, now: int, request: Request, backend: Backend) -> None:
         number = len(request.attempts)
         request.attempts.append(Attempt(backend, max(now, request.arrived_us), lost=True))
-        request.customer.out += 1
         if request.arrived_us <= now:  # else its body is still coming
             self.count_load(now, request, number)
         backend.links = max(backend.links, len(backend.in_flight))
@@ -475,6 +474,7 @@
 
     def count_load(self, now: int, request: Request, number: int) -> None:
         attempt = request.attempts[number]
+        request.customer.out += 1
         attempt.lost = False
         attempt.backend.in_flight[(request.id, number)] = (now, request.cls)
         attempt.backend.load += 1
@@ -498,7 +498,7 @@
         attempt = request.attempts[event.attempt]
         attempt.ended = True
         attempt.may_have_run = event.outcome not in NEVER_RAN
-        request.customer.out -= 1
+        request.customer.out -= request.arrived_us <= now  # it counts as out once it is whole
         attempt.backend.in_flight.pop((request.id, event.attempt), None)
         self.unload(now, attempt)
         self.learn(now, attempt.backend, request, event)
--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -4,7 +4,6 @@
 import socket
 from collections import Counter, OrderedDict
 from collections.abc import Callable
-from contextlib import suppress
 from dataclasses import replace
 from http import HTTPStatus
 from typing import Any, Protocol
@@ -40,7 +39,6 @@
 NEW_US = 600_000  # in a drain a new connection has so long to bring its request; it is closed after it
 LINGER_US = 1_000_000  # for the client to read a last answer: closed at once, a reset could overtake it
 LONGEST_LINGER_US = 10_000_000  # for one that was answered early and still sends its request
-SEND_BUFFER = 64 * 1024  # of the kernel, for an answer that goes on as it comes
 SWEEP_S = 0.25
 NO_ROOM_S = 0.05
 AT_ONCE = 16  # when there is no room, this part of the connections makes some
@@ -285,8 +283,8 @@
             else:
                 self.end(Ending.TIMED_OUT)
         elif self.answering_us and self.answering_us < now_us - UNREAD_US:
-            if self.link.unsent < self.unsent:  # slowly, but it reads
-                self.answering_us, self.unsent = now_us, self.link.unsent
+            if (unsent := self.link.unsent + self.link.unread()) < self.unsent:  # slowly, but it reads
+                self.answering_us, self.unsent = now_us, unsent
             else:
                 self.end(Ending.TIMED_OUT)
         elif self.at_rest() and self.rests_since_us < now_us - AT_REST_US:
@@ -340,12 +338,10 @@
             self.answered(goes_on)
 
     def begin(self, answer: Message, source: Source) -> None:
-        """An answer that goes on as it comes. The kernel is not to keep more of it than we do."""
+        """An answer that goes on as it comes."""
         if self.over:
             return
         self.source = source
-        with suppress(OSError):
-            self.link.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
         told = replace(relay.served(answer), length=answer.length)
         data = self.codec.begin(told, self.server.closing or self.deaf) + self.codec.body(answer.body)
         if self.write(data) and not self.link.unsent:
@@ -415,7 +411,10 @@
             self.end(Ending.UNCONNECTED)
             return False
         self.unsent = self.link.unsent
-        self.answering_us = self.server.clock.now() if self.unsent else 0
+        self.answering_us = 0
+        if self.unsent:
+            self.unsent += self.link.unread()
+            self.answering_us = self.server.clock.now()
         return True
 
     def linger(self) -> None:
--- a/millfront/node/link.py
+++ b/millfront/node/link.py
@@ -8,8 +8,11 @@
 
 import asyncio
 import errno
+import fcntl
 import os
 import socket
+import sys
+import termios
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Protocol
@@ -101,6 +104,14 @@
         """Bytes that wait for the kernel."""
         return len(self._unsent)
 
+    def unread(self) -> int:
+        """Bytes that the kernel has and the other side has not taken: they can be megabytes, and tell a slow
+        reader from one that reads nothing long before there is room for more."""
+        try:
+            return int.from_bytes(fcntl.ioctl(self._fd, termios.TIOCOUTQ, b"\0\0\0\0"), sys.byteorder)
+        except OSError:
+            return 0
+
     def write(self, data: bytes) -> None:
         """At once as far as the kernel takes it.
 
