--- /dev/null
+++ b/benchmarks/daily.py
@@ -0,0 +1,208 @@
+"""Daily operation, measured on real processes: upgrades under load, and many long answers read slowly.
+
+    python -m benchmarks.daily [--upgrades 50] [--bodies 200] [--seconds 20]
+
+Upgrades: a successor starts beside its predecessor; once its operators' line says yes, the predecessor gets
+SIGTERM. Meanwhile clients ask, half of them on a new connection for each request. A request is turned back
+where its connection is refused, or ends without a byte of an answer on it; one on a kept connection is asked
+once more on a new one, as the platform's clients do, and is counted only if that fails too.
+
+Bodies: answers of 32 MB, each read at 64 kB a second; the process's resident memory is looked at ten times a
+second.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import signal
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from contextlib import suppress
+from pathlib import Path
+
+from benchmarks.request_cost import Pages, rss_mb
+from tests.peers import configuration, request, row, settings
+
+CLIENTS = 24
+LONG = 32 * 1024 * 1024
+
+
+class LongPages(Pages):
+    """32 MB to whoever asks, as fast as they are taken."""
+
+    def data_received(self, data: bytes) -> None:
+        self.left = LONG
+        self.transport.set_write_buffer_limits(256 * 1024)
+        self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LONG)
+        self.resume_writing()
+
+    paused = False
+
+    def pause_writing(self) -> None:
+        self.paused = True
+
+    def resume_writing(self) -> None:
+        self.paused = False
+        while self.left and not self.paused:
+            self.left -= 65536
+            self.transport.write(b"x" * 65536)
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as found:
+        return int(found.getsockname()[1])
+
+
+class Gatekeeper:
+    """A process with an operators' line."""
+
+    def __init__(self, folder: Path, listen: str, page: str, memory_mb: int = 192) -> None:
+        told = settings()
+        told["Packages"][0] |= {"Refill": 1e6, "MostAtOnce": 1e7}
+        told["Allowed"]["MaxOpen"] = 1000
+        self.admin = f"127.0.0.1:{free_port()}"
+        config = configuration([row("s-0", page)], "127.0.0.1:1", told)
+        config |= {"listen": listen, "admin_addr": self.admin}
+        config["limits"]["memory_mb"] = memory_mb
+        file = folder / f"{self.admin}.json"
+        file.write_text(json.dumps(config))
+        given = os.environ | {"NODE_CONFIG": str(file), "TMPDIR": str(folder)}
+        command = [sys.executable, "-B", "-m", "millfront"]
+        self.process = subprocess.Popen(command, env=given, stderr=subprocess.PIPE, text=True)
+        assert self.process.stderr is not None
+        threading.Thread(target=self.process.stderr.read, daemon=True).start()
+
+    async def says_yes(self) -> float:
+        """Seconds until its line does."""
+        began = time.monotonic()
+        host, _, port = self.admin.rpartition(":")
+        while True:
+            with suppress(OSError):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b"check\n")
+                said = await reader.read(100)
+                writer.close()
+                if said.startswith(b"SUCCESS"):
+                    return time.monotonic() - began
+            await asyncio.sleep(0.02)
+
+    async def end(self) -> float:
+        began = time.monotonic()
+        self.process.send_signal(signal.SIGTERM)
+        await asyncio.to_thread(self.process.wait)
+        return time.monotonic() - began
+
+
+async def answered(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> tuple[bool, bool]:
+    """Whether there was an answer, and whether the connection goes on."""
+    try:
+        writer.write(request())
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0])
+        await reader.readexactly(length)
+    except (OSError, asyncio.IncompleteReadError):
+        return False, False
+    return True, b"Connection: close" not in head
+
+
+async def client(port: int, keeps: bool, seen: dict[str, int], stop: asyncio.Event) -> None:
+    kept = None
+    while not stop.is_set():
+        seen["requests"] += 1
+        for again in (True, False):
+            fresh = kept is None
+            if kept is None:
+                try:
+                    kept = await asyncio.open_connection("127.0.0.1", port)
+                except OSError:
+                    seen["refused"] += 1
+                    break
+            ok, goes_on = await answered(*kept)
+            if not (ok and goes_on and keeps):
+                kept[1].close()
+                kept = None
+            if ok:
+                break
+            if fresh or not again:
+                seen["turned back"] += 1
+                break
+            seen["asked again"] += 1
+        await asyncio.sleep(random.uniform(0.005, 0.02))
+
+
+async def upgrades(folder: Path, count: int) -> None:
+    page = await asyncio.get_running_loop().create_server(Pages, "127.0.0.1", 0)
+    where = f"127.0.0.1:{page.sockets[0].getsockname()[1]}"
+    port = free_port()
+    current = Gatekeeper(folder, f"127.0.0.1:{port}", where)
+    await current.says_yes()
+    seen = dict.fromkeys(("requests", "refused", "turned back", "asked again"), 0)
+    stop = asyncio.Event()
+    clients = [asyncio.create_task(client(port, n % 2 == 0, seen, stop)) for n in range(CLIENTS)]
+    readies, ends, alone, both = [], [], [], []
+    for _ in range(count):
+        alone.append(rss_mb(current.process.pid))
+        after = Gatekeeper(folder, f"127.0.0.1:{port}", where)
+        readies.append(await after.says_yes())
+        both.append(rss_mb(current.process.pid) + rss_mb(after.process.pid))
+        ends.append(await current.end())
+        current = after
+    stop.set()
+    await asyncio.gather(*clients)
+    await current.end()
+    print(
+        f"{count} upgrades: {seen}; ready after {max(readies):.2f} s at most, ended {max(ends):.2f} s after"
+    )
+    print(f"resident: one {statistics.median(alone):.1f} MB, two {max(both):.1f} MB at most")
+
+
+async def bodies(folder: Path, count: int, seconds: float) -> None:
+    page = await asyncio.get_running_loop().create_server(LongPages, "127.0.0.1", 0)
+    port = free_port()
+    gatekeeper = Gatekeeper(folder, f"127.0.0.1:{port}", f"127.0.0.1:{page.sockets[0].getsockname()[1]}", 80)
+    await gatekeeper.says_yes()
+    before, took = rss_mb(gatekeeper.process.pid), [0]
+
+    async def reads() -> None:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 * 1024)
+        sock.connect(("127.0.0.1", port))
+        reader, writer = await asyncio.open_connection(sock=sock, limit=32 * 1024)
+        writer.write(request())
+        until = time.monotonic() + seconds
+        while time.monotonic() < until and (data := await reader.read(6_400)):
+            took[0] += len(data)
+            await asyncio.sleep(0.1)
+        writer.close()
+
+    tasks = [asyncio.create_task(reads()) for _ in range(count)]
+    most = before
+    while not all(task.done() for task in tasks):
+        most = max(most, rss_mb(gatekeeper.process.pid))
+        await asyncio.sleep(0.1)
+    await asyncio.gather(*tasks)
+    print(f"{count} answers of 32 MB read slowly ({took[0] / 1e6:.0f} MB taken in {seconds:.0f} s):", end=" ")
+    print(f"{before:.1f} MB before, {most:.1f} MB at most, with a limit of 80")
+    await gatekeeper.end()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--upgrades", type=int, default=50)
+    parser.add_argument("--bodies", type=int, default=200)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    told = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        asyncio.run(upgrades(Path(folder), told.upgrades))
+        asyncio.run(bodies(Path(folder), told.bodies, told.seconds))
+
+
+if __name__ == "__main__":
+    main()
--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -483,24 +483,30 @@
 
     def _acceptable(self) -> None:
         for _ in range(ACCEPTS):
-            if self._listener is None or not self._room():
+            if not self._accept_one():
                 return
-            try:
-                sock = accept(self._listener)
-            except (BlockingIOError, InterruptedError):
-                return
-            except OSError as wrong:
-                # Out of descriptors, or a client gone before it was accepted: neither ends us
-                if wrong.errno in NO_ROOM:
-                    log.warning("accept failed", why=wrong.strerror)
-                    self._close_some_at_rest(1)
-                    self._wait(NO_ROOM_S)
-                    return
-                continue
-            made = self.made(self, sock)
-            self._connections[made] = None
-            if self.closing:
-                made.drain()
+
+    def _accept_one(self) -> bool:
+        """False: nobody waits, or there is no room now."""
+        if self._listener is None or not self._room():
+            return False
+        try:
+            sock = accept(self._listener)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError as wrong:
+            # Out of descriptors, or a client gone before it was accepted: neither ends us
+            if wrong.errno in NO_ROOM:
+                log.warning("accept failed", why=wrong.strerror)
+                self._close_some_at_rest(1)
+                self._wait(NO_ROOM_S)
+                return False
+            return True
+        made = self.made(self, sock)
+        self._connections[made] = None
+        if self.closing:
+            made.drain()
+        return True
 
     def _room(self) -> bool:
         """Room for one more, made where there is none; else it is looked for again soon."""
@@ -565,6 +571,10 @@
         self.closing = away
 
     def stop_accepting(self) -> None:
+        """What waits to be accepted is taken first: closed with its listener it would be reset, also where
+        another process listens at the same address."""
+        while self._accept_one():
+            pass
         if self._waits is not None:
             self._waits.cancel()
             self._waits = None
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import anyio
+import anyio.abc
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -134,6 +135,17 @@
             await on.ended.wait()
 
 
+@pytest.mark.anyio
+async def test_who_waits_to_be_accepted_when_the_listener_closes_is_served() -> None:
+    async with stage(Peer()) as on:
+        host, _, port = on.address.rpartition(":")
+        waiting = [socket.create_connection((host, int(port))) for _ in range(40)]  # no turn of the loop yet
+        on.node.server.stop_accepting()
+        for sock in waiting:
+            async with await anyio.abc.SocketStream.from_socket(sock) as stream:
+                assert status(await on.ask(request(), stream)) == 200
+
+
 def test_the_second_address_of_the_environment_wins_and_one_in_use_is_named(tmp_path: Path) -> None:
     with socket.create_server(("127.0.0.1", 0)) as taken:
         told = f"127.0.0.1:{taken.getsockname()[1]}"
