Divide what customers may send between two processes of one gatekeeper

Need: while a new version starts beside the old one, each let in a customer's whole share and filled a whole share of its ceiling. The successor asks its predecessor over a Unix socket in $TMPDIR; both count as two gateways until one has ended.

Whatever is told that can't be read is a plain start, in halves. Tests: any number of customers holds together what one process held; any bytes; four processes one after another, one killed before it serves, one killed outright.

--- a/millfront/choice.py
+++ b/millfront/choice.py
@@ -184,7 +184,7 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings = settings
         self.random = random.Random(seed)
-        self.born_us = -1
+        self.born_us, self.processes = -1, 1  # two while a new version takes over (millfront/takeover.py)
         self.carry: Callable[[int, Customer, api.Plan], None]  # of live plans, whose host puts it here
         self.actions: list[api.Action] = []
         self.customers: dict[int, Customer] = {}
@@ -314,7 +314,7 @@
                 self.refill(now, known)
                 self.carry(now, known, plan)
             return known
-        gateways = max(1, min(event.spread, self.settings.peers))
+        gateways = max(1, min(event.spread, self.settings.peers)) * self.processes
         # It fills from this gateway's start: one that was killed cannot tell that it had spent its share.
         ceiling = (now - self.born_us) / SECOND * plan.ceiling_rate / gateways
         customer = Customer(
--- a/millfront/node/config.py
+++ b/millfront/node/config.py
@@ -2,7 +2,7 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -49,6 +49,7 @@
     known: dict[str, Any]
     settings: api.Settings
     node: NodeSettings
+    folder: str | None = None  # that processes of one gatekeeper share: $TMPDIR
     keys: frozenset[str] = frozenset()  # that stand in the file
 
     @property
@@ -64,7 +65,8 @@
 
 def load(environment: Mapping[str, str]) -> Config:
     """On starting: NODE_* win over the file."""
-    return _loaded(environment, "name", "listen", "discovery", "admin_addr")
+    told = _loaded(environment, "name", "listen", "discovery", "admin_addr")
+    return replace(told, folder=environment.get("TMPDIR") or None)
 
 
 def load_anew(environment: Mapping[str, str], before: Config) -> Config:
@@ -75,7 +77,7 @@
     told = _loaded(environment, "name", "listen", "admin_addr")
     if missing := sorted(before.keys - told.keys):
         raise ConfigError(f"{missing[0]}: is missing, and was there before")
-    return told
+    return replace(told, folder=before.folder)
 
 
 def _loaded(environment: Mapping[str, str], *over_file: str) -> Config:
--- a/millfront/node/host.py
+++ b/millfront/node/host.py
@@ -245,6 +245,11 @@
         """Switch live plans on: what leases units, and what becomes of an allowance on a change."""
         self.reserving, self._gateway.carry = reserving, carry
 
+    @property
+    def gateway(self) -> Gateway:
+        """For a takeover, which moves what it holds; events go through tell() alone."""
+        return self._gateway
+
     # ---- requests ----------------------------------------------------------------------------
 
     def start(self) -> None:
--- a/millfront/node/pool.py
+++ b/millfront/node/pool.py
@@ -78,6 +78,10 @@
             started_us=int(row.get("born_ms", 0)) * 1000,
         )
 
+    def names(self) -> dict[str, int]:
+        """The module's number of each member's name."""
+        return dict(self._ids)
+
     def _id_of(self, name: str) -> int:
         if name not in self._ids:
             self._ids[name] = next(self._numbers)
--- a/millfront/node/service.py
+++ b/millfront/node/service.py
@@ -6,6 +6,7 @@
 from anyio.abc import TaskGroup, TaskStatus
 
 from millfront import interface as api
+from millfront import takeover
 from millfront.logs import Log
 from millfront.node.bodies import EACH, PART, ROOM_PART, Room, Ways
 from millfront.node.clients import VirtualServer
@@ -13,6 +14,7 @@
 from millfront.node.counter import Counter
 from millfront.node.drain import Drain, Reason
 from millfront.node.endings import Ended
+from millfront.node.handover import Handover
 from millfront.node.host import Clock, Host
 from millfront.node.members import Members
 from millfront.node.operators_line import OperatorsLine, Refused
@@ -57,6 +59,7 @@
         self.operators_line = OperatorsLine(
             {"check": self.check, "drain-on": self.drain_on, "drain-off": self.drain_off}
         )
+        self.handover: Handover | None = None
         self._tasks: TaskGroup
         self._sending_away = anyio.Event()
 
@@ -112,6 +115,10 @@
                 self.pool.take(config.known, cached=True)
             except Ended as ended:
                 log.warning("the known list can't be used", why=ended)
+            if (folder := config.folder) is not None:
+                self.handover = Handover(folder, config.name, self._told, self._alone)
+                self._succeed(await self.handover.ask())
+                tasks.start_soon(self._kept_up, self.handover.run)
             tasks.start_soon(self._kept_up, self.pool.watch)
             if config.admin is not None:
                 self._open_line(config.admin)
@@ -130,6 +137,29 @@
                 self.operators_line.close()
             tasks.cancel_scope.cancel()
 
+    def _succeed(self, text: bytes | None) -> None:
+        """Begin with what a predecessor told, if that can be used."""
+        if text is None:
+            return
+        gateway, names = self.host.gateway, self.pool.names()
+        try:
+            known = takeover.begin(gateway, text, self.tuning.plans, names, self.clock.now())
+        except takeover.Unusable as wrong:
+            log.warning("what the predecessor told can't be used: a plain start", why=wrong)
+            takeover.divide(gateway)  # it runs beside this one all the same
+            return
+        log.info("takes over", customers=known)
+
+    def _told(self) -> bytes:
+        gateway = self.host.gateway
+        takeover.divide(gateway)
+        members = {number: name for name, number in self.pool.names().items()}
+        return takeover.told(gateway, self.tuning.plan_names, members)
+
+    def _alone(self) -> None:
+        if not self.drain.ending:  # an ending process leaves its half to the other
+            takeover.reunite(self.host.gateway)
+
     def _open_line(self, address: Address) -> None:
         try:
             log.info("operators are answered", address=self.operators_line.listen(address))
@@ -203,6 +233,8 @@
     async def _wind_down(self) -> None:
         for front in self.fronts:
             front.stop_accepting()
+        if self.handover is not None:
+            self.handover.leave()
         while any(front.unanswered() for front in self.fronts):
             for front in self.fronts:
                 front.close_at_rest()
--- /dev/null
+++ b/millfront/takeover.py
@@ -0,0 +1,123 @@
+"""Two processes of one gatekeeper: what each holds while both run, and what the later begins with. No I/O.
+
+While both run they count as two gateways of each customer: shares, levels and ceilings are halved at both, so
+that together they let in what one would. When one has ended, the other counts as one again and fills up from
+what it holds; what the ended one had not used is lost, never doubled.
+"""
+
+import json
+import math
+from collections.abc import Mapping
+from typing import Any
+
+from millfront.choice import TICK_US, Backend, Customer, Gateway
+from millfront.interface import mixed
+
+VERSION = 1
+MOST_CUSTOMERS = 20_000  # the last seen: bounds the text to some 5 MB
+HALVED = ("bucket", "ceiling", "share", "mean_out")
+KEPT = ("level", "store", "cap", "price", "others")
+TOLD = ("epoch", "sent_total", "asked_total")  # of the counter's totals
+LEARNED = ("slow", "errors", "ejected_until", "ejections", "rests_until", "started_us", "answered_us")
+
+
+class Unusable(Exception):
+    """What was told can't be begun with; nothing of it is taken."""
+
+
+def divide(gateway: Gateway) -> None:
+    """Another process of this gatekeeper has come up."""
+    gateway.processes = 2
+    for customer in gateway.customers.values():
+        customer.gateways *= 2
+        for name in HALVED:
+            setattr(customer, name, getattr(customer, name) / 2)
+        customer.level /= 2
+
+
+def reunite(gateway: Gateway) -> None:
+    """It has ended."""
+    if gateway.processes == 1:
+        return
+    gateway.processes = 1
+    for customer in gateway.customers.values():
+        customer.gateways = max(1, customer.gateways // 2)
+        customer.share = min(1.0, customer.share * 2)
+
+
+def told(gateway: Gateway, plans: list[str], members: Mapping[int, str]) -> bytes:
+    """What a successor begins with, after divide().
+
+    :param plans: names by place
+    :param members: names by the module's number
+    """
+    known = [c for c in gateway.customers.values() if c.carried is None]
+    known.sort(key=lambda c: -c.seen_us)
+    places = {id(plan): place for place, plan in enumerate(gateway.settings.plans)}
+    customers = [
+        [c.key, plans[places[id(c.plan)]], c.gateways, c.filled_us, c.seen_us, c.read_us]
+        + [getattr(c, name) for name in (*HALVED, *KEPT, *TOLD)]
+        for c in known[:MOST_CUSTOMERS]
+        if id(c.plan) in places
+    ]
+    backends = {
+        members[b.id]: [getattr(b, name) for name in LEARNED]
+        for b in gateway.backends.values()
+        if b.id in members
+    }
+    state = {"version": VERSION, "customers": customers, "members": backends, "call_rate": gateway.call_rate}
+    return json.dumps(state | {"window": gateway.window}).encode()
+
+
+def begin(
+    gateway: Gateway, text: bytes, plans: Mapping[str, int], members: Mapping[str, int], now: int
+) -> int:
+    """Begin with what a predecessor told; returns the number of customers.
+
+    :raises Unusable: it is cut, of another version, or holds what can't be: a plain start is owed
+    """
+    try:
+        state = json.loads(text)
+        if state["version"] != VERSION:
+            raise Unusable(f"version {state['version']!r}")
+        found = [_customer(gateway, row, plans, now) for row in state["customers"][:MOST_CUSTOMERS]]
+        learned = {
+            members[name]: _numbers(row, LEARNED) for name, row in state["members"].items() if name in members
+        }
+        window, rate = (_numbers([state[name]], (name,))[name] for name in ("window", "call_rate"))
+    except (ValueError, KeyError, TypeError, AttributeError, IndexError) as wrong:
+        raise Unusable(repr(wrong)) from None
+    gateway.processes = 2
+    gateway.customers = {customer.key: customer for customer in found if customer is not None}
+    gateway.window, gateway.call_rate = window, rate
+    for number, values in learned.items():
+        if (backend := gateway.backends.get(number)) is not None:
+            _learn(backend, values)
+    return len(gateway.customers)
+
+
+def _customer(gateway: Gateway, row: list[Any], plans: Mapping[str, int], now: int) -> Customer | None:
+    names = ("key", "gateways", "filled_us", "seen_us", "read_us", *HALVED, *KEPT, *TOLD)
+    values = _numbers([row[0], *row[2:]], names)
+    if row[1] not in plans:
+        return None
+    for name in ("filled_us", "seen_us", "read_us"):
+        values[name] = min(values[name], now)  # clocks differ a little: no time runs back
+    due_us = now + mixed(values["key"], gateway.settings.me) % TICK_US
+    return Customer(plan=gateway.settings.plans[plans[row[1]]], due_us=due_us, **values)
+
+
+def _learn(backend: Backend, values: dict[str, Any]) -> None:
+    if values["started_us"] < backend.started_us:
+        return  # it has started anew since
+    for name, value in values.items():
+        setattr(backend, name, value)
+    backend.credit = 0.0  # what may go to a cold member now is the other's
+
+
+def _numbers(row: list[Any], names: tuple[str, ...]) -> dict[str, Any]:
+    values = dict(zip(names, row, strict=True))
+    for name, value in values.items():
+        if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+            raise Unusable(f"{name}: {value!r}")
+    return values
