--- a/millfront/node/host.py
+++ b/millfront/node/host.py
@@ -330,7 +330,8 @@
 
     def _overdue(self, request: int) -> None:
         """Guards the one final answer against a module that forgot the request."""
-        if self.open[request].streams >= 0 if request in self.open else False:
+        opened = self.open.get(request)
+        if opened is not None and opened.streams >= 0:
             return  # the client's own since its answer has begun
         if opened := self._finish(request):
             log.error("request unanswered at its deadline")
--- a/millfront/node/stages/send.py
+++ b/millfront/node/stages/send.py
@@ -139,10 +139,11 @@
         if self.rest is not None:
             self.rest.cancel()
             self.rest = None
-        if self.over or not self.opened.caller.streams or ending_of(answer) is not Ending.SERVED:
-            if ending_of(answer) is Ending.SERVED:
-                self.nonsense("an answer too long to be gathered")
-            self.end(ending_of(answer))
+        if (ending := ending_of(answer)) is not Ending.SERVED:
+            self.end(ending)
+            return
+        if not self.opened.caller.streams:
+            self.nonsense("an answer too long to be gathered")
             return
         assert self.connection is not None
         self.connection.pause()
