Hold an upload between two connections; end an overlap under the newest settings

A flow whose connection broke before anything of a long body had gone on tried again, but the body stayed attached to the broken connection: what its client sent meanwhile was swallowed, and missing in the middle. Lines: ServerSideFlow.broken() dropped the connection without Upload.detach(); both ends of a connection now go through let_go().

Two SIGHUPs within 1.2 s: the first one's overlap put its own limits back over the second's (Node._tell held the first file).

Chunk framing is written once. Each of the two tests fails without its mend.

--- a/millfront/node/http1.py
+++ b/millfront/node/http1.py
@@ -68,6 +68,13 @@
     return target if found is None else target[found.end() :] or b"/"
 
 
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data) if data else b""
+
+
 TOO_LONG = f"an answer of over {MOST_STREAMED} bytes"
 
 
@@ -288,12 +295,12 @@
     def body(self, data: bytes) -> bytes:
         if self._h11 is not None:
             return self._h11.send(h11.Data(data=data)) or b""
-        return b"%x\r\n%s\r\n" % (len(data), data) if self._chunked and data else data
+        return chunk(data) if self._chunked else data
 
     def finish(self) -> tuple[bytes, bool]:
         """The last bytes, and whether the connection may take another request."""
         if self._h11 is None:
-            return (b"0\r\n\r\n" if self._chunked else b""), not self.under_way
+            return (LAST_CHUNK if self._chunked else b""), not self.under_way
         data = self._h11.send(h11.EndOfMessage()) or b""
         return data, self._goes_on(self._h11)
 
--- a/millfront/node/members.py
+++ b/millfront/node/members.py
@@ -14,7 +14,7 @@
 from millfront.node.endings import Ended, Ending
 from millfront.node.host import Clock
 from millfront.node.http import Fields, Message, unconnected
-from millfront.node.http1 import Answers, request_bytes
+from millfront.node.http1 import LAST_CHUNK, Answers, chunk, request_bytes
 from millfront.node.link import Dialling, Link
 
 IDLE_SHARE = 0.5  # of KeepaliveUs: a request written after the member closed would count as a reset
@@ -91,13 +91,6 @@
         """How it did with the request that was written on it."""
 
 
-LAST_CHUNK = b"0\r\n\r\n"
-
-
-def chunk(data: bytes) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(data), data) if data else b""
-
-
 Up = Callable[[Exchange | None, Ended | None], None]
 
 
--- a/millfront/node/service.py
+++ b/millfront/node/service.py
@@ -174,11 +174,12 @@
         if (told.settings, told.node) == (before.settings, before.node):
             return
         log.info("settings change", classes=",".join(told.node.classes), plans=",".join(told.node.plans))
-        self._tell(self.tuning.take(told.settings, told.node, self.clock.now()), told)
-        self.host.timers.after(OVERLAP_US, lambda: self._tell(self.tuning.settle(self.clock.now()), told))
+        self._tell(self.tuning.take(told.settings, told.node, self.clock.now()))
+        self.host.timers.after(OVERLAP_US, lambda: self._tell(self.tuning.settle(self.clock.now())))
 
-    def _tell(self, retuned: api.Retuned, told: Config) -> None:
-        node = told.node
+    def _tell(self, retuned: api.Retuned) -> None:
+        """By the configuration in force: an overlap may end after another one has come."""
+        told, node = self.config, self.config.node
         self.take_in.take(self.tuning, node.most_units)
         self.book.most_units = node.most_units
         self.admit.most_open = min(node.max_open, told.most_clients)
--- a/millfront/node/stages/send.py
+++ b/millfront/node/stages/send.py
@@ -79,17 +79,23 @@
                 timer.cancel()
         if self.dialling is not None:
             self.dialling()
-        connection, self.connection = self.connection, None
-        if connection is not None:
-            connection.flow = None
-            connection.drop()
-        if (upload := self.opened.arrival.message.upload) is not None and connection is not None:
-            upload.detach(connection)
+        self.let_go()
         if self.has_way:
             self.has_way = False
             self.stage.ways.give_back()
         self.stage.book(self, ending, answer)
 
+    def let_go(self) -> None:
+        """Of the connection, which carries nothing more. A body under way must wait for the next one: put to
+        this one, it would be lost between the two."""
+        connection, self.connection = self.connection, None
+        if connection is None:
+            return
+        connection.flow = None
+        if (upload := self.opened.arrival.message.upload) is not None:
+            upload.detach(connection)
+        connection.drop()
+
     def whole(self) -> None:
         """The request's last byte has come: the attempt's time begins."""
         now_us = self.stage.clock.now()
@@ -152,11 +158,10 @@
 
     def go(self) -> None:
         """It is this answer's turn to go on."""
-        self.has_way = True
         if self.over:  # while it waited
-            self.has_way = False
             self.stage.ways.give_back()
             return
+        self.has_way = True
         assert self.answer is not None
         self.streams = self.stage.begin(self)
         if not self.streams:
@@ -217,12 +222,9 @@
 
     def broken(self, ended: Ended) -> None:
         """The connection has ended without an answer."""
-        connection, self.connection = self.connection, None
-        if connection is not None:
-            connection.flow = None
-            if ended.ending is Ending.BROKEN:
-                connection.fared(False)
-            connection.drop()
+        if self.connection is not None and ended.ending is Ending.BROKEN:
+            self.connection.fared(False)
+        self.let_go()
         upload = self.opened.arrival.message.upload
         kept = upload is None or not upload.moved  # what has gone on is not there any more
         if ended.again and self.again > 0 and kept and not self.over and not self.streams:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -2,14 +2,18 @@
 
 import time
 from typing import Any
+from unittest.mock import MagicMock
 
 import anyio
 import pytest
 from anyio.abc import SocketStream
 
+from millfront import interface as api
 from millfront.node import clients
-from millfront.node.bodies import EACH, Ways
+from millfront.node.bodies import EACH, Upload, Ways
+from millfront.node.endings import Ended, Ending
 from millfront.node.http import MOST_BODY, MOST_STREAMED
+from millfront.node.stages.send import ServerSideFlow
 from tests.peers import PAST, Peer, answer, read_message, request, says, stage, status
 
 pytestmark = pytest.mark.anyio
@@ -282,6 +286,24 @@
         assert member.seen[0].endswith(body)
 
 
+async def test_a_body_under_way_waits_for_the_next_connection() -> None:
+    """Put to the one that broke, what came between the two would be missing in the middle."""
+    source, broken, again = MagicMock(), MagicMock(), MagicMock()
+    under_way = Upload(source, None)
+    opened = MagicMock(deadline_us=10**9)
+    opened.arrival.message.upload = under_way
+    stage = MagicMock()
+    flow = ServerSideFlow(stage, opened, 0, api.Send(1, 1, 0), 0)
+    flow.connection = broken
+    under_way.attach(broken)
+    flow.broken(Ended(Ending.UNCONNECTED, again=True))
+    stage.attempt.assert_called_once_with(flow)
+    assert under_way.put(b"more", False) is False  # held, and its client not read on
+    under_way.attach(again)
+    again.passes.assert_called_once_with(b"more", False)
+    broken.passes.assert_not_called()
+
+
 async def test_ways_are_taken_in_turn_and_given_back() -> None:
     ways, started = Ways(2), list[int]()
     for number in range(4):
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -118,6 +118,10 @@
         retune(settings())  # brought back
         assert status(await on.ask(request("issue-buy"))) == 200
         assert len(node.tuning.settings.classes) == 5
+        retune(settings(MaxOpen=7))  # two in a moment: the first one's overlap ends under the second
+        retune(settings(MaxOpen=9))
+        await anyio.sleep(0.3)
+        assert node.admit.most_open == 9
 
 
 @pytest.mark.anyio
