Make the test of two SIGHUPs fail without its mend

As committed before it passed either way: both overlaps had ended by the time it looked. Now the first one's end is called under the second's settings; with the service of the commit before the mend the test fails, checked.

--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -118,9 +118,11 @@
         retune(settings())  # brought back
         assert status(await on.ask(request("issue-buy"))) == 200
         assert len(node.tuning.settings.classes) == 5
+        overlaps: list[Callable[[], None]] = []
+        monkeypatch.setattr(node.host.timers, "after", lambda _, call: overlaps.append(call))
         retune(settings(MaxOpen=7))  # two in a moment: the first one's overlap ends under the second
         retune(settings(MaxOpen=9))
-        await anyio.sleep(0.3)
+        overlaps[0]()
         assert node.admit.most_open == 9
 
 
