Rehearsal kit: real gatekeeper processes between stand-ins, faults on every link

Until now only one node in-process, or one process killed again and again, was ever played.

Ruled out: a byte proxy in front of each page server; the page server then can't tell which gatekeeper sent a request, nor when, without a side channel, and the drain auditor needs both.

--- a/millfront/cli/commands.py
+++ b/millfront/cli/commands.py
@@ -15,7 +15,7 @@
 class Lazy(click.Group):
     """Groups whose modules are imported only when they are asked for."""
 
-    GROUPS = ("plans", "usage")
+    GROUPS = ("plans", "rehearse", "usage")
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         return sorted([*super().list_commands(ctx), *self.GROUPS])
--- /dev/null
+++ b/millfront/rehearsal/fleet.py
@@ -0,0 +1,171 @@
+"""Real gatekeeper processes: started as the deploy file's `run` starts one, signalled, killed and started
+again, each with its own configuration, name, zone and state directory. Every process is ended by its own id.
+"""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+START_S = 20.0  # a gatekeeper that does not serve by then has failed to start
+END_S = 10.0  # after SIGTERM, before SIGKILL
+
+
+class StartFailed(Exception):
+    """A gatekeeper did not come to serve; the text has the end of its log."""
+
+
+@dataclass(slots=True)
+class Gatekeeper:
+    place: int
+    folder: Path
+    config: dict[str, Any]
+    operators: dict[str, Any]
+    process: asyncio.subprocess.Process | None = None
+    address: str = ""
+    admin: str = ""
+    starts: int = 0
+    paused: list[tuple[float, float]] = field(default_factory=list)  # (from, to) of each SIGSTOP
+    killed: list[float] = field(default_factory=list)
+    offset: int = 0  # of the log, where the present life's lines begin
+
+    @property
+    def name(self) -> str:
+        return f"g{self.place}"
+
+    @property
+    def config_path(self) -> Path:
+        return self.folder / "config.json"
+
+    @property
+    def state(self) -> Path:
+        """$TMPDIR of the gatekeeper: kept over its restarts, as the platform keeps it over an upgrade."""
+        return self.folder / "state"
+
+    @property
+    def log_path(self) -> Path:
+        return self.folder / "log.jsonl"
+
+    def write_config(self, config: dict[str, Any] | None = None) -> None:
+        """Whole, by a rename: a reader sees the old file or the new one."""
+        if config is not None:
+            self.config = config
+        spare = self.config_path.with_suffix(".new")
+        spare.write_text(json.dumps(self.config, indent=1))
+        spare.replace(self.config_path)
+
+    async def start(self) -> None:
+        """:raises StartFailed: it exited, or did not serve within START_S"""
+        self.state.mkdir(parents=True, exist_ok=True)
+        (self.folder / "operators.json").write_text(json.dumps(self.operators))
+        if not self.config_path.exists():
+            self.write_config()
+        environment = {
+            key: value for key, value in os.environ.items() if not key.startswith(("NODE_", "MILLFRONT_"))
+        } | {
+            "NODE_CONFIG": str(self.config_path),
+            "NODE_NAME": self.name,
+            "MILLFRONT_OPERATOR": str(self.folder / "operators.json"),
+            "TMPDIR": str(self.state),
+        }
+        log = self.log_path.open("ab")
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", "-m", "millfront", env=environment, stdout=log, stderr=log
+        )
+        log.close()
+        self.starts += 1
+        self.address = self.admin = ""
+        await self._until_serving()
+
+    async def _until_serving(self) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + START_S
+        while loop.time() < until:
+            for line in self._lines(self.offset):
+                if line.get("event") == "serves":
+                    self.address = str(line["address"])
+                elif line.get("event") == "operators are answered":
+                    self.admin = str(line["address"])
+                elif line.get("event") == "the admin API listens":
+                    self.admin = self.admin or str(line["address"])
+            if self.address:
+                return
+            assert self.process is not None
+            if self.process.returncode is not None:
+                break
+            await asyncio.sleep(0.05)
+        tail = self.log_path.read_text(errors="replace")[-2000:]
+        raise StartFailed(f"{self.name} did not serve within {START_S} s:\n{tail}")
+
+    def _lines(self, offset: int) -> list[dict[str, Any]]:
+        with self.log_path.open("rb") as file:
+            file.seek(offset)
+            lines = []
+            for raw in file.read().splitlines():
+                with contextlib.suppress(ValueError):
+                    line = json.loads(raw)
+                    if isinstance(line, dict):
+                        lines.append(line)
+            return lines
+
+    async def restart(self) -> None:
+        self.offset = self.log_path.stat().st_size
+        await self.start()
+
+    def signal(self, number: signal.Signals) -> bool:
+        """By the process's own id; False where it has ended."""
+        process = self.process
+        if process is None or process.returncode is not None:
+            return False
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(process.pid, number)
+            return True
+        return False
+
+    @property
+    def alive(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+    async def end(self) -> int | None:
+        """SIGTERM, then SIGKILL after END_S; the exit code, None where it was not running."""
+        process = self.process
+        if process is None:
+            return None
+        if process.returncode is None:
+            self.signal(signal.SIGCONT)
+            self.signal(signal.SIGTERM)
+            try:
+                await asyncio.wait_for(process.wait(), END_S)
+            except TimeoutError:
+                self.signal(signal.SIGKILL)
+                await process.wait()
+        return process.returncode
+
+    def log(self) -> list[dict[str, Any]]:
+        lines = self._lines(0) if self.log_path.exists() else []
+        for line in lines:
+            line["gatekeeper"] = self.place
+        return lines
+
+
+def configuration(
+    place: int, listen_settings: dict[str, Any], discovery: str, counter: str | None, known: dict[str, Any]
+) -> dict[str, Any]:
+    """What the platform tells a gatekeeper (DEPLOY: NODE_CONFIG), on loopback, port 0."""
+    told: dict[str, Any] = {
+        "name": f"g{place}",
+        "listen": "127.0.0.1:0",
+        "discovery": discovery,
+        "seed": f"{place + 1:016x}",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": known,
+        "settings": listen_settings | {"Me": place},
+    }
+    if counter is not None:
+        told["counter"] = counter
+    return told
--- /dev/null
+++ b/millfront/rehearsal/load.py
@@ -0,0 +1,140 @@
+"""Open-loop clients: requests arrive when the seed says, whether earlier ones were answered or not, so that a
+gatekeeper that stalls is still offered what it would have been offered (no coordinated omission).
+
+Clients send one request at a time on a connection, keep their connections, and open more when all are busy
+(PROTOCOL). They never retry: every request id is a try of its own, and the auditors see each once.
+"""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from millfront.rehearsal.scenario import Clients
+from millfront.rehearsal.standins import Clock
+
+SAFE_CLASSES = {"page-fetch"}
+KEYED_CLASSES = {"issue-buy"}
+
+
+@dataclass(slots=True)
+class Asked:
+    """A request as its client saw it."""
+
+    request: str
+    kind: str
+    customer: str
+    who: int  # the gatekeeper it was sent to
+    sent: float
+    timeout_s: float
+    status: int = 0  # 0: no answer
+    answered: float = 0.0
+    ending: str = "open"  # answered, closed (connection ended without an answer), unreachable, late
+
+
+@dataclass(slots=True)
+class Load:
+    told: Clients
+    gatekeepers: int
+    address: Callable[[int], str]  # where a gatekeeper listens now; "" while it does not
+    clock: Clock
+    rng: random.Random
+    asked: list[Asked] = field(default_factory=list)
+    _idle: dict[int, list[tuple[asyncio.StreamReader, asyncio.StreamWriter, str]]] = field(
+        default_factory=dict
+    )
+    _ids: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
+    _open: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def run(self, until_s: float) -> None:
+        """Arrivals until `until_s`, or until the most requests were sent."""
+        told, names, weights = self.told, list(self.told.classes), list(self.told.classes.values())
+        next_at = self.clock() + max(0.0, told.start_s - self.clock())
+        for _ in range(told.most):
+            if told.rate_per_s <= 0:
+                return
+            next_at += self.rng.expovariate(told.rate_per_s)
+            if next_at >= until_s:
+                break
+            await asyncio.sleep(max(0.0, next_at - self.clock()))
+            customer = self.rng.randrange(told.customers)
+            first = customer % self.gatekeepers
+            who = (first + self.rng.randrange(told.spread)) % self.gatekeepers
+            kind = self.rng.choices(names, weights)[0]
+            task = asyncio.create_task(self._ask(who, kind, customer, first))
+            self._open.add(task)
+            task.add_done_callback(self._open.discard)
+        await self.settle()
+
+    async def settle(self) -> None:
+        if self._open:
+            await asyncio.wait(list(self._open))
+
+    async def _ask(self, who: int, kind: str, customer: int, first: int) -> None:
+        told = self.told
+        request = f"{next(self._ids):016x}"
+        asked = Asked(request, kind, f"{customer:016x}", who, self.clock(), told.timeout_ms / 1000)
+        self.asked.append(asked)
+        address = self.address(who)
+        if not address:
+            asked.ending = "unreachable"
+            return
+        lines = [
+            f"{'GET' if kind in SAFE_CLASSES else 'POST'} /{kind}/{customer:016x} HTTP/1.1",
+            "Host: origin.svc",
+            f"Request-Id: {request}",
+            f"Plan: {told.plan}",
+            f"Request-Timeout: {told.timeout_ms}m",
+            f"Quota-Info: units=1,spread={told.spread},first={first}",
+        ]
+        body = b"" if kind in SAFE_CLASSES else b"what is bought"
+        if kind in KEYED_CLASSES:
+            lines.append(f"Idempotency-Key: {request:0>32}")
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        data = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+        try:
+            async with asyncio.timeout(asked.timeout_s + 1.0):
+                await self._exchange(who, address, data, asked)
+        except TimeoutError:
+            asked.ending = "late"
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            asked.ending = "unreachable" if asked.ending == "connecting" else "closed"
+
+    async def _exchange(self, who: int, address: str, data: bytes, asked: Asked) -> None:
+        idle = self._idle.setdefault(who, [])
+        while idle and idle[-1][2] != address:  # the gatekeeper was started anew at another port
+            idle.pop()[1].close()
+        if idle:
+            reader, writer, _ = idle.pop()
+        else:
+            host, _, port = address.rpartition(":")
+            asked.ending = "connecting"
+            reader, writer = await asyncio.open_connection(host, int(port))
+        asked.ending = "open"
+        writer.write(data)
+        await writer.drain()
+        head = await reader.readuntil(b"\r\n\r\n")
+        status = int(head.split(b" ", 2)[1])
+        fields = {}
+        for row in head.split(b"\r\n")[1:]:
+            name, _, value = row.partition(b":")
+            fields[name.strip().lower()] = value.strip()
+        if fields.get(b"transfer-encoding", b"").lower() == b"chunked":
+            while size := int((await reader.readuntil(b"\r\n")).split(b";")[0], 16):
+                await reader.readexactly(size + 2)
+            await reader.readuntil(b"\r\n")
+        else:
+            await reader.readexactly(int(fields.get(b"content-length", b"0")))
+        asked.status, asked.answered, asked.ending = status, self.clock(), "answered"
+        if b"connection: close" in head.lower():
+            writer.close()
+        else:
+            idle.append((reader, writer, address))
+
+    def close(self) -> None:
+        for idle in self._idle.values():
+            for _, writer, _ in idle:
+                writer.close()
+        self._idle.clear()
--- /dev/null
+++ b/millfront/rehearsal/play.py
@@ -0,0 +1,328 @@
+"""A rehearsal played: stand-ins up, gatekeepers started and serving, clients and the timeline of faults, then
+every process ended by its id, the logs gathered in time order and the verdict written.
+
+    verdict = asyncio.run(play(scenario, Path("out")))   # out/verdict.json, out/logs.jsonl, out/g*/
+"""
+
+import asyncio
+import json
+import random
+import signal
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from millfront.rehearsal import audit
+from millfront.rehearsal.doors import Door, Link
+from millfront.rehearsal.fleet import Gatekeeper, configuration
+from millfront.rehearsal.load import Load
+from millfront.rehearsal.scenario import Fault, Scenario, merged
+from millfront.rehearsal.standins import Agent, Clock, Counter, Directory, PageServer
+
+SETTLE_S = 1.0  # after the last client's timeout, before the gatekeepers are ended
+
+
+def settings(scenario: Scenario) -> dict[str, Any]:
+    """The kit's own settings for a gatekeeper (the simulator's first message), with the scenario's patch."""
+    plan: dict[str, object] = {"CapDepth": 0, "CeilingRate": 0, "CeilingSlack": 0, "Concurrency": 0}
+    plan |= {"ExtraWorth": 0}
+    plan |= {"MostAtOnce": 400.0, "OverrunCost": 0.6, "Refill": 200.0, "WorthFactor": 1}
+    regular = plan | {"Name": "regular", "Refill": 8.0, "MostAtOnce": 30.0}
+    regular |= {"CeilingRate": 16.0, "CapDepth": 40.0, "CeilingSlack": 4.0}
+    kinds = (("page-fetch", "safe"), ("issue-buy", "keyed"), ("code-redeem", "unsafe"))
+    base = {
+        "Allowed": {
+            "Cancel": True,
+            "ConnectTimeoutUs": 250_000,
+            "KeepaliveUs": 30_000_000,
+            "MaxOpen": 2_000,
+            "MaxRetryAfterUs": 2_000_000,
+            "MostTries": 3,
+            "Probes": False,
+            "RetryAfter": True,
+            "SecondCopies": False,
+        },
+        "Classes": [
+            {
+                "AimUs": 1_000_000,
+                "Group": "all",
+                "HardLimitUs": 4_000_000,
+                "LateValue": 0.2,
+                "Name": name,
+                "Repeat": repeat,
+                "Stream": False,
+                "WindowUs": 8_000_000,
+                "Worth": 1.0,
+            }
+            for name, repeat in kinds
+        ],
+        "Discovery": "pushed",
+        "FamilyInfo": {"CountWaitUs": 80_000, "SharedCounter": scenario.counter, "UnitsTop": 8},
+        "Kinds": ["quad-fast"],
+        "Me": 0,
+        "MyZone": 0,
+        "Packages": [plan | {"Name": "casual"}, regular],
+        "PeersTotal": scenario.gatekeepers,
+        "Rules": {
+            "AnswerSlackUs": 8_000,
+            "ColdFrom": 0.2,
+            "DrainGraceUs": 500_000,
+            "FallMultiple": 3,
+            "FallUs": 3_000_000,
+            "RampTimeUs": 18_000_000,
+        },
+        "Weights": "none",
+        "Zones": list(scenario.zones),
+    }
+    return merged(base, scenario.settings)
+
+
+class Rehearsal:
+    def __init__(self, scenario: Scenario, out: Path, progress: Callable[[str], None]) -> None:
+        self.scenario = scenario
+        self.out = out
+        self.progress = progress
+        self.rng = random.Random(scenario.seed)
+        self.clock = Clock()
+        self.settings = settings(scenario)
+        self.counter = Counter(self.clock)
+        self.directory = Directory(self.clock)
+        self.pages: list[PageServer] = []
+        self.doors: dict[tuple[str, int, int], Door] = {}  # (link, gatekeeper, member or 0)
+        self.gatekeepers: list[Gatekeeper] = []
+        self.agents: list[Agent] = []
+        self.starts: dict[int, list[float]] = {}
+        self.out_of_play: dict[int, list[tuple[float, float]]] = {}
+        self._later: set[asyncio.Task[None]] = set()
+
+    async def _door(self, link: str, who: int, member: int, handler: Any) -> Door:
+        door = Door(handler, self.rng, who)
+        await door.open()
+        self.doors[(link, who, member)] = door
+        return door
+
+    async def _set_up(self) -> None:
+        scenario, n = self.scenario, self.scenario.gatekeepers
+        member = 0
+        for group in scenario.pages:
+            for _ in range(group.count):
+                page = PageServer(member, group, self.clock, self.rng)
+                page.born = self.clock() if group.behaviour == "cold" else 0.0
+                self.pages.append(page)
+                health = "Terminating" if group.behaviour == "draining" else "Ready"
+                born_ms = int(time.time() * 1000) if group.behaviour == "cold" else 0  # Unix time
+                self.directory.rows[member] = {
+                    "host": f"s-{member}",
+                    "site": scenario.zones[group.zone],
+                    "class": "quad-fast",
+                    "block": member,
+                    "health": health,
+                    "share": 1.0,
+                    "born_ms": born_ms,
+                }
+                for who in range(n):
+                    await self._door("pages", who, member, page.serve)
+                member += 1
+        for who in range(n):
+            if scenario.counter:
+                await self._door("counter", who, 0, self.counter.serve)
+            agent = Agent(self.directory, who, self._dial(who))
+            self.agents.append(agent)
+            await self._door("discovery", who, 0, agent.serve)
+        operators = merged({"logs": {"format": "json", "level": "info"}}, scenario.operators)
+        for who in range(n):
+            counter = f"127.0.0.1:{self.doors[('counter', who, 0)].port}" if scenario.counter else None
+            discovery = f"127.0.0.1:{self.doors[('discovery', who, 0)].port}"
+            known = self.agents[who].listed(None) | {"seq": 0}
+            told = configuration(
+                who, self.settings | {"MyZone": who % len(scenario.zones)}, discovery, counter, known
+            )
+            folder = self.out / f"g{who}"
+            folder.mkdir(parents=True, exist_ok=True)
+            self.gatekeepers.append(Gatekeeper(who, folder, told, operators))
+
+    def _dial(self, who: int) -> Callable[[int], str]:
+        """Where a gatekeeper reaches each member: its own door to it."""
+        return lambda member: f"127.0.0.1:{self.doors[('pages', who, member)].port}"
+
+    async def run(self) -> dict[str, Any]:
+        await self._set_up()
+        self.progress(f"{self.scenario.name}: starting {len(self.gatekeepers)} gatekeepers")
+        try:
+            await asyncio.gather(*(self._start(g) for g in self.gatekeepers))
+            return await self._play()
+        finally:
+            for gatekeeper in self.gatekeepers:
+                await gatekeeper.end()
+            for door in self.doors.values():
+                await door.close()
+
+    async def _start(self, gatekeeper: Gatekeeper) -> None:
+        await gatekeeper.start()
+        self.starts.setdefault(gatekeeper.place, []).append(self.clock())
+
+    async def _play(self) -> dict[str, Any]:
+        scenario = self.scenario
+        zero = self.clock()
+        load = Load(scenario.clients, scenario.gatekeepers, self._address, self.clock, self.rng)
+        longest = scenario.clients.timeout_ms / 1000
+        until = zero + (scenario.clients.until_s or max(0.0, scenario.duration_s - longest))
+        clients = asyncio.create_task(load.run(until))
+        for fault in sorted(scenario.faults, key=lambda f: f.at_s):
+            await asyncio.sleep(max(0.0, zero + fault.at_s - self.clock()))
+            self.progress(
+                f"{self.clock() - zero:6.2f} s  {fault.do} {fault.signal or fault.effect or ''} "
+                f"g{fault.gatekeepers or 'all'}"
+            )
+            await self._fault(fault)
+        await asyncio.sleep(max(0.0, zero + scenario.duration_s - self.clock()))
+        await clients
+        await asyncio.sleep(SETTLE_S)
+        if self._later:
+            await asyncio.gather(*self._later)
+        load.close()
+        return self._verdict(load, self.clock() - zero)
+
+    def _address(self, who: int) -> str:
+        gatekeeper = self.gatekeepers[who]
+        return gatekeeper.address if gatekeeper.alive else ""
+
+    def _targets(self, fault: Fault) -> list[Gatekeeper]:
+        return [self.gatekeepers[p] for p in fault.gatekeepers] if fault.gatekeepers else self.gatekeepers
+
+    def _then(self, delay: float, job: Callable[[], Any]) -> None:
+        async def later() -> None:
+            await asyncio.sleep(delay)
+            result = job()
+            if asyncio.iscoroutine(result):
+                await result
+
+        task = asyncio.create_task(later())
+        self._later.add(task)
+        task.add_done_callback(self._later.discard)
+
+    async def _fault(self, fault: Fault) -> None:
+        targets = self._targets(fault)
+        if fault.do == "signal":
+            number = getattr(signal, f"SIG{fault.signal}")
+            for gatekeeper in targets:
+                now = self.clock()
+                if gatekeeper.signal(number) and fault.signal in ("KILL", "STOP"):
+                    until = now + (fault.for_s or 3_600.0) if fault.signal == "STOP" else 3_600.0
+                    self.out_of_play.setdefault(gatekeeper.place, []).append((now, until))
+                    if fault.signal == "STOP" and fault.for_s is not None:
+                        self._then(fault.for_s, self._resume(gatekeeper))
+        elif fault.do == "restart":
+            for gatekeeper in targets:
+                await gatekeeper.end()
+                self._back(gatekeeper)
+                await gatekeeper.restart()
+                self.starts.setdefault(gatekeeper.place, []).append(self.clock())
+        elif fault.do == "wipe":
+            for gatekeeper in targets:
+                for path in sorted(gatekeeper.state.rglob("*"), reverse=True):
+                    path.rmdir() if path.is_dir() else path.unlink()
+        elif fault.do == "config":
+            for gatekeeper in targets:
+                self._write(gatekeeper, fault)
+        elif fault.do == "link":
+            self._link(fault, targets)
+        elif fault.do == "discovery":
+            assert fault.member is not None
+            for agent in self.agents:
+                agent.lag_s = (
+                    fault.lag_s if (not fault.gatekeepers or agent.who in fault.gatekeepers) else 0.0
+                )
+            self.directory.change(fault.member, fault.health)
+            if fault.health != "Ready":
+                self.pages[fault.member].draining = True
+
+    @staticmethod
+    def _resume(gatekeeper: Gatekeeper) -> Callable[[], bool]:
+        return lambda: gatekeeper.signal(signal.SIGCONT)
+
+    def _back(self, gatekeeper: Gatekeeper) -> None:
+        """A killed gatekeeper is out of play until it is started again."""
+        windows = self.out_of_play.get(gatekeeper.place, [])
+        if windows and windows[-1][1] > self.clock():
+            windows[-1] = (windows[-1][0], self.clock())
+
+    def _write(self, gatekeeper: Gatekeeper, fault: Fault) -> None:
+        told = gatekeeper.config
+        if fault.settings is not None:
+            told = told | {"settings": merged(told["settings"], fault.settings)}
+        text = json.dumps(told, indent=1).encode()
+        if fault.write == "whole":
+            gatekeeper.write_config(told)
+        elif fault.write == "in_place":
+            gatekeeper.config = told
+            gatekeeper.config_path.write_bytes(text)
+        else:  # a file that can't be used: the gatekeeper must keep what it has
+            gatekeeper.config_path.write_bytes(text[: len(text) // 2] if fault.write == "torn" else b"")
+
+    def _link(self, fault: Fault, targets: list[Gatekeeper]) -> None:
+        assert fault.link is not None and fault.effect is not None
+        link = Link(fault.effect, fault.way, fault.delay_ms, fault.jitter_ms, fault.share)
+        members = fault.pages or range(len(self.pages))
+        doors = [
+            self.doors[(fault.link, g.place, m)]
+            for g in targets
+            for m in (members if fault.link == "pages" else [0])
+            if (fault.link, g.place, m) in self.doors
+        ]
+        for door in doors:
+            door.set(link)
+        if fault.for_s is not None:
+            self._then(fault.for_s, lambda: self._heal(doors))
+
+    @staticmethod
+    def _heal(doors: list[Door]) -> None:
+        for door in doors:
+            door.set(Link())
+
+    def _verdict(self, load: Load, seconds: float) -> dict[str, Any]:
+        cold = {p.member: (p.born, p.kind.capacity_per_s) for p in self.pages if p.kind.behaviour == "cold"}
+        seen = audit.Seen(
+            settings=self.settings,
+            asked=load.asked,
+            arrivals=[a for page in self.pages for a in page.arrivals],
+            told=self.directory.told,
+            starts=self.starts,
+            out=self.out_of_play,
+            plan=self.scenario.clients.plan,
+            cold=cold,
+            zones={p.member: p.kind.zone for p in self.pages},
+        )
+        found = audit.rules(seen)
+        return {
+            "scenario": self.scenario.name,
+            "seed": self.scenario.seed,
+            "passed": all(rule.held for rule in found.values()),
+            "rules": {name: rule.to_json() for name, rule in found.items()},
+            "figures": audit.figures(seen, seconds, self.counter.calls),
+        }
+
+    def gather_logs(self) -> int:
+        """Every gatekeeper's log in one file, in time order; the count of lines."""
+        lines = [line for gatekeeper in self.gatekeepers for line in gatekeeper.log()]
+        lines.sort(key=lambda line: str(line.get("timestamp", "")))
+        with (self.out / "logs.jsonl").open("w") as file:
+            for line in lines:
+                file.write(json.dumps(line) + "\n")
+        return len(lines)
+
+
+async def play(
+    scenario: Scenario, out: Path, progress: Callable[[str], None] = lambda _: None
+) -> dict[str, Any]:
+    """:returns: the verdict, also written to `out/verdict.json`
+    :raises StartFailed: a gatekeeper did not come to serve"""
+    out.mkdir(parents=True, exist_ok=True)
+    rehearsal = Rehearsal(scenario, out, progress)
+    try:
+        verdict = await rehearsal.run()
+    finally:
+        rehearsal.gather_logs()
+    (out / "verdict.json").write_text(json.dumps(verdict, indent=1) + "\n")
+    return verdict
--- /dev/null
+++ b/tests/test_rehearsal.py
@@ -0,0 +1,135 @@
+"""The rehearsal kit: scenarios checked by field, auditors that catch what they are for, and a rehearsal of
+real gatekeeper processes with faults between them."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from millfront.operators.faults import Unusable
+from millfront.rehearsal import audit, scenario
+from millfront.rehearsal.load import Asked
+from millfront.rehearsal.play import play, settings
+from millfront.rehearsal.standins import Arrival, Told
+
+EXAMPLES = Path(__file__).parent.parent / "examples" / "rehearsals"
+
+
+@pytest.mark.parametrize(
+    ("text", "path"),
+    [
+        ('name = "x"\nduration_s = 5\n[[faults]]\nat_s = 1\ndo = "signal"', "$.faults[0]"),
+        ('name = "x"\nduration_s = 5\ngatekeepers = "five"', "$.gatekeepers"),
+        ('name = "x"\nduration_s = 5\n[[faults]]\nat_s = 9\ndo = "wipe"', "after the scenario's end"),
+        ('name = "x"\nduration_s = 5\nspeed = 3', "$.speed"),
+        ("name = ", "can't be read"),
+    ],
+)
+def test_a_wrong_scenario_is_named_by_its_field(text: str, path: str) -> None:
+    with pytest.raises(Unusable, match=path.replace("$", r"\$").replace("[", r"\[")):
+        scenario.parse(text.encode(), toml=True)
+
+
+def test_every_example_scenario_is_sound() -> None:
+    assert [scenario.load(path).name for path in sorted(EXAMPLES.glob("*.toml"))]
+
+
+def seen(*arrivals: Arrival, asked: list[Asked] | None = None, told: list[Told] | None = None) -> audit.Seen:
+    rules = settings(scenario.Scenario(name="t", duration_s=1))
+    return audit.Seen(rules, asked or [], list(arrivals), told or [], {0: [0.0]}, {}, plan="regular")
+
+
+def test_the_auditors_see_what_they_are_for() -> None:
+    """Each guard against a broken rule, fed records that break it, and records that do not."""
+    twice = seen(
+        Arrival(1.0, 0, 0, "r1", "code-redeem", "c", 1, "error"),
+        Arrival(1.2, 1, 1, "r1", "code-redeem", "c", 1),
+    )
+    assert not audit.rules(twice)["unsafe_never_twice"].held
+    unseen = seen(
+        Arrival(1.0, 0, 0, "r1", "code-redeem", "c", 1, "not_started"),
+        Arrival(1.2, 1, 1, "r1", "code-redeem", "c", 1),
+    )
+    assert audit.rules(unseen)["unsafe_never_twice"].held
+    keyed = seen(
+        Arrival(1.0, 0, 0, "r2", "issue-buy", "c", 1, "lost"), Arrival(9.5, 0, 1, "r2", "issue-buy", "c", 1)
+    )
+    assert not audit.rules(keyed)["keyed_within_group"].held
+    late = seen(
+        Arrival(3.0, 0, 2, "r3", "page-fetch", "c", 1, "ok"), told=[Told(2.0, 0, 2, "Terminating", 2)]
+    )
+    assert not audit.rules(late)["drain"].held
+    in_time = seen(
+        Arrival(2.3, 0, 2, "r3", "page-fetch", "c", 1, "ok"), told=[Told(2.0, 0, 2, "Terminating", 2)]
+    )
+    assert audit.rules(in_time)["drain"].held
+    burst = [Arrival(1.0 + i / 1000, 0, 0, f"b{i}", "page-fetch", "c", 1, "ok") for i in range(60)]
+    assert not audit.rules(seen(*burst))["ceiling"].held  # 40 deep, slack 4 and 2.4: 60 at once is over
+    assert audit.rules(seen(*burst[:40]))["ceiling"].held
+    lost = [Asked("r4", "page-fetch", "c", 0, 1.0, 2.0, ending="closed")]
+    assert not audit.rules(seen(asked=lost))["one_final_answer"].held
+
+
+FAULTS = """
+name = "three-gatekeepers-faults"
+duration_s = 9
+gatekeepers = 3
+[clients]
+rate_per_s = 45
+customers = 12
+timeout_ms = 1500
+[[pages]]
+count = 3
+[[faults]]
+at_s = 1.5
+do = "config"
+settings = { Allowed = { MostTries = 2 } }
+[[faults]]
+at_s = 1.6
+do = "signal"
+signal = "HUP"
+gatekeepers = [0, 1]
+[[faults]]
+at_s = 2.0
+do = "discovery"
+member = 2
+health = "Terminating"
+lag_s = 0.8
+gatekeepers = [2]
+[[faults]]
+at_s = 2.5
+do = "link"
+link = "counter"
+effect = "blackhole"
+gatekeepers = [1]
+for_s = 1.5
+[[faults]]
+at_s = 3.0
+do = "signal"
+signal = "KILL"
+gatekeepers = [2]
+[[faults]]
+at_s = 3.5
+do = "restart"
+gatekeepers = [2]
+[[faults]]
+at_s = 4.5
+do = "link"
+link = "pages"
+pages = [0]
+effect = "lose_answers"
+share = 0.5
+for_s = 1.0
+"""
+
+
+def test_three_processes_keep_every_rule_through_faults(tmp_path: Path) -> None:
+    told = scenario.parse(FAULTS.encode(), toml=True)
+    verdict = asyncio.run(play(told, tmp_path))
+    assert verdict["passed"], verdict["rules"]
+    assert verdict["figures"]["requests"] > 200
+    assert (tmp_path / "verdict.json").exists()
+    logs = (tmp_path / "logs.jsonl").read_text().splitlines()
+    assert sum('"event": "serves"' in line for line in logs) == 4  # three starts and the restart
+    assert any('"settings change"' in line and '"gatekeeper": 1' in line for line in logs)
+    assert not any('"settings change"' in line and '"gatekeeper": 2' in line for line in logs)
