Versions of the settings logged, and the rehearsal's time on two rules measured

Change: a configuration carries `version`, 16 hex digits of BLAKE2b over the canonical JSON of its settings less `Me` and `MyZone` (which tell gatekeepers apart, not their rules). It stands in the `serves` line and in `settings change` (with the version before).

Ruled out: a hash of the file as it lies; two files with the same settings laid out otherwise, or of two gatekeepers, would differ.

No hash on a request's path: once at start and per SIGHUP.

--- a/millfront/node/config.py
+++ b/millfront/node/config.py
@@ -1,5 +1,6 @@
 """What the platform tells a node: NODE_* and the JSON file that NODE_CONFIG names."""
 
+import hashlib
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
@@ -14,6 +15,7 @@
 SPARE_SOCKETS = 72
 
 LEAST_MEMORY_MB = 32  # where the configuration names no limit
+OWN = ("Me", "MyZone")  # settings that tell one gatekeeper from another, not the rules they act on
 
 
 class ConfigError(Exception):
@@ -51,6 +53,7 @@
     node: NodeSettings
     folder: str | None = None  # that processes of one gatekeeper share: $TMPDIR
     keys: frozenset[str] = frozenset()  # that stand in the file
+    version: str = ""  # of the settings: a hash of their content, the same wherever they are the same
 
     @property
     def most_clients(self) -> int:
@@ -131,9 +134,17 @@
         settings=module,
         node=node,
         keys=frozenset(_keys({key: value for key, value in data.items() if key != "known"})),
+        version=version_of({key: value for key, value in settings.items() if key not in OWN}),
     )
 
 
+def version_of(document: object) -> str:
+    """A document's identity by its content: 16 hex digits of BLAKE2b over its canonical JSON. Two gatekeepers
+    that report one version act on the same document, however its file was laid out."""
+    canonical = json.dumps(document, sort_keys=True, separators=(",", ":"), ensure_ascii=False)
+    return hashlib.blake2b(canonical.encode(), digest_size=8).hexdigest()
+
+
 def _keys(data: object, path: str = "") -> set[str]:
     """The paths of all keys; in a list of objects those that all of them have."""
     if isinstance(data, list):
--- a/millfront/node/service.py
+++ b/millfront/node/service.py
@@ -127,7 +127,7 @@
                 address = await tasks.start(self.server.run, config.listen)
             except OSError as wrong:
                 raise ConfigError(f"listen: {config.listen}: {wrong.strerror}") from None
-            log.info("serves", name=config.name, address=address)
+            log.info("serves", name=config.name, settings=config.version, address=address)
             task_status.started(address)
             try:
                 await self._send_away()
@@ -173,7 +173,13 @@
         self.move(told.discovery, told.counter)
         if (told.settings, told.node) == (before.settings, before.node):
             return
-        log.info("settings change", classes=",".join(told.node.classes), plans=",".join(told.node.plans))
+        log.info(
+            "settings change",
+            settings=told.version,
+            before=before.version,
+            classes=",".join(told.node.classes),
+            plans=",".join(told.node.plans),
+        )
         self._tell(self.tuning.take(told.settings, told.node, self.clock.now()))
         self.host.timers.after(OVERLAP_US, lambda: self._tell(self.tuning.settle(self.clock.now())))
 
--- a/millfront/rehearsal/audit.py
+++ b/millfront/rehearsal/audit.py
@@ -8,6 +8,7 @@
 
 from collections import defaultdict
 from dataclasses import dataclass, field
+from datetime import datetime
 from typing import Any
 
 from millfront.rehearsal.load import Asked
@@ -224,6 +225,46 @@
     }
 
 
+def rules_in_force(
+    lines: list[dict[str, Any]], zero: float, end: float, killed: dict[int, list[float]]
+) -> dict[str, float]:
+    """How long the gatekeepers in play acted on more than one version of the settings, from their logs (a
+    figure, not a rule): each life begins with the version it serves on, a change of settings moves it, a
+    SIGKILL ends it.
+
+    :param zero: the rehearsal's start, as Unix time, to which the logs' timestamps are taken
+    """
+    steps: list[tuple[float, int, str | None]] = []
+    for line in lines:
+        version = line.get("settings")
+        if line.get("event") in ("serves", "settings change") and isinstance(version, str):
+            at = datetime.fromisoformat(str(line["timestamp"]).replace("Z", "+00:00")).timestamp() - zero
+            steps.append((at, int(line["gatekeeper"]), version))
+    steps += [(at, who, None) for who, times in killed.items() for at in times]
+    steps.sort(key=lambda step: step[0])
+    acting: dict[int, str] = {}
+    total = longest = run = 0.0
+    last = steps[0][0] if steps else 0.0
+    for at, who, version in [*steps, (end, -1, None)]:
+        split = len(set(acting.values())) > 1
+        if split:
+            total += at - last
+            run += at - last
+            longest = max(longest, run)
+        else:
+            run = 0.0
+        last = at
+        if version is None:
+            acting.pop(who, None)
+        else:
+            acting[who] = version
+    return {
+        "time_on_two_rules_s": round(total, 3),
+        "longest_on_two_rules_s": round(longest, 3),
+        "versions_at_end": len(set(acting.values())),
+    }
+
+
 def figures(seen: Seen, seconds: float, calls: dict[int, int]) -> dict[str, float]:
     asked = seen.asked
     answered = [a for a in asked if a.ending == "answered"]
--- a/millfront/rehearsal/doors.py
+++ b/millfront/rehearsal/doors.py
@@ -132,6 +132,8 @@
             await self.handler(conn)
         except (Cut, ConnectionError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError):
             pass  # the gatekeeper went, the link was cut, or it sent what a stand-in can't read
+        except asyncio.CancelledError:
+            pass  # close(): asyncio's stream server would log a cancelled handler as a failure
         finally:
             self._open.discard(conn)
             self._serving.discard(task)
--- a/millfront/rehearsal/play.py
+++ b/millfront/rehearsal/play.py
@@ -93,6 +93,9 @@
         self.gatekeepers: list[Gatekeeper] = []
         self.agents: list[Agent] = []
         self.starts: dict[int, list[float]] = {}
+        self.killed: dict[int, list[float]] = {}  # by gatekeeper, the times of its SIGKILLs
+        self.zero_unix = 0.0
+        self._zero = 0.0
         self.out_of_play: dict[int, list[tuple[float, float]]] = {}
         self._later: set[asyncio.Task[None]] = set()
 
@@ -164,7 +167,8 @@
 
     async def _play(self) -> dict[str, Any]:
         scenario = self.scenario
-        zero = self.clock()
+        zero = self._zero = self.clock()
+        self.zero_unix = time.time()
         load = Load(scenario.clients, scenario.gatekeepers, self._address, self.clock, self.rng)
         longest = scenario.clients.timeout_ms / 1000
         until = zero + (scenario.clients.until_s or max(0.0, scenario.duration_s - longest))
@@ -208,7 +212,11 @@
             number = getattr(signal, f"SIG{fault.signal}")
             for gatekeeper in targets:
                 now = self.clock()
-                if gatekeeper.signal(number) and fault.signal in ("KILL", "STOP"):
+                if not gatekeeper.signal(number):
+                    continue
+                if fault.signal == "KILL":
+                    self.killed.setdefault(gatekeeper.place, []).append(now - self._zero)
+                if fault.signal in ("KILL", "STOP"):
                     until = now + (fault.for_s or 3_600.0) if fault.signal == "STOP" else 3_600.0
                     self.out_of_play.setdefault(gatekeeper.place, []).append((now, until))
                     if fault.signal == "STOP" and fault.for_s is not None:
@@ -303,14 +311,14 @@
             "figures": audit.figures(seen, seconds, self.counter.calls),
         }
 
-    def gather_logs(self) -> int:
-        """Every gatekeeper's log in one file, in time order; the count of lines."""
+    def gather_logs(self) -> list[dict[str, Any]]:
+        """Every gatekeeper's log in one file, in time order."""
         lines = [line for gatekeeper in self.gatekeepers for line in gatekeeper.log()]
         lines.sort(key=lambda line: str(line.get("timestamp", "")))
         with (self.out / "logs.jsonl").open("w") as file:
             for line in lines:
                 file.write(json.dumps(line) + "\n")
-        return len(lines)
+        return lines
 
 
 async def play(
@@ -323,6 +331,8 @@
     try:
         verdict = await rehearsal.run()
     finally:
-        rehearsal.gather_logs()
+        lines = rehearsal.gather_logs()
+    end = scenario.duration_s
+    verdict["figures"] |= audit.rules_in_force(lines, rehearsal.zero_unix, end, rehearsal.killed)
     (out / "verdict.json").write_text(json.dumps(verdict, indent=1) + "\n")
     return verdict
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -13,6 +13,7 @@
 import pytest
 
 from millfront.logs import Seldom
+from millfront.node.config import from_json
 from tests.peers import configuration, row, settings
 
 ROOT = Path(__file__).parent.parent
@@ -127,3 +128,18 @@
         assert client.recv(100) == b""
     assert process.communicate(timeout=20)[1].count("Traceback") == 0
     assert process.returncode == 0
+
+
+def test_a_version_names_the_rules_not_the_gatekeeper_nor_the_layout() -> None:
+    """Against two gatekeepers on one document reported apart, or two documents reported as one."""
+    from millfront.node.config import version_of
+
+    told = settings()
+    same = {key: told[key] for key in reversed(list(told))}
+    assert version_of(told) == version_of(same)
+    other = told | {"Allowed": told["Allowed"] | {"MostTries": 2}}
+    assert version_of(told) != version_of(other)
+    data = configuration([], "127.0.0.1:1", told)
+    mine, yours = from_json(data), from_json(data | {"settings": told | {"Me": 1, "MyZone": 0}})
+    assert mine.version == yours.version
+    assert mine.version != from_json(data | {"settings": other}).version
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -133,3 +133,16 @@
     assert sum('"event": "serves"' in line for line in logs) == 4  # three starts and the restart
     assert any('"settings change"' in line and '"gatekeeper": 1' in line for line in logs)
     assert not any('"settings change"' in line and '"gatekeeper": 2' in line for line in logs)
+    assert verdict["figures"]["time_on_two_rules_s"] > 1.0  # g2 took the new file only at its restart
+    assert verdict["figures"]["versions_at_end"] == 1
+
+
+def test_time_on_two_rules_counts_lives_and_changes() -> None:
+    lines = [
+        {"event": "serves", "settings": "a", "timestamp": "1970-01-01T00:00:10Z", "gatekeeper": 0},
+        {"event": "serves", "settings": "a", "timestamp": "1970-01-01T00:00:10Z", "gatekeeper": 1},
+        {"event": "settings change", "settings": "b", "timestamp": "1970-01-01T00:00:12Z", "gatekeeper": 0},
+        {"event": "serves", "settings": "b", "timestamp": "1970-01-01T00:00:17Z", "gatekeeper": 1},
+    ]
+    figures = audit.rules_in_force(lines, zero=10.0, end=9.0, killed={1: [4.0]})
+    assert figures == {"time_on_two_rules_s": 2.0, "longest_on_two_rules_s": 2.0, "versions_at_end": 1}
