Agreement on a version through the counter alone: roll call, interim, one way out

Change: millfront/agreement, pure (no I/O, not imported by the daemon yet). - register.py: each bucket of the Unix clock, every gatekeeper adds 1 to the bucket's roll call and to the bucket's name for its version, and reads both half a period after the bucket. It is unsure from a change until a bucket it was counted in under its present version shows all expected gatekeepers on it, or until most_unsure_us; every version taken since the last agreement holds meanwhile (a rollback keeps both).

Ruled out: leaving the interim when all *heard* agree; a gatekeeper cut from the counter is not heard, and the others would act alone on the new version while it acts on the old one.

--- /dev/null
+++ b/millfront/agreement/register.py
@@ -0,0 +1,119 @@
+"""Whether the fleet acts on one version of a document, learnt through the counter alone. No I/O.
+
+Every gatekeeper adds 1, once in each bucket of `period_us` of the Unix clock, to two names: the bucket's
+roll call and the bucket's name for the version it acts on. Half a period after a bucket ends it reads both
+(an addition of 0). The roll call says how many gatekeepers were heard; the version's name, how many of them
+act on its version. No gatekeeper names another, no message passes between them: the counter's names are the
+registers, their lives the leases (docs/design/agreement.md).
+
+While a gatekeeper can't tell that all are on its version it is *unsure*: it acts by the interim of every
+version it took since the last agreement (millfront.agreement.interim), and leaves that only once a bucket
+shows every gatekeeper expected on its version, or once it has been unsure for `most_unsure_us`. Leaving is
+one way: an agreement once seen is not undone by a late answer about an older bucket.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+NAME_BYTES = 64  # PROTOCOL: a counter name is 1 to 64 bytes without spaces
+
+
+class Mode(Enum):
+    AGREED = "agreed"  # every gatekeeper expected was heard on this version
+    UNSURE = "unsure"  # acts by the interim of `merge_of`
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """One bucket as the counter told it."""
+
+    bucket: int
+    all: int  # gatekeepers heard in it
+    mine: int  # of them on this gatekeeper's version
+
+
+def bucket_of(unix_us: int, period_us: int) -> int:
+    return unix_us // period_us
+
+
+def names(prefix: str, document: str, bucket: int, version: str) -> tuple[str, str]:
+    """The bucket's roll call and its name for the version, within the counter's 64 bytes."""
+    roll = f"{prefix}:{document}:{bucket}"
+    named = f"{roll}:{version}"
+    if len(named.encode()) > NAME_BYTES or " " in named:
+        raise ValueError(f"counter name {named!r}: over {NAME_BYTES} bytes or with a space")
+    return roll, named
+
+
+@dataclass(slots=True)
+class Agreement:
+    """One gatekeeper's view of one document: its version, and whether all others act on it too.
+
+    :param expected: gatekeepers in the fleet (PeersTotal, or the operators' count)
+    :param most_unsure_us: the longest an interim lasts without agreement being seen
+    """
+
+    mine: str
+    since_us: int
+    expected: int
+    most_unsure_us: int
+    mode: Mode = Mode.UNSURE
+    merge_of: tuple[str, ...] = ()  # the versions whose rules all hold while unsure, the newest last
+    others_differ: bool = False  # the last bucket heard had gatekeepers on another version
+    last_heard: int = -1  # the newest bucket heard
+    left_by_time: bool = False
+    history: list[tuple[int, Mode, tuple[str, ...]]] = field(default_factory=list)
+    _published: dict[int, str] = field(default_factory=dict)  # by bucket, the version added to its name
+
+    def __post_init__(self) -> None:
+        if not self.merge_of:
+            self.merge_of = (self.mine,)
+            self._note(self.since_us)
+
+    def took(self, version: str, now_us: int) -> None:
+        """A new version of the document is in force here (a SIGHUP, a file read anew)."""
+        if version == self.mine:
+            return
+        kept = self.merge_of if self.mode is Mode.UNSURE else (self.mine,)
+        self.merge_of = (*(v for v in kept if v != version), version)
+        self.mine, self.since_us = version, now_us
+        self.mode, self.left_by_time = Mode.UNSURE, False
+        self._note(now_us)
+
+    def publishing(self, bucket: int) -> str:
+        """The version to add to the bucket's name, now."""
+        self._published[bucket] = self.mine
+        return self.mine
+
+    def heard(self, heard: Heard, now_us: int) -> None:
+        """A bucket read whole. Older than one heard before, it says nothing new; one in which this gatekeeper
+        was counted under another version says nothing of the present one."""
+        published = self._published.pop(heard.bucket, None)
+        for old in [bucket for bucket in self._published if bucket < heard.bucket]:
+            del self._published[old]
+        if heard.bucket <= self.last_heard or published is None:
+            return
+        self.last_heard = heard.bucket
+        if published != self.mine:
+            return
+        self.others_differ = heard.mine < heard.all
+        if self.mode is Mode.UNSURE and heard.all >= self.expected and heard.mine == heard.all:
+            self._agree(now_us, by_time=False)
+
+    def tick(self, now_us: int) -> None:
+        """Time passes: an interim ends at its longest."""
+        if self.mode is Mode.UNSURE and now_us - self.since_us >= self.most_unsure_us:
+            self._agree(now_us, by_time=True)
+
+    @property
+    def wants_reread(self) -> bool:
+        """Others act on another version: the document in its place may be newer than what is in force."""
+        return self.others_differ
+
+    def _agree(self, now_us: int, by_time: bool) -> None:
+        self.mode, self.merge_of, self.left_by_time = Mode.AGREED, (self.mine,), by_time
+        self._note(now_us)
+
+    def _note(self, now_us: int) -> None:
+        self.history.append((now_us, self.mode, self.merge_of))
+        del self.history[:-16]  # what status shows: the last changes, not all
