Agreement in the daemon: a roll call at the counter, the file read anew on disagreement

Change: `agreement` in the operators' file (off without it; nothing of it imported then). millfront/agreement/part.py, thin: on a connection of its own to the counter, once a bucket of period_s at a seeded moment of its first quarter, four pipelined calls: 1 into the bucket's roll call and its version's name, 0 into those of the bucket before. What they say goes to register.py. Where others are on another version, or the counter did not answer, the file is read anew as by SIGHUP (a torn file is refused there as before). Status in the admin API; a log line at each change of mode.

Not yet: the interim is computed, not acted on; the module still goes over at once.

--- a/millfront/agreement/register.py
+++ b/millfront/agreement/register.py
@@ -1,8 +1,8 @@
 """Whether the fleet acts on one version of a document, learnt through the counter alone. No I/O.
 
 Every gatekeeper adds 1, once in each bucket of `period_us` of the Unix clock, to two names: the bucket's
-roll call and the bucket's name for the version it acts on. Half a period after a bucket ends it reads both
-(an addition of 0). The roll call says how many gatekeepers were heard; the version's name, how many of them
+roll call and the bucket's name for the version it acts on, and in the same calls reads both names of the
+bucket before (an addition of 0). The roll call says how many gatekeepers were heard; the version's name, how many of them
 act on its version. No gatekeeper names another, no message passes between them: the counter's names are the
 registers, their lives the leases (docs/design/agreement.md).
 
--- a/millfront/operators/document.py
+++ b/millfront/operators/document.py
@@ -106,12 +106,26 @@
             raise ValueError("most_bytes: holds no two segments")
 
 
+class Agreement(Strict, frozen=True):
+    """Whether all gatekeepers act on one version of the settings, learnt at the counter.
+
+    docs/agreement.md says what each field does."""
+
+    period_s: Annotated[float, msgspec.Meta(ge=0.1, le=60)] = 1.0  # of a bucket: 4 counter calls each
+    most_unsure_s: Annotated[float, msgspec.Meta(gt=0, le=3_600)] = 10.0  # the longest an interim lasts
+    expected: Annotated[int, msgspec.Meta(ge=1, le=100_000)] | None = None  # gatekeepers; else PeersTotal
+    prefix: Annotated[str, msgspec.Meta(min_length=1, max_length=12, pattern=r"^[A-Za-z0-9_.-]+$")] = "agree"
+    # Rehearsals alone: this gatekeeper's clock set off by so much.
+    clock_offset_ms: Annotated[float, msgspec.Meta(ge=-60_000, le=60_000)] = 0.0
+
+
 class Operators(Strict, frozen=True):
     logs: Logs = Logs()
     admin: Admin | None = None
     http2: Http2 | None = None
     plans: Plans | None = None
     usage: Usage | None = None
+    agreement: Agreement | None = None
 
 
 def parse(text: bytes) -> Operators:
--- a/millfront/operators/parts.py
+++ b/millfront/operators/parts.py
@@ -27,6 +27,13 @@
         if admin is not None:
             admin.says("plans", plans.status)
             PlansApi(plans).at(admin)
+    if told.agreement is not None:
+        from millfront.agreement.part import Agreeing
+
+        agreeing = Agreeing(node, told.agreement)
+        node.parts.add(agreeing)
+        if admin is not None:
+            admin.says("agreement", agreeing.status)
     if told.http2 is not None:
         from millfront.http2.part import Http2Front
 
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -146,3 +146,55 @@
     ]
     figures = audit.rules_in_force(lines, zero=10.0, end=9.0, killed={1: [4.0]})
     assert figures == {"time_on_two_rules_s": 2.0, "longest_on_two_rules_s": 2.0, "versions_at_end": 1}
+
+
+AGREED = """
+name = "agreement-over-a-lost-signal"
+duration_s = 6
+gatekeepers = 4
+operators = { agreement = { period_s = 0.3, most_unsure_s = 10.0 } }
+[clients]
+rate_per_s = 30
+timeout_ms = 1000
+[[pages]]
+count = 2
+[[faults]]
+at_s = 0.5
+do = "link"
+link = "counter"
+effect = "blackhole"
+gatekeepers = [3]
+for_s = 3.0
+[[faults]]
+at_s = 1.5
+do = "config"
+settings = { Allowed = { MostTries = 2 } }
+[[faults]]
+at_s = 1.6
+do = "signal"
+signal = "HUP"
+gatekeepers = [0, 1]
+"""
+
+
+def test_without_agreement_a_lost_sighup_leaves_two_versions_to_the_end(tmp_path: Path) -> None:
+    told = scenario.parse(AGREED.replace("operators = ", "# ").encode(), toml=True)
+    verdict = asyncio.run(play(told, tmp_path))
+    assert verdict["passed"], verdict["rules"]
+    assert verdict["figures"]["versions_at_end"] == 2
+
+
+def test_gatekeepers_that_missed_a_sighup_come_over_by_the_counter_or_its_silence(tmp_path: Path) -> None:
+    """Against two versions in force until somebody notices: g2 sees the others at the counter, g3 cannot
+    reach it and reads its file again."""
+    verdict = asyncio.run(play(scenario.parse(AGREED.encode(), toml=True), tmp_path))
+    assert verdict["passed"], verdict["rules"]
+    figures = verdict["figures"]
+    assert figures["versions_at_end"] == 1
+    assert figures["time_on_two_rules_s"] < 1.2, figures  # two periods and the loop's delay
+    # Four calls a bucket from each of four, and a quarter more for the starts before the rehearsal's zero:
+    # a gatekeeper counted twice in one roll call would stand in for one that is missing.
+    assert figures["counter_calls_per_s"] <= 4 * 4 / 0.3 * 1.25
+    logs = (tmp_path / "logs.jsonl").read_text().splitlines()
+    changed = {line.split('"gatekeeper": ')[1][0] for line in logs if '"settings change"' in line}
+    assert changed == {"0", "1", "2", "3"}
