--- a/millfront/agreement/part.py
+++ b/millfront/agreement/part.py
@@ -44,8 +44,8 @@
         log.info("agreement", mode=self.view.mode.value, version=self.view.mine)
 
     async def run(self) -> None:
-        """A bucket at a time: at a jittered moment of its first quarter, the roll call into it and the read of
-        the bucket before, in four calls on one connection."""
+        """A bucket at a time: at a jittered moment of its first quarter, the roll call into it and the read
+        of the bucket before, in four calls on one connection."""
         bucket = bucket_of(self._now_us(), self.period_us) - 1
         while True:
             # Once a bucket: a sleep that ends a little early must not count this gatekeeper twice in one
--- a/millfront/agreement/register.py
+++ b/millfront/agreement/register.py
@@ -2,9 +2,9 @@
 
 Every gatekeeper adds 1, once in each bucket of `period_us` of the Unix clock, to two names: the bucket's
 roll call and the bucket's name for the version it acts on, and in the same calls reads both names of the
-bucket before (an addition of 0). The roll call says how many gatekeepers were heard; the version's name, how many of them
-act on its version. No gatekeeper names another, no message passes between them: the counter's names are the
-registers, their lives the leases (docs/design/agreement.md).
+bucket before (an addition of 0). The roll call says how many gatekeepers were heard; the version's name,
+how many of them act on its version. No gatekeeper names another, no message passes between them: the
+counter's names are the registers, their lives the leases (docs/design/agreement.md).
 
 While a gatekeeper can't tell that all are on its version it is *unsure*: it acts by the interim of every
 version it took since the last agreement (millfront.agreement.interim), and leaves that only once a bucket
