Rehearsal clients send once more after a close that crossed an unread request

Cause: a client connection held idle and closed by a gatekeeper under the next request (as at a drain or a restart) counted as a request without an answer, a false break of one_final_answer; PROTOCOL says the client sends such a request once more on a new connection.

Change: the clients do so, once, with the same id, and mark when. The auditor then asks the page servers: where one had that id before the resend, the gatekeeper had taken it and sent it on, and closing on it is a break after all. Guarded both ways by a unit test.

--- a/millfront/rehearsal/audit.py
+++ b/millfront/rehearsal/audit.py
@@ -56,7 +56,12 @@
 def one_final_answer(seen: Seen) -> Rule:
     """Each request taken by a live gatekeeper is answered once, while its client waits."""
     broken = []
+    sent_on = {a.request: a.at for a in sorted(seen.arrivals, key=lambda a: -a.at)}  # the first of each
     for asked in seen.asked:
+        if asked.resent and sent_on.get(asked.request, asked.resent) < asked.resent:
+            # The client took a close for one that crossed an unread request; a page server had it already.
+            broken.append(f"{asked.request} at g{asked.who}: taken, sent on, and its connection closed")
+            continue
         if asked.ending == "unreachable":
             continue
         windows = seen.out.get(asked.who, [])
--- a/millfront/rehearsal/load.py
+++ b/millfront/rehearsal/load.py
@@ -18,6 +18,10 @@
 KEYED_CLASSES = {"issue-buy"}
 
 
+class Unread(Exception):
+    """A connection held idle was closed under a request before the gatekeeper read it."""
+
+
 @dataclass(slots=True)
 class Asked:
     """A request as its client saw it."""
@@ -31,6 +35,7 @@
     status: int = 0  # 0: no answer
     answered: float = 0.0
     ending: str = "open"  # answered, closed (connection ended without an answer), unreachable, late
+    resent: float = 0.0  # when it went once more, on a new connection, after a close crossed it
 
 
 @dataclass(slots=True)
@@ -96,18 +101,33 @@
         data = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
         try:
             async with asyncio.timeout(asked.timeout_s + 1.0):
-                await self._exchange(who, address, data, asked)
+                try:
+                    await self._exchange(who, address, data, asked, reuse=True)
+                except Unread:  # PROTOCOL: a close that crossed an unread request: once more, anew
+                    asked.resent = self.clock()
+                    await self._exchange(who, address, data, asked, reuse=False)
         except TimeoutError:
             asked.ending = "late"
         except (OSError, asyncio.IncompleteReadError, ValueError):
             asked.ending = "unreachable" if asked.ending == "connecting" else "closed"
 
-    async def _exchange(self, who: int, address: str, data: bytes, asked: Asked) -> None:
+    async def _exchange(self, who: int, address: str, data: bytes, asked: Asked, reuse: bool) -> None:
+        """:raises Unread: a connection held idle ended before a byte of the answer came"""
         idle = self._idle.setdefault(who, [])
         while idle and idle[-1][2] != address:  # the gatekeeper was started anew at another port
             idle.pop()[1].close()
-        if idle:
+        if idle and reuse:
             reader, writer, _ = idle.pop()
+            try:
+                writer.write(data)
+                await writer.drain()
+                head = await reader.readuntil(b"\r\n\r\n")
+            except (ConnectionError, asyncio.IncompleteReadError) as wrong:
+                if isinstance(wrong, asyncio.IncompleteReadError) and wrong.partial:
+                    raise
+                writer.close()
+                raise Unread from None
+            return await self._answered(reader, writer, head, address, asked)
         else:
             host, _, port = address.rpartition(":")
             asked.ending = "connecting"
@@ -116,6 +136,17 @@
         writer.write(data)
         await writer.drain()
         head = await reader.readuntil(b"\r\n\r\n")
+        await self._answered(reader, writer, head, address, asked)
+
+    async def _answered(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        head: bytes,
+        address: str,
+        asked: Asked,
+    ) -> None:
+        idle = self._idle.setdefault(asked.who, [])
         status = int(head.split(b" ", 2)[1])
         fields = {}
         for row in head.split(b"\r\n")[1:]:
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -68,6 +68,11 @@
     assert audit.rules(seen(*burst[:40]))["ceiling"].held
     lost = [Asked("r4", "page-fetch", "c", 0, 1.0, 2.0, ending="closed")]
     assert not audit.rules(seen(asked=lost))["one_final_answer"].held
+    again = [Asked("r5", "page-fetch", "c", 0, 1.0, 2.0, 200, 1.5, "answered", resent=1.2)]
+    unread = seen(Arrival(1.3, 0, 0, "r5", "page-fetch", "c", 1, "ok"), asked=again)
+    assert audit.rules(unread)["one_final_answer"].held
+    taken = seen(Arrival(1.1, 0, 0, "r5", "page-fetch", "c", 1, "ok"), asked=again)
+    assert not audit.rules(taken)["one_final_answer"].held
 
 
 FAULTS = """
