--- a/millfront/agreement/interim.py
+++ b/millfront/agreement/interim.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 
 from millfront import interface as api
+from millfront.node.retune import narrower
 
 STRICTNESS = {api.Repeat.SAFE: 0, api.Repeat.KEYED: 1, api.Repeat.UNSAFE: 2}
 NARROWNESS = {api.Group.ALL: 0, api.Group.ZONE: 1, api.Group.CELL: 2}
@@ -54,18 +55,6 @@
     )
 
 
-def allowed(one: api.Allowed, other: api.Allowed) -> api.Allowed:
-    """Numbers and yes or no alike: the lesser."""
-    return api.Allowed(
-        probes=one.probes and other.probes,
-        cancel=one.cancel and other.cancel,
-        second_copies=one.second_copies and other.second_copies,
-        retry_after=one.retry_after and other.retry_after,
-        max_attempts=min(one.max_attempts, other.max_attempts),
-        max_retry_after_us=min(one.max_retry_after_us, other.max_retry_after_us),
-    )
-
-
 def rules(one: api.Rules, other: api.Rules) -> api.Rules:
     """The drain sooner, a cold member taken as colder for longer, a fall feared earlier."""
     return api.Rules(
@@ -96,6 +85,6 @@
         other,
         classes=tuple(merged_classes),
         plans=tuple(merged_plans),
-        allowed=allowed(one.allowed, other.allowed),
+        allowed=narrower(one.allowed, other.allowed),
         rules=rules(one.rules, other.rules),
     )
--- a/millfront/rehearsal/fleet.py
+++ b/millfront/rehearsal/fleet.py
@@ -8,7 +8,7 @@
 import os
 import signal
 import sys
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -30,8 +30,6 @@
     address: str = ""
     admin: str = ""
     starts: int = 0
-    paused: list[tuple[float, float]] = field(default_factory=list)  # (from, to) of each SIGSTOP
-    killed: list[float] = field(default_factory=list)
     offset: int = 0  # of the log, where the present life's lines begin
 
     @property
--- a/millfront/rehearsal/standins.py
+++ b/millfront/rehearsal/standins.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from millfront.rehearsal.doors import Conn, Door
+from millfront.rehearsal.doors import Conn
 from millfront.rehearsal.scenario import Pages
 
 NOT_STARTED = b"HTTP/1.1 503 Service Unavailable\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
@@ -291,7 +291,3 @@
             except ValueError:
                 return 0.0
     return 0.0
-
-
-def doors(handler: Callable[[Conn], object], gatekeepers: int, rng: random.Random) -> list[Door]:
-    return [Door(handler, rng, who) for who in range(gatekeepers)]  # type: ignore[arg-type]
