--- a/millfront/__main__.py
+++ b/millfront/__main__.py
@@ -5,6 +5,12 @@
 
 
 def main() -> int:
+    if sys.argv[1:] == [
+        "office"
+    ]:  # without the commands of the gatekeeper in service, whose imports it can spare
+        from millfront.post import cli
+
+        return cli.main()
     if len(sys.argv) > 1 or "_MILLFRONT_COMPLETE" in os.environ:
         from millfront.cli import commands
 
--- a/millfront/choice.py
+++ b/millfront/choice.py
@@ -162,9 +162,9 @@
     request: Request | None  # waits for this call's answer; its units are in it
 
 
-def next_price(price: float, sent_total: float, quota: float) -> float:
-    """The paper's projected step, φ ← min{max{φ - ν(1 - S/Q), 0}, 1}."""
-    return min(max(price - STEP * (1.0 - sent_total / quota), 0.0), 1.0)
+def next_price(price: float, sent_total: float, quota: float, most: float = 1.0) -> float:
+    """The paper's projected step, φ ← min{max{φ - ν(1 - S/Q), 0}, most}; 1 is the even slice's price."""
+    return min(max(price - STEP * (1.0 - sent_total / quota), 0.0), most)
 
 
 def level_at(price: float, quota: float, gateways: int, own: float, room: float, share: float) -> float:
--- a/millfront/http2/members.py
+++ b/millfront/http2/members.py
@@ -21,7 +21,7 @@
 from millfront.node.endings import Ended, Ending
 from millfront.node.http import HOP_BY_HOP, MOST_BODY, MOST_HEAD, Fields, Message
 from millfront.node.link import Link
-from millfront.node.members import Flow, Members, PoolMember, Up
+from millfront.node.members import Flow, MemberId, Members, PoolMember, Up
 
 log = Log(__name__)
 
@@ -329,9 +329,9 @@
         self.members = members
         self.streams = streams
         self.most = most
-        self.connections: dict[int, list[MemberConnection2]] = {}
-        self.dialling: dict[int, int] = {}
-        self.waiting: dict[int, list[Up]] = {}
+        self.connections: dict[MemberId, list[MemberConnection2]] = {}
+        self.dialling: dict[MemberId, int] = {}
+        self.waiting: dict[MemberId, list[Up]] = {}
 
     def take(self, member: PoolMember, up: Up) -> "MemberStream | Callable[[], None]":
         """A stream at once, or what gives the wait for one up.
--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -15,13 +15,12 @@
 from millfront.node.bodies import Room, Source, Upload
 from millfront.node.config import Address
 from millfront.node.endings import Ending
-from millfront.node.host import Clock, Host, OpenRequest
+from millfront.node.host import Clock
 from millfront.node.http import MOST_BODY, MOST_HEAD, Message
 from millfront.node.http1 import Requests
 from millfront.node.link import NO_ROOM, Link, accept, listener_at
 from millfront.node.stages import relay
-from millfront.node.stages.admit import Admit
-from millfront.node.stages.take_in import NotTaken, TakeIn
+from millfront.node.stages.take_in import NotTaken
 
 log = Log(__name__)
 
@@ -64,6 +63,16 @@
     def close(self) -> None: ...
 
 
+class Taking(Protocol):
+    """What a client's connection tells of a request that is taken (an OpenRequest, or the like)."""
+
+    def whole(self, opened: Any) -> None:
+        """Its body's last byte has come."""
+
+    def leave(self, opened: Any) -> None:
+        """Its client went away."""
+
+
 class Answering:
     """A Caller whose answers are messages, whatever carries them."""
 
@@ -126,7 +135,7 @@
     def __init__(self, server: "VirtualServer", sock: socket.socket) -> None:
         self.server = server
         self.codec = Requests()
-        self.opened: OpenRequest | None = None
+        self.opened: Any = None  # what admit() made of the request that is taken
         self.busy = False  # from a request's last byte to its answer's
         self.deaf = False  # nothing more is taken on it
         self.asked = False  # a request came whole
@@ -211,7 +220,7 @@
             self.take(message, self.server.clock.now())  # a request's time counts from its last byte
 
     def take(self, message: Message, came_us: int) -> None:
-        if message.start in HEALTH:
+        if message.start in HEALTH and self.server.ready is not None:
             self.give(self.server.health())
             return
         try:
@@ -287,7 +296,7 @@
                 self.answering_us, self.unsent = now_us, unsent
             else:
                 self.end(Ending.TIMED_OUT)
-        elif self.at_rest() and self.rests_since_us < now_us - AT_REST_US:
+        elif self.at_rest() and self.rests_since_us < now_us - self.server.at_rest_us:
             self.end(Ending.CLOSED)
 
     def at_rest(self) -> bool:
@@ -429,10 +438,10 @@
     def __init__(
         self,
         clock: Clock,
-        host: Host,
-        take_in: TakeIn,
-        admit: Admit,
-        ready: Callable[[], bool],
+        host: Taking,
+        take_in: Callable[[Message, int], Any],
+        admit: Callable[[Any, Any], Any],
+        ready: Callable[[], bool] | None,
         most: int,
         made: "Callable[[VirtualServer, socket.socket], Connection]" = ClientConnection,
     ) -> None:
@@ -448,6 +457,7 @@
         self.upgraded: Callable[[ClientConnection, bytes], None]  # told of a connection that began with it
         self.endings: Counter[Ending] = Counter()  # of client connections
         self.closing = False  # answers say Connection: close
+        self.partial_us, self.at_rest_us = PARTIAL_US, AT_REST_US
         self.address: Address | None = None
         self.loop: asyncio.AbstractEventLoop
         self._listener: socket.socket | None = None
@@ -475,7 +485,7 @@
                 await anyio.sleep(0.05 if ends else SWEEP_S)
                 now = self.clock.now()
                 for connection in list(self._connections):
-                    connection.expire(now, PARTIAL_LAST_US if ends else PARTIAL_US)
+                    connection.expire(now, PARTIAL_LAST_US if ends else self.partial_us)
         finally:
             self.stop_accepting()
             for connection in list(self._connections):
@@ -546,7 +556,11 @@
 
     def health(self) -> Message:
         """What the front asks before it brings clients."""
-        return relay.own(200, b"ready\n") if self.ready() else relay.own(503, b"not ready\n")
+        return (
+            relay.own(200, b"ready\n")
+            if self.ready is None or self.ready()
+            else relay.own(503, b"not ready\n")
+        )
 
     def gone(self, connection: Connection) -> None:
         self.endings[connection.ending] += 1
--- a/millfront/node/members.py
+++ b/millfront/node/members.py
@@ -25,9 +25,12 @@
 SWEEP_S = 0.5
 
 
+MemberId = int | str  # a number of the list's, or the name of one life of a server
+
+
 @dataclass(eq=False, slots=True)
 class PoolMember:
-    id: int
+    id: MemberId
     host: str
     dial: Address
     ready: bool = True  # not told draining or gone
@@ -296,7 +299,7 @@
         self.wear = Wear()
         self.connections = 0
         self.shared: Shared | None = None  # members speak a protocol of several streams
-        self._by_id: dict[int, PoolMember] = {}
+        self._by_id: dict[MemberId, PoolMember] = {}
         self._idle: OrderedDict[MemberConnection, None] = (
             OrderedDict()
         )  # of all members, the longest idle first
@@ -307,10 +310,10 @@
 
     # ---- the pool tells ----------------------------------------------------------------------
 
-    def get(self, member: int) -> PoolMember | None:
+    def get(self, member: MemberId) -> PoolMember | None:
         return self._by_id.get(member)
 
-    def listed(self, member: int, host: str, address: Address) -> None:
+    def listed(self, member: MemberId, host: str, address: Address) -> None:
         known = self._by_id.get(member)
         if known is None:
             self._by_id[member] = PoolMember(member, host, address)
@@ -318,7 +321,7 @@
         known.ready = True
         known.dial = address  # connections to the old address are not taken up again
 
-    def stopped(self, member: int) -> None:
+    def stopped(self, member: MemberId) -> None:
         known = self._by_id.get(member)
         if known is not None and known.ready:
             known.ready, known.stopped_us = False, self.clock.now()
--- a/millfront/node/stages/book.py
+++ b/millfront/node/stages/book.py
@@ -20,7 +20,15 @@
         latency_us = (flow.first_us if flow.streams else self.host.clock.now()) - flow.started_us
         units = billed(answer, self.most_units) if answer is not None and ending is Ending.SERVED else 0.0
         outcome = FLOW_OUTCOMES[ending]
-        self.host.flow_ended(flow.opened, flow.number, flow.send, outcome, latency_us, answer, units)
+        self.host.flow_ended(
+            flow.opened,
+            flow.number,
+            flow.send,  # type: ignore[arg-type]
+            outcome,
+            latency_us,
+            answer,
+            units,
+        )
 
 
 def billed(answer: Message, most: float) -> float:
--- a/millfront/node/stages/relay.py
+++ b/millfront/node/stages/relay.py
@@ -5,7 +5,7 @@
 
 def served(answer: Message) -> Message:
     fields = passed_on(answer)
-    return Message(200, fields, fields, answer.body)
+    return Message(answer.start, fields, fields, answer.body)
 
 
 def rejected(retry_after_us: int) -> Message:
--- a/millfront/node/stages/route.py
+++ b/millfront/node/stages/route.py
@@ -15,7 +15,7 @@
         self.check(member)
         return member
 
-    def check(self, member: PoolMember) -> None:
+    def check(self, member: PoolMember, flow: object = None) -> None:
         """Guards the drain rule: asked again after a connection was set up, the list may have changed."""
         if not member.ready:
             raise Ended(Ending.NOT_SENT, f"{member.host} is draining or gone")
--- a/millfront/node/stages/send.py
+++ b/millfront/node/stages/send.py
@@ -2,15 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any, Protocol
 
-from millfront import interface as api
 from millfront.logs import Log
 from millfront.node.bodies import Ways
 from millfront.node.endings import Ended, Ending
-from millfront.node.host import Clock, OpenRequest
+from millfront.node.host import Clock
 from millfront.node.http import REST_S, Fields, Message, passed_on
-from millfront.node.members import Exchange, Members, PoolMember
-from millfront.node.stages.route import Route
+from millfront.node.members import Exchange, MemberId, Members, PoolMember
 
 log = Log(__name__)
 
@@ -21,6 +20,22 @@
 LOOK_S = 1.0  # between two looks at that
 
 
+class Sending(Protocol):
+    """Where an attempt goes, and for how long at most; 0: until the client gives up."""
+
+    @property
+    def backend(self) -> MemberId: ...
+    @property
+    def timeout_us(self) -> int: ...
+
+
+class Road(Protocol):
+    """From a choice to a member that may be sent to. Both raise Ended."""
+
+    def __call__(self, backend: Any) -> PoolMember: ...
+    def check(self, member: PoolMember, flow: Any) -> None: ...
+
+
 class ServerSideFlow:
     """One attempt: ends once, however cancel, time-out, answer and break cross."""
 
@@ -45,9 +60,9 @@
         "timer",
     )
 
-    def __init__(self, stage: "Send", opened: OpenRequest, number: int, send: api.Send, now_us: int) -> None:
+    def __init__(self, stage: "Send", opened: Any, number: int, send: Sending, now_us: int) -> None:
         self.stage = stage
-        self.opened = opened
+        self.opened = opened  # an OpenRequest, or the like: arrival, caller, flows, whole, deadline_us
         self.number = number
         self.send = send
         self.started_us = now_us
@@ -135,7 +150,7 @@
         if self.first_us == 0:
             self.first_us = self.stage.clock.now()
             loop.call_later(BEGIN_S, self.begin_now)
-        self.rest = loop.call_later(REST_S, self.nonsense, "an answer begun and not ended")
+        self.rest = loop.call_later(self.stage.rest_s, self.nonsense, "an answer begun and not ended")
 
     def begin_now(self) -> None:
         if not self.over and not self.streams and self.answer is None and self.connection is not None:
@@ -145,7 +160,7 @@
         if self.rest is not None:
             self.rest.cancel()
             self.rest = None
-        if (ending := ending_of(answer)) is not Ending.SERVED:
+        if (ending := self.stage.judge(self, answer)) is not Ending.SERVED:
             self.end(ending)
             return
         if not self.opened.caller.streams:
@@ -216,9 +231,10 @@
         connection = self.connection
         assert connection is not None
         connection.fared(True)
-        if connection.release():
+        ending = self.stage.judge(self, answer)
+        if ending is not Ending.MALFORMED and connection.release():
             connection.flow, self.connection = None, None
-        self.end(ending_of(answer), answer)
+        self.end(ending, answer)
 
     def broken(self, ended: Ended) -> None:
         """The connection has ended without an answer."""
@@ -239,11 +255,19 @@
         self,
         clock: Clock,
         members: Members,
-        route: Route,
+        route: Road,
         book: Callable[[ServerSideFlow, Ending, Message | None], None],
         ways: Ways,
         begin: Callable[[ServerSideFlow], bool],
+        judge: "Callable[[ServerSideFlow, Message], Ending] | None" = None,
+        fields: "Callable[[ServerSideFlow, PoolMember, Message], Fields] | None" = None,
     ) -> None:
+        """:param judge: what an answer's head means, before a byte of it goes to the client
+        :param fields: the header of a request as it goes to a member
+        """
+        self.judge = judge or (lambda _, answer: ending_of(answer))
+        self.fields = fields or self._fields
+        self.rest_s = REST_S
         self.ways = ways
         self.begin = begin
         self.clock = clock
@@ -251,7 +275,7 @@
         self.route = route
         self.book = book
 
-    def __call__(self, opened: OpenRequest, number: int, send: api.Send) -> None:
+    def __call__(self, opened: Any, number: int, send: Sending) -> None:
         """Begin a flow; its ending is booked once, perhaps before this returns."""
         flow = ServerSideFlow(self, opened, number, send, self.clock.now())
         opened.flows[number] = flow
@@ -289,9 +313,9 @@
 
     def _write(self, flow: ServerSideFlow, member: PoolMember, connection: Exchange) -> None:
         flow.connection, connection.flow = connection, flow
-        self.route.check(member)
+        self.route.check(member, flow)
         message = flow.opened.arrival.message
-        connection.request(message.start, self._fields(flow, member, message), message.body, message.upload)
+        connection.request(message.start, self.fields(flow, member, message), message.body, message.upload)
 
     def _fields(self, flow: ServerSideFlow, member: PoolMember, message: Message) -> Fields:
         left_us = max(1, flow.ends_us - self.clock.now())
--- /dev/null
+++ b/millfront/post/addresses.py
@@ -0,0 +1,164 @@
+"""Addresses (service discovery): which servers there are, by the platform's list. No I/O, no clock.
+
+Within a region one process asks the platform (a duty cut by key) and tells the others what has changed, each
+time under a number above all it has seen: the fence. What comes under a lower number is of one that has lost
+the duty, and is not taken. Who has heard nothing for STALE_S asks the platform itself. Of one life of a
+server (``ident``) the phase only goes forward, ready, draining, gone, so that an old list brings nothing
+back. Times are seconds on the caller's clock.
+"""
+
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import Any
+
+POLL_S = 0.8
+STALE_S = 1.7  # two polls missed; with the lag of the list well inside drain_within
+FORGET_S = 30.0
+
+Message = dict[str, Any]
+
+
+class Phase(IntEnum):
+    """Of one life of a server; it only rises."""
+
+    READY = 0
+    DRAINING = 1
+    GONE = 2
+
+
+@dataclass(slots=True)
+class Server:
+    """One life of a server. ``cold_until``: it bears little before; ``since``: first heard of here."""
+
+    ident: str
+    service: str
+    address: str
+    zone: str
+    capacity: int
+    phase: Phase
+    cold_until: float
+    since: float
+    gone_at: float = 0.0
+
+    def become(self, phase: Phase, now: float) -> None:
+        """The one change of phase: forward only."""
+        if phase > self.phase:
+            self.phase = phase
+            if phase is Phase.GONE:
+                self.gone_at = now
+
+
+Told = list[Any]  # ident, service, address, zone, capacity, draining, cold seconds left
+
+
+def told_by_platform(instances: dict[str, Any], seconds: Any) -> list[Told]:
+    """Entries of the platform's answer; one that can't be read is left out.
+
+    :param seconds: reads a time
+    """
+    out: list[Told] = []
+    for ident, entry in instances.items():
+        try:
+            cold = seconds(entry.get("warm_left") or "0s")
+            draining = int(entry["phase"] != "ready")
+            told = [ident, entry["target"], entry["address"], entry["zone"], int(entry["capacity"]), draining]
+        except (KeyError, TypeError, ValueError, AttributeError):
+            continue
+        out.append([*told, cold])
+    return out
+
+
+class Addresses:
+    """The servers as this process knows them."""
+
+    def __init__(self) -> None:
+        self.servers: dict[str, Server] = {}
+        self.number = 0  # the fence: of the list held
+        self.heard = -1e9  # when it was last confirmed
+        self.asking = False
+        self.version = 0  # rises with each change
+
+    def known(self) -> bool:
+        return self.number > 0
+
+    def due(self, now: float, duty: bool) -> bool:
+        """Whether this process is to ask the platform now."""
+        return not self.asking and now - self.heard >= (POLL_S if duty else STALE_S)
+
+    def begin(self) -> int:
+        """A call to the platform begins; returns its number."""
+        self.asking = True
+        return self.number + 1
+
+    def failed(self) -> None:
+        self.asking = False
+
+    def polled(self, now: float, number: int, entries: list[Told]) -> Message | None:
+        """The platform's whole answer to the call of that number: what the others are to be told."""
+        self.asking = False
+        if number <= self.number:
+            return None  # somebody else's came in between
+        before, had = self.number, {s.ident: (s.phase, s.cold_until > now) for s in self._listed()}
+        self._replace(now, number, entries)
+        changed = []
+        for entry in entries:
+            server = self.servers[entry[0]]
+            if had.get(entry[0]) != (server.phase, server.cold_until > now):
+                changed.append(entry)
+        gone = [ident for ident in had if self.servers[ident].phase is Phase.GONE]
+        return {"t": "list", "f": number, "p": before, "e": changed, "g": gone}
+
+    def whole(self, now: float) -> Message:
+        """For one that has missed something."""
+        entries = [
+            [s.ident, s.service, s.address, s.zone, s.capacity, int(s.phase), max(0.0, s.cold_until - now)]
+            for s in self._listed()
+        ]
+        return {"t": "list", "f": self.number, "p": 0, "e": entries, "g": []}
+
+    def take(self, now: float, message: Message) -> bool:
+        """What another process was told; False: this one lacks what came before, and asks for the whole."""
+        number, before = message["f"], message["p"]
+        if number < self.number or (number == self.number and before):
+            return True
+        if before and before != self.number:
+            return False
+        if before:
+            for entry in message["e"]:
+                self._entry(now, entry)
+            for ident in message["g"]:
+                if ident in self.servers:
+                    self.servers[ident].become(Phase.GONE, now)
+            self._note(now, number)
+        else:
+            self._replace(now, number, message["e"])
+        return True
+
+    def _listed(self) -> list[Server]:
+        return [s for s in self.servers.values() if s.phase is not Phase.GONE]
+
+    def _replace(self, now: float, number: int, entries: list[Told]) -> None:
+        for entry in entries:
+            self._entry(now, entry)
+        named = {entry[0] for entry in entries}
+        for server in self._listed():
+            if server.ident not in named:
+                server.become(Phase.GONE, now)
+        self._note(now, number)
+
+    def _note(self, now: float, number: int) -> None:
+        self.number, self.heard = number, now
+        self.version += 1
+        for ident in [s.ident for s in self.servers.values() if s.gone_at and now - s.gone_at > FORGET_S]:
+            del self.servers[ident]
+
+    def _entry(self, now: float, entry: Told) -> None:
+        ident, service, address, zone, capacity, draining, cold = entry
+        server = self.servers.get(ident)
+        if server is None or server.address != address:
+            server = Server(ident, service, address, zone, capacity, Phase.READY, 0.0, now)
+            self.servers[ident] = server
+        elif server.phase is Phase.GONE and not draining:
+            return  # an old list: this life has ended
+        server.become(Phase(min(int(draining), 1)), now)
+        server.cold_until = now + cold if cold > 0 else min(server.cold_until, now)
--- /dev/null
+++ b/millfront/post/counter.py
@@ -0,0 +1,142 @@
+"""The counter: calls of operators, of the platform and of clients that ask where to go
+(docs/openapi/post.json)."""
+
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qs
+
+from millfront.node.bodies import Upload
+from millfront.node.clients import VirtualServer
+from millfront.node.config import Address
+from millfront.node.host import Caller, Clock
+from millfront.node.http import Fields, Message
+from millfront.node.stages.take_in import NotTaken
+from millfront.post.office import Office
+
+VALID = "2s"  # of an answer to clients: short, so that they leave soon where a gatekeeper is gone
+JSON: Fields = [(b"Content-Type", b"application/json")]
+EVACUATION = "/v1/evacuation/"
+CLIENTS = 400  # connections held at once
+
+
+class Gather:
+    """Takes a long body whole, as a server would."""
+
+    def __init__(self, first: bytes, done: Callable[[bytes], None]) -> None:
+        self.data, self.done = bytearray(first), done
+
+    def passes(self, data: bytes, last: bool) -> bool:
+        self.data += data
+        if last:
+            self.done(bytes(self.data))
+        return True
+
+
+class Call:
+    """One call, open until its answer."""
+
+    def __init__(self, message: Message, caller: Caller) -> None:
+        self.message, self.caller, self.over = message, caller, False
+
+    def answer(self, status: int, text: str = "") -> None:
+        if not self.over:
+            self.over = True
+            body = text.encode()
+            if status >= 400 and text:
+                body = b'{"error":%s}' % _quoted(text)
+            fields = list(JSON) if body else []
+            if status == 503:
+                fields.append((b"Retry-After", b"0.3"))
+            self.caller.give(Message(status, fields, fields, body))  # type: ignore[attr-defined]
+
+
+def _quoted(text: str) -> bytes:
+    import json
+
+    return json.dumps(text).encode()
+
+
+class Counter:
+    """One listening address and what it answers."""
+
+    def __init__(self, office: Office, now: Callable[[], float], serves: frozenset[str]) -> None:
+        self.office, self.now, self.serves = office, now, serves
+        self.clock = Clock()
+        self.server = VirtualServer(self.clock, self, lambda message, _: message, self.take, None, CLIENTS)
+        self.server.partial_us = 5_000_000
+
+    def listen(self, address: str) -> None:
+        """:raises OSError: the address can't be listened at"""
+        host, _, port = address.rpartition(":")
+        self.server.listen(Address(host, int(port)))
+
+    def whole(self, call: Call) -> None:
+        pass
+
+    def leave(self, call: Call) -> None:
+        call.over = True
+
+    def take(self, message: Message, caller: Caller) -> Call | None:
+        """Answer one call, now or when the registry has.
+
+        :raises NotTaken: there is no such call
+        """
+        assert isinstance(message.start, tuple)
+        method, target = message.start[0].decode(), message.start[1].decode("latin-1")
+        path, _, query = target.partition("?")
+        call = Call(message, caller)
+        office, now = self.office, self.now()
+        if path == "/v1/readiness" and "readiness" in self.serves and method == "GET":
+            call.answer(200 if office.ready(now) else 503)
+        elif path == "/v1/resolve" and "lookup" in self.serves and method == "GET":
+            self._resolve(call, now, parse_qs(query))
+        elif path == "/v1/config" and "ctl" in self.serves and method == "PUT":
+            self._body(message, lambda body: self._put(call, body))
+        elif path == "/v1/config" and "ctl" in self.serves and method == "GET":
+            office.read(now, call.answer)
+        elif path.startswith(EVACUATION) and "ctl" in self.serves and method in ("POST", "DELETE"):
+            zone = path.removeprefix(EVACUATION)
+            if zone not in office.settings.zones:
+                raise NotTaken(404, f"no zone {zone}")
+            office.evacuate(now, zone, method == "POST", call.answer)
+        else:
+            raise NotTaken(404, "no such call")
+        return None if call.over else call
+
+    def _put(self, call: Call, body: bytes) -> None:
+        try:
+            text = body.decode()
+        except UnicodeDecodeError:
+            call.answer(400, "is not UTF-8")
+            return
+        self.office.put(self.now(), text, call.answer)
+
+    def _resolve(self, call: Call, now: float, query: dict[str, list[str]]) -> None:
+        region = query.get("region", [""])[0]
+        if found := self.office.resolve(now, region):
+            listed = ",".join(f'"{address}"' for address in found)
+            call.answer(200, f'{{"addresses":[{listed}],"valid":"{VALID}"}}')
+        else:
+            call.answer(503, "no gatekeeper is ready")
+
+    @staticmethod
+    def _body(message: Message, done: Callable[[bytes], None]) -> None:
+        upload: Upload | None = message.upload
+        if upload is None:
+            done(message.body)
+        else:
+            upload.attach(Gather(message.body, done))
+
+
+def of(office: Office, now: Callable[[], float], bindings: Any) -> list[Counter]:
+    """A counter for each address among the bindings; several names may share one."""
+    by_address: dict[str, set[str]] = {}
+    for name in ("readiness", "ctl", "lookup"):
+        if name in bindings:
+            by_address.setdefault(bindings[name], set()).add(name)
+    made = []
+    for address, serves in by_address.items():
+        counter = Counter(office, now, frozenset(serves))
+        counter.listen(address)
+        made.append(counter)
+    return made
--- /dev/null
+++ b/millfront/post/disk.py
@@ -0,0 +1,91 @@
+"""The registry's disk: one lmdb environment, synced before anything is acknowledged. Thin I/O.
+
+Layout: key ``format`` holds the format's number; each other key a value as JSON. What can't be read is set
+aside, never deleted, and the keeper recovers from the others.
+"""
+
+import json
+import os
+from pathlib import Path
+
+import lmdb
+
+from millfront.post.registry import Value
+
+FORMAT = 1
+MAP_BYTES = 24 * 1024 * 1024
+FOLDER = "registry"
+
+
+class DiskFault(Exception):
+    """The disk can't be used, or what is on it can't be read."""
+
+
+class Disk:
+    def __init__(self, state_dir: str) -> None:
+        self.folder = Path(state_dir) / FOLDER
+        self._env: lmdb.Environment | None = None
+
+    def load(self) -> tuple[dict[str, Value], str]:
+        """What is kept, and what was wrong with it (empty: nothing).
+
+        :raises DiskFault: nothing can be kept here
+        """
+        why = ""
+        if self.folder.exists():
+            try:
+                return self._read(), ""
+            except (lmdb.Error, ValueError, OSError) as wrong:
+                why = f"{wrong}"
+                self._set_aside()
+        try:
+            self._open()
+        except (lmdb.Error, OSError) as wrong:
+            raise DiskFault(str(wrong)) from None
+        return {}, why
+
+    def _open(self) -> lmdb.Environment:
+        if self._env is None:
+            self.folder.mkdir(parents=True, exist_ok=True)
+            self._env = lmdb.open(str(self.folder), map_size=MAP_BYTES, lock=False, max_readers=4)
+            parent = os.open(self.folder, os.O_RDONLY)
+            try:
+                os.fsync(parent)
+            finally:
+                os.close(parent)
+        return self._env
+
+    def _read(self) -> dict[str, Value]:
+        found = {}
+        with self._open().begin() as reading:
+            told = reading.get(b"format")
+            if told is not None and int(bytes(told)) > FORMAT:
+                raise ValueError(f"format {int(bytes(told))} is newer than {FORMAT}")
+            for key, value in reading.cursor():
+                if bytes(key) != b"format":
+                    found[bytes(key).decode()] = Value.of(json.loads(bytes(value)))
+        return found
+
+    def _set_aside(self) -> None:
+        if self._env is not None:
+            self._env.close()
+            self._env = None
+        number = 0
+        while (aside := self.folder.with_name(f"{FOLDER}.aside-{number}")).exists():
+            number += 1
+        os.rename(self.folder, aside)
+
+    def store(self, values: dict[str, Value]) -> None:
+        """Sync all or nothing; waits for the disk.
+
+        :raises DiskFault: nothing of it counts
+        """
+        try:
+            with self._open().begin(write=True) as writing:
+                writing.put(b"format", b"%d" % FORMAT)
+                for key, value in values.items():
+                    held = writing.get(key.encode())
+                    if held is None or Value.of(json.loads(bytes(held))) < value:
+                        writing.put(key.encode(), json.dumps(value.wire()).encode())
+        except (lmdb.Error, OSError, ValueError) as wrong:
+            raise DiskFault(str(wrong)) from None
--- /dev/null
+++ b/millfront/post/franking.py
@@ -0,0 +1,190 @@
+"""Franking (admission): what of a tenant's requests this process lets in. No I/O, no clock.
+
+One price per tenant moves by the projected step on the sent total of all processes; the level comes from a
+concave utility under the room cap; what is above it is refused at once. There is no counter: each process's
+totals since its start travel on its card (`neighbours`), so that a total that comes late, twice or after
+others changes nothing and the next one makes up for it. Units are requests, rates requests a second, times
+seconds on the caller's clock.
+
+Each process also runs the tenant's whole allowance in its head (`store`: filled at Q up to what `burst` and a
+part of the rule's own slack allow, emptied by everybody's sent units), and its bucket never holds more than
+its share of that: whatever the prices do, what all let in is bounded by the store and by what they send while
+their cards are on the way (docs/design/franking.md). While the store is more than half full, a request that
+comes in a clump is let in beyond the level, on the store, and the card goes out at once.
+"""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from millfront.choice import LEAST_PRICE, next_price
+from millfront.post.orders import Tenant
+from millfront.post.settings import Bounds
+
+FIRST_PRICE = 1.0
+HIGHEST_PRICE = 8.0  # an n undercounted by so much is still outbid
+SHARE_UNITS = 8.0  # asked by all in a tick for it to weigh half in a share
+SLACK = 0.6  # of what rate_excess and rate_extra allow, held in the store; the rest is for what is on the way
+BORROW_ABOVE = 0.5  # of the store: above it a clump may draw on what the others leave
+GHOST_S = 8.0  # a process not heard of goes on sending at its last rate for so long
+IDLE_S = 30.0
+
+
+@dataclass(slots=True)
+class Peer:
+    """One other process's totals of one tenant."""
+
+    life: int = -1
+    age: float = 0.0
+    sent: float = 0.0
+    asked: float = 0.0
+    sent_rate: float = 0.0
+    asked_rate: float = 0.0
+    heard: float = 0.0
+
+
+@dataclass(slots=True)
+class Account:
+    """One tenant, as this process sees it."""
+
+    sent: float = 0.0  # since the process started
+    asked: float = 0.0
+    price: float = FIRST_PRICE
+    level: float = 0.0
+    bucket: float = 0.0
+    store: float = 0.0
+    share: float = 0.0
+    at: float = 0.0  # the bucket is filled up to here
+    seen: float = 0.0
+    last_sent: float = 0.0  # `sent` at the last tick
+    last_asked: float = 0.0
+    own_asked: float = 0.0  # a second, smoothed
+    own_sent: float = 0.0
+    total_sent: float = 0.0  # of all, a second
+    peers: dict[str, Peer] = field(default_factory=dict)
+
+
+class Franking:
+    """All tenants' accounts in one process."""
+
+    def __init__(self, bounds: Bounds, now: float) -> None:
+        self.bounds = bounds
+        self.accounts: dict[str, Account] = {}
+        self.ticked = now
+        self.n = 1
+        self.alone = False  # no other process is heard of
+        self.born = now
+        self.hurry = False  # the card is to go out before the next tick
+
+    def capacity(self, tenant: Tenant) -> float:
+        """What the store may hold: over any `rate_window` w all let in at most capacity + Q·w, and the rule
+        allows (Q·w + burst)·(1 + excess) + extra; of the difference SLACK is used."""
+        b = self.bounds
+        slack = b.rate_excess * (tenant.rate * b.rate_window + tenant.burst) + b.rate_extra
+        return tenant.burst + SLACK * slack
+
+    def account(self, now: float, tenant: Tenant) -> Account:
+        found = self.accounts.get(tenant.name)
+        if found is None:
+            # A quiet tenant's store is full, but a process that has just started doesn't know what others
+            # sent
+            store = min(self.capacity(tenant), tenant.rate * (now - self.born))
+            found = Account(share=1.0 / self.n, at=now, store=store, level=tenant.rate / self.n, seen=now)
+            found.bucket = store * found.share
+            self.accounts[tenant.name] = found
+        return found
+
+    def admit(self, now: float, tenant: Tenant) -> float:
+        """0: let in. Else it is refused, and may come again after so many seconds."""
+        if tenant.rate <= 0.0:
+            return 0.0
+        found = self.account(now, tenant)
+        self._fill(now, tenant, found)
+        found.seen = now
+        found.asked += 1.0
+        if found.bucket < 1.0:
+            if self.alone or found.store < BORROW_ABOVE * self.capacity(tenant) + 1.0:
+                return max(0.05, min(5.0, (1.0 - found.bucket) / max(found.level, 0.05)))
+            self.hurry = True
+        else:
+            found.bucket -= 1.0
+        found.sent += 1.0
+        found.store -= 1.0
+        return 0.0
+
+    def give_back(self, tenant: Tenant) -> None:
+        """Let in, and never sent to a server."""
+        found = self.accounts.get(tenant.name)
+        if found is not None and tenant.rate > 0.0:
+            found.sent -= 1.0
+            found.store += 1.0
+
+    def _fill(self, now: float, tenant: Tenant, account: Account) -> None:
+        lasted, account.at = max(0.0, now - account.at), now
+        account.store = min(account.store + tenant.rate * lasted, self.capacity(tenant))
+        most = max(1.0, account.share * account.store)
+        account.bucket = min(account.bucket + account.level * lasted, most)
+
+    def totals(self) -> dict[str, list[float]]:
+        """For this process's card."""
+        return {name: [a.sent, a.asked] for name, a in self.accounts.items()}
+
+    def heard(self, now: float, name: str, life: int, age: float, totals: dict[str, Any]) -> None:
+        """Another process's card."""
+        for tenant, (sent, asked) in totals.items():
+            account = self.accounts.get(tenant)
+            if account is None:
+                account = self.accounts[tenant] = Account(at=self.born, share=1.0 / self.n, seen=now)
+            peer = account.peers.setdefault(name, Peer())
+            if peer.life == life:
+                lasted = max(age - peer.age, 0.2)
+                peer.sent_rate += 0.6 * (max(0.0, sent - peer.sent) / lasted - peer.sent_rate)
+                peer.asked_rate += 0.6 * (max(0.0, asked - peer.asked) / lasted - peer.asked_rate)
+                account.store -= sent - peer.sent
+            else:
+                if peer.life >= 0:  # a life that began anew: all that it sent is news
+                    account.store -= sent
+                peer.sent_rate = peer.asked_rate = 0.0
+            peer.life, peer.age, peer.sent, peer.asked, peer.heard = life, age, sent, asked, now
+
+    def tick(self, now: float, n: int, alone: bool, tenants: dict[str, Tenant]) -> None:
+        """One price step for each tenant."""
+        lasted = max(now - self.ticked, 0.05)
+        self.ticked, self.n, self.alone = now, max(1, n), alone
+        for name, account in list(self.accounts.items()):
+            tenant = tenants.get(name)
+            if tenant is None or tenant.rate <= 0.0 or now - account.seen > IDLE_S:
+                if tenant is None and now - account.seen > IDLE_S:
+                    del self.accounts[name]
+                continue
+            self._step(now, lasted, tenant, account)
+
+    def _step(self, now: float, lasted: float, tenant: Tenant, account: Account) -> None:
+        self._fill(now, tenant, account)
+        quota = tenant.rate
+        own = account.sent - account.last_sent
+        asked = account.asked - account.last_asked
+        account.last_sent, account.last_asked = account.sent, account.asked
+        account.own_asked += 0.2 * (asked / lasted - account.own_asked)
+        account.own_sent = own / lasted
+        others_sent = others_asked = 0.0
+        for name, peer in list(account.peers.items()):
+            if now - peer.heard > GHOST_S:
+                del account.peers[name]
+                continue
+            others_sent += peer.sent_rate
+            others_asked += peer.asked_rate
+        total = account.total_sent = account.own_sent + others_sent
+        even = 1.0 / self.n
+        asked_all = account.own_asked + others_asked
+        account.share = (account.own_asked + SHARE_UNITS * even) / (asked_all + SHARE_UNITS)
+        if self.alone:
+            account.share = min(account.share, even)
+        account.price = min(next_price(account.price, total, quota, HIGHEST_PRICE), HIGHEST_PRICE)
+        room = max(quota - total, 0.0)
+        level = quota * even / max(account.price, LEAST_PRICE)
+        account.level = min(level, account.own_sent + room * account.share)
+        if self.alone:
+            account.level = min(account.level, quota * even)
+        account.level = max(account.level, 0.25 * quota * even if total < quota else 0.0, 0.02)
+        if account.store <= 0.0:  # more was let in than is owed: paid back before anything else is
+            account.bucket = min(account.bucket, account.share * account.store)
--- /dev/null
+++ b/millfront/post/neighbours.py
@@ -0,0 +1,262 @@
+"""Neighbours (membership): who there is, who is heard of, and what each tells of itself. No I/O, no clock.
+
+Each process keeps a *card* of itself: an incarnation, a number that rises each tick, flags, and the tenants'
+totals. Cards spread by partial views that are shuffled: each tick a process tells its view within the region,
+and the few whose duty it is tell another region. A card of a higher (incarnation, number) replaces a lower
+one, so that a late or a double one changes nothing. A process that finds a card of itself above its own (it
+restarted, its clock went back) refutes it by a higher incarnation. What never changes in a life (addresses,
+zone) travels apart, and is asked for when it is wanting. Times are seconds on the caller's steady clock.
+"""
+
+import hashlib
+import random
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+TICK_S = 1.0
+VIEW = 8  # neighbours told each tick: all of a small region; of a large one a sample that changes
+SUSPECT_TICKS = 2.2  # a card that late may be one lost datagram
+LOST_TICKS = 3.2  # three lost in a row at 2% each would be one in 100,000
+FORGET_S = 60.0
+PER_LETTER = 10  # cards in one datagram: keeps it near a kilobyte or two
+CARRIERS = 2  # of a region that tell another one: one may be gone without being missed yet
+SHUFFLE_TICKS = 5
+
+Message = dict[str, Any]
+Out = tuple[str, Message]  # address, message
+
+
+class Standing(Enum):
+    """Of another process, as seen from here."""
+
+    UP = "up"
+    SUSPECT = "suspect"
+    LOST = "lost"
+
+
+@dataclass(slots=True)
+class Card:
+    """What one process tells of itself. ``totals``: tenant -> [sent, asked], units since its start."""
+
+    name: str
+    incarnation: int
+    number: int = 0
+    ready: bool = False
+    leaving: bool = False
+    totals: dict[str, list[float]] = field(default_factory=dict)
+    age: float = 0.0  # seconds that its process had run when it was written
+    still: Message | None = None  # what never changes: post, zone, region, plain, core
+    heard: float = 0.0  # when it last rose here
+    standing: Standing = Standing.UP
+    told: int = -1  # number when last passed on by us
+
+    @property
+    def stamp(self) -> tuple[int, int]:
+        return self.incarnation, self.number
+
+    def wire(self) -> list[Any]:
+        flags = self.ready | self.leaving << 1
+        return [self.name, self.incarnation, self.number, flags, round(self.age, 3), self.totals]
+
+
+def weight(key: str, name: str) -> bytes:
+    """Rendezvous weight: who has most of a key's has its duty."""
+    return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
+
+
+def holders(key: str, names: list[str], count: int = 1) -> list[str]:
+    """The first by weight: duties cut by key, the same wherever the names are the same."""
+    return sorted(names, key=lambda name: weight(key, name), reverse=True)[:count]
+
+
+class Neighbours:
+    """One process's picture of the fleet."""
+
+    def __init__(self, name: str, still: Message, seeds: list[str], incarnation: int, seed: int) -> None:
+        """:param still: ``post`` (address), ``zone``, ``region``, ``plain``, ``core`` (it has a disk)
+        :param seeds: addresses that may know more
+        """
+        self.me = Card(name, incarnation, still=still)
+        self.cards: dict[str, Card] = {name: self.me}
+        self.seeds = seeds
+        self.random = random.Random(seed)
+        self.born = 0.0
+        self.ticks = 0
+        self.view: list[str] = []
+        self.heard_any = False
+        self._wanting: set[str] = set()
+
+    # ---- who there is --------------------------------------------------------------------------
+
+    def others(self) -> list[Card]:
+        return [card for card in self.cards.values() if card is not self.me]
+
+    def live(self, region: str | None = None) -> list[Card]:
+        """Those heard of lately that are not leaving, this one among them."""
+        return [
+            card
+            for card in self.cards.values()
+            if (card is self.me or (card.standing is not Standing.LOST and not card.leaving))
+            and card.still is not None
+            and (region is None or card.still["region"] == region)
+        ]
+
+    def live_names(self, region: str | None = None) -> list[str]:
+        return sorted(card.name for card in self.live(region))
+
+    def count(self) -> int:
+        """n: all that may be running, the lost among them until they are forgotten."""
+        return len(self.cards)
+
+    def has_duty(self, key: str, region: str | None = None, count: int = 1) -> bool:
+        return self.me.name in holders(key, self.live_names(region), count)
+
+    def address(self, name: str) -> str | None:
+        card = self.cards.get(name)
+        return card.still["post"] if card is not None and card.still is not None else None
+
+    # ---- each tick -----------------------------------------------------------------------------
+
+    def tick(self, now: float) -> list[Out]:
+        """Write this process's card anew, judge the others', and tell the view."""
+        if not self.born:
+            self.born = now
+        self.ticks += 1
+        self.me.number += 1
+        self.me.age = now - self.born
+        self._judge(now)
+        out: list[Out] = []
+        if not self.heard_any or self.ticks % SHUFFLE_TICKS == 1:
+            out += [(seed, self._hello()) for seed in self.seeds if seed != self.me.still["post"]]  # type: ignore[index]
+        self._shuffle()
+        region = self.me.still["region"]  # type: ignore[index]
+        news = [c for c in self.cards.values() if c.told < c.number and c.still is not None]
+        own = [c for c in news if c is self.me]
+        far = [c for c in news if c.still is not None and c.still["region"] != region]
+        for name in self.view:
+            if address := self.address(name):
+                out += self._letters(address, own + far)
+        out += self._to_other_regions(region)
+        for card in own + far:
+            card.told = card.number
+        return out
+
+    def hurry(self) -> list[Out]:
+        """This process's card before its tick, to all that are live."""
+        self.me.number += 1
+        letter = {"t": "cards", "c": [self.me.wire()]}
+        return [(c.still["post"], letter) for c in self.live() if c is not self.me and c.still is not None]
+
+    def _to_other_regions(self, region: str) -> list[Out]:
+        out: list[Out] = []
+        near = self.live(region)
+        regions = sorted({c.still["region"] for c in self.live() if c.still is not None} - {region})
+        for other in regions:
+            if not self.has_duty(f"carry {region} {other}", region, CARRIERS):
+                continue
+            there = [c for c in self.live(other) if c.standing is Standing.UP] or self.live(other)
+            to = self.random.choice(there)
+            if address := self.address(to.name):
+                out += self._letters(address, near)
+        return out
+
+    def _shuffle(self) -> None:
+        """The view: all of a small region; of a large one half stays and half is drawn anew."""
+        region = self.me.still["region"]  # type: ignore[index]
+        known = [c.name for c in self.live(region) if c is not self.me]
+        if len(known) <= VIEW:
+            self.view = known
+            return
+        kept = [name for name in self.view if name in known]
+        if self.ticks % SHUFFLE_TICKS == 0:
+            kept = self.random.sample(kept, min(len(kept), VIEW // 2))
+        fresh = [name for name in known if name not in kept]
+        self.view = kept + self.random.sample(fresh, min(len(fresh), VIEW - len(kept)))
+
+    def _judge(self, now: float) -> None:
+        for card in self.others():
+            silent = (now - card.heard) / TICK_S
+            standing = Standing.UP
+            if silent > LOST_TICKS:
+                standing = Standing.LOST
+            elif silent > SUSPECT_TICKS:
+                standing = Standing.SUSPECT
+            self._stands(card, standing)
+            if now - card.heard > FORGET_S:
+                del self.cards[card.name]
+
+    def _stands(self, card: Card, standing: Standing) -> None:
+        """The one change of a card's standing."""
+        card.standing = standing
+
+    # ---- letters ---------------------------------------------------------------------------------
+
+    def _letters(self, to: str, cards: list[Card]) -> list[Out]:
+        """Cards in datagrams of bounded size; at least one goes out, for the view's sake."""
+        out: list[Out] = []
+        for at in range(0, max(1, len(cards)), PER_LETTER):
+            part = cards[at : at + PER_LETTER]
+            out.append((to, {"t": "cards", "c": [card.wire() for card in part]}))
+        if self._wanting:
+            out[0][1]["w"] = sorted(self._wanting)[:PER_LETTER]
+        return out
+
+    def _hello(self) -> Message:
+        return {"t": "hello", "c": [self.me.wire()], "x": {self.me.name: self.me.still}}
+
+    def bye(self) -> list[Out]:
+        """This process ends: all that are known are told at once."""
+        self.me.leaving, self.me.ready = True, False
+        self.me.number += 1
+        letter = {"t": "cards", "c": [self.me.wire()]}
+        return [(c.still["post"], letter) for c in self.others() if c.still is not None]
+
+    def take(self, now: float, back: str, message: Message) -> list[Out]:
+        """A letter from another process, whose address is `back`."""
+        self.heard_any = True
+        for name, still in message.get("x", {}).items():
+            self._introduce(now, name, still)
+        for incarnation_card in message.get("c", ()):
+            self._take_card(now, incarnation_card)
+        out: list[Out] = []
+        kind = message["t"]
+        asked = [name for name in message.get("w", ()) if name in self.cards]
+        if kind == "hello":
+            asked = [name for name in self.cards if self.cards[name].still is not None]
+        for at in range(0, len(asked), PER_LETTER):
+            cards = [self.cards[name] for name in asked[at : at + PER_LETTER]]
+            still = {card.name: card.still for card in cards if card.still is not None}
+            out.append((back, {"t": "cards", "c": [card.wire() for card in cards], "x": still}))
+        if self._wanting and kind == "cards":
+            out.append((back, {"t": "want", "w": sorted(self._wanting)[:PER_LETTER]}))
+        return out
+
+    def _introduce(self, now: float, name: str, still: Message) -> None:
+        if name == self.me.name or not isinstance(still, dict):
+            return
+        card = self.cards.get(name)
+        if card is None:
+            card = self.cards[name] = Card(name, -1, heard=now)
+        card.still = still
+        self._wanting.discard(name)
+
+    def _take_card(self, now: float, wire: list[Any]) -> None:
+        name, incarnation, number, flags, age, totals = wire
+        if name == self.me.name:
+            if (incarnation, number) > self.me.stamp:  # of an earlier life: refuted
+                self.me.incarnation, self.me.number = incarnation + 1, 0
+            return
+        card = self.cards.get(name)
+        if card is None:
+            card = self.cards[name] = Card(name, -1, heard=now)
+        if card.still is None:
+            self._wanting.add(name)
+        if (incarnation, number) <= card.stamp:
+            return
+        if incarnation != card.incarnation:
+            card.told = -1
+        card.incarnation, card.number, card.age = incarnation, number, age
+        card.ready, card.leaving, card.totals = bool(flags & 1), bool(flags & 2), totals
+        card.heard = now
+        self._stands(card, Standing.UP)
--- /dev/null
+++ b/millfront/post/office.py
@@ -0,0 +1,518 @@
+"""An office: one process's part of the control state, put together from the pure modules. No I/O, no clock.
+
+What it wants done goes out through `Doors`; time comes in with each call. The daemon and the simpy worlds of
+the tests run this very class.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from pyrsistent import PSet, pset
+from result import Err, Ok
+
+from millfront.post import orders as standing
+from millfront.post.addresses import Addresses
+from millfront.post.franking import Franking
+from millfront.post.neighbours import Neighbours
+from millfront.post.registry import CORE, FOUNDED, Clerk, Core, Keeper, Persist, Phase, Round, Value, Voting
+from millfront.post.rounds import LEASE_SHARE, Follower
+from millfront.post.settings import Settings
+
+CONFIG = "config"
+EVACUATION = "evacuation/"
+SETTLED_S = 1.2  # the roster unchanged for so long, the core is founded
+FOUNDING_S = 1.6  # the least time from the start: all start together, each in its own time
+AGAIN_S = 0.7
+READ_S, WRITE_S = 2.0, 4.0
+FOLLOWERS_S = 4.0  # a line on which nobody asked for so long is pushed nothing
+BEAT_S = 0.25
+TICK_BEATS = 4  # of the neighbours' and the prices' tick, about a second
+Message = dict[str, Any]
+SELF = "self"
+
+
+class Doors(Protocol):
+    """What an office asks of its I/O."""
+
+    def datagram(self, address: str, message: Message) -> None: ...
+    def line(self, address: str, message: Message) -> None:
+        """On a held connection; lost where it can't be had."""
+
+    def back(self, via: Any, message: Message) -> None:
+        """On the connection that something came on."""
+
+    def persist(self, persist: Persist) -> None:
+        """Sync it, then tell `Office.synced`."""
+
+    def poll(self, number: int) -> None:
+        """Ask the platform for its list, then tell `Office.polled`."""
+
+    def say(self, part: str, text: str) -> None:
+        """A log line."""
+
+
+@dataclass(slots=True)
+class Founding:
+    core: Value
+    members: dict[str, str]
+    agreed: set[str]
+    sent: float = -1e9
+
+
+class Office:
+    """One process. `orders` and `evacuated` are what is in force here."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        doors: Doors,
+        kept: dict[str, Value] | None,
+        now: float,
+        incarnation: int,
+        seed: int,
+    ) -> None:
+        """:param kept: what the disk has; None: this process has no disk and keeps nothing"""
+        self.settings, self.doors, self.name = settings, doors, settings.name
+        still = {
+            "post": settings.post_address,
+            "zone": settings.zone,
+            "region": settings.region,
+            "plain": settings.bindings.get("plain", ""),
+            "ctl": settings.bindings.get("ctl", ""),
+            "core": kept is not None and "control" in settings.serves,
+        }
+        self.seeds_ctl = list(settings.seeds)
+        seeds = [f"{seed.rpartition(':')[0]}:{settings.port}" for seed in settings.seeds]
+        self.neighbours = Neighbours(settings.name, still, seeds, incarnation, seed)
+        self.keeper = Keeper(kept, settings.fresh) if kept is not None and still["core"] else None
+        self.clerk = Clerk(f"{settings.name}.{incarnation}")
+        self.follower = Follower(settings.name, LEASE_SHARE * settings.bounds.revoke_within)
+        self.addresses = Addresses()
+        self.franking = Franking(settings.bounds, now)
+        self.orders: standing.Orders | None = None
+        self.evacuated: PSet[str] = pset()
+        self.changed: Callable[[], None] = lambda: None  # orders or evacuations have
+        self.relisted: Callable[[], None] = lambda: None  # servers have
+        self.waiting: dict[str, tuple[Round, Callable[[Round], None]]] = {}
+        self.followers: dict[Any, float] = {}
+        self.pushed = 0
+        self.acknowledged = 0
+        self.born = now
+        self.beats = 0
+        self.founding: Founding | None = None
+        self._roster: frozenset[str] = frozenset()
+        self._roster_since = now
+        self._recovering: dict[str, dict[str, Value]] = {}
+        if self.keeper is not None and self.keeper.votes:
+            self._hold(dict(self.keeper.values))
+
+    # ---- what is in force ------------------------------------------------------------------------
+
+    def trusted(self, now: float) -> bool:
+        """Whether nothing newer than what is held here can have been acknowledged `revoke_within` ago."""
+        return not self.settings.bounds.revoke_global or now < self.follower.lease_until()
+
+    def ready(self, now: float) -> bool:
+        return (
+            self.orders is not None
+            and self.addresses.known()
+            and self.trusted(now)
+            and not self.neighbours.me.leaving
+        )
+
+    def _hold(self, found: dict[str, Value]) -> None:
+        """The one way in for values: what is newer is in force from here on, and nothing goes back."""
+        changed = self.follower.hold(found)
+        for key in changed:
+            value = self.follower.values[key]
+            if key == CONFIG:
+                match standing.compiled(value.data):
+                    case Ok(made):
+                        self.orders = made
+                        self.doors.say("registry", f"configuration {made.version:08x} is in force")
+                    case Err(fault):
+                        self.doors.say(
+                            "registry", f"configuration {value.version:08x} can't be used: {fault}"
+                        )
+            elif key.startswith(EVACUATION):
+                zone = key.removeprefix(EVACUATION)
+                on = value.data == "1"
+                self.evacuated = self.evacuated.add(zone) if on else self.evacuated.discard(zone)
+                self.doors.say("registry", f"zone {zone} is {'evacuated' if on else 'taken back'}")
+            elif key == CORE:
+                self.doors.say(
+                    "registry", f"core {value.version} is {' '.join(sorted(Core.of(value).members))}"
+                )
+        if changed:
+            self.changed()
+
+    # ---- operators' calls ------------------------------------------------------------------------
+
+    def put(self, now: float, text: str, done: Callable[[int, str], None]) -> None:
+        """A configuration; `done` is told a status and a text, once."""
+        match standing.checked(text):
+            case Err(fault):
+                self.doors.say("counter", f"configuration refused: {fault}")
+                done(400, str(fault))
+                return
+            case Ok(made):
+                pass
+        value = Value(made.version, made.digest, made.text)
+        self._write(now, {CONFIG: value}, done)
+
+    def evacuate(self, now: float, zone: str, on: bool, done: Callable[[int, str], None]) -> None:
+        """Read the newest word on the zone from a majority, then write one above it."""
+        key = EVACUATION + zone
+
+        def read(round: Round) -> None:
+            if round.phase is not Phase.DONE:
+                done(503, "the registry can't be read now")
+                return
+            before = round.values.get(key)
+            version = max(before.version if before else 0, self._version(key)) + 1
+            self._write(self._now, {key: Value(version, self.name, "1" if on else "0")}, done)
+
+        self._read(now, [key], read, lambda: done(503, "no core is known yet"))
+
+    def read(self, now: float, done: Callable[[int, str], None]) -> None:
+        """The newest configuration, whole, from a majority."""
+
+        def found(round: Round) -> None:
+            value = round.values.get(CONFIG)
+            if round.phase is not Phase.DONE:
+                done(503, "the registry can't be read now")
+            elif value is None:
+                done(404, "no configuration has been taken yet")
+            else:
+                done(200, value.data)
+
+        self._read(now, [CONFIG], found, lambda: done(503, "no core is known yet"))
+
+    def _version(self, key: str) -> int:
+        held = self.follower.values.get(key)
+        return held.version if held is not None else 0
+
+    def _read(
+        self, now: float, keys: list[str], then: Callable[[Round], None], none: Callable[[], None]
+    ) -> None:
+        if self.follower.core is None:
+            none()
+            return
+        self._start(now, self.clerk.read(now, self.follower.core, keys, READ_S), then)
+
+    def _write(self, now: float, values: dict[str, Value], done: Callable[[int, str], None]) -> None:
+        def written(round: Round) -> None:
+            if round.phase is Phase.DONE:
+                done(200, "")
+            else:
+                done(503, "no majority of the core has it yet")
+
+        if self.follower.core is None:
+            done(503, "no core is known yet")
+            return
+        self._start(now, self.clerk.write(now, self.follower.core, values, WRITE_S), written)
+
+    def _start(self, now: float, round: Round, then: Callable[[Round], None]) -> None:
+        self.waiting[round.ref] = (round, then)
+        self._drive(now, round)
+
+    def _drive(self, now: float, round: Round) -> None:
+        """Send what the round wants; when it has ended, what it found is held and whoever waits is told."""
+        self._now = now
+        for name, message in self.clerk.drive(now, round):
+            self._to_keeper(now, name, round.core.all[name], message)
+        if round.phase in (Phase.DONE, Phase.FAILED) and round.ref in self.waiting:
+            _, then = self.waiting.pop(round.ref)
+            if round.phase is Phase.DONE:
+                self._hold(round.values)
+            then(round)
+
+    # ---- time ------------------------------------------------------------------------------------
+
+    def beat(self, now: float) -> None:
+        """Every BEAT_S."""
+        self._now = now
+        self.beats += 1
+        if self.beats % TICK_BEATS == 1:
+            self._tick(now)
+        for round, _ in list(self.waiting.values()):
+            self._drive(now, round)
+        if self.keeper is not None and not self.keeper.votes:
+            self._grow_up(now, self.keeper)
+        self._follow(now)
+        region = self.settings.region
+        if self.addresses.due(now, self.neighbours.has_duty(f"list {region}", region)) and self._may_poll(
+            now
+        ):
+            self.doors.poll(self.addresses.begin())
+        self.followers = {via: at for via, at in self.followers.items() if now - at < FOLLOWERS_S}
+
+    def hurry(self, now: float) -> None:
+        """Units were let in on the common store: the others learn of it now."""
+        self.franking.hurry = False
+        me = self.neighbours.me
+        me.totals, me.age = self.franking.totals(), now - self.neighbours.born
+        for address, message in self.neighbours.hurry():
+            self.doors.datagram(address, message)
+
+    def _may_poll(self, now: float) -> bool:
+        """At the start the neighbours are heard first, so that not all ask the platform."""
+        return self.neighbours.heard_any or now - self.born > 1.0
+
+    def _follow(self, now: float) -> None:
+        for name, message in self.follower.tick(now, self._near()):
+            self._to_keeper(now, name, self.follower.core.all[name], message)  # type: ignore[union-attr]
+
+    def _near(self) -> list[str]:
+        """Core members by distance: this one, its zone, its region, the others; lost ones last."""
+        cards, settings = self.neighbours.cards, self.settings
+
+        def distance(name: str) -> tuple[bool, int, str]:
+            card = cards.get(name)
+            still = card.still if card is not None else None
+            if name == self.name:
+                return False, 0, name
+            if card is None or still is None:
+                return False, 3, name
+            lost = card.standing.value == "lost" or card.leaving
+            if still["zone"] == settings.zone:
+                return lost, 1, name
+            return lost, 2 if still["region"] == settings.region else 3, name
+
+        return sorted(self.follower.keepers, key=distance)
+
+    def _tick(self, now: float) -> None:
+        me = self.neighbours.me
+        me.ready, me.totals = self.ready(now), self.franking.totals()
+        for address, message in self.neighbours.tick(now):
+            self.doors.datagram(address, message)
+        others = self.neighbours.others()
+        alone = bool(others) and all(card.standing.value == "lost" for card in others)
+        tenants = self.orders.by_name if self.orders is not None else {}
+        self.franking.tick(now, self.neighbours.count(), alone, tenants)
+        roster = frozenset(card.name for card in others if card.still is not None)
+        if roster != self._roster:
+            self._roster, self._roster_since = roster, now
+        if self.follower.core is None:
+            for seed in self.neighbours.seeds:
+                if seed != self.settings.post_address:
+                    self.doors.datagram(seed, {"t": "core?"})
+
+    # ---- the first start, and a lost disk ----------------------------------------------------------
+
+    def _grow_up(self, now: float, keeper: Keeper) -> None:
+        """A keeper that does not vote yet: found a core, or recover what the disk had."""
+        if keeper.state is Voting.NEW and self.follower.core is None:
+            self._found(now)
+        elif self.follower.core is not None and self.name in self.follower.core.all:
+            if keeper.state is Voting.NEW:
+                value = self.follower.values[CORE]
+                self.doors.persist(Persist({CORE: value}, (SELF, {"t": "stored", "r": ""})))
+                return
+            for name, address in self.follower.core.all.items():
+                if name != self.name:
+                    message = {"t": "fetch", "r": "recover", "e": self.follower.core.epoch}
+                    if self.beats % 3 == 0:
+                        self._to_keeper(now, name, address, message)
+
+    def _found(self, now: float) -> None:
+        cards = [c for c in self.neighbours.live() if c.still is not None and c.still["core"]]
+
+        def rank(card: Any) -> tuple[int, str]:
+            ctl = card.still["ctl"]
+            return (self.seeds_ctl.index(ctl) if ctl in self.seeds_ctl else len(self.seeds_ctl), card.name)
+
+        first = min(cards, key=rank)
+        if first is not self.neighbours.me:
+            return
+        founding = self.founding
+        if founding is None:
+            if now - self._roster_since < SETTLED_S or now - self.born < FOUNDING_S:
+                return
+            members = {card.name: card.still["post"] for card in cards if card.still is not None}
+            core = Core(FOUNDED - 1, members)
+            founding = self.founding = Founding(core.value(f"{99 - rank(first)[0]:02d}"), members, set())
+            self.doors.say("registry", f"founds a core of {len(members)}")
+        if now - founding.sent < AGAIN_S:
+            return
+        founding.sent = now
+        for name, address in founding.members.items():
+            if name not in founding.agreed:
+                self._to_keeper(now, name, address, {"t": "found?", "r": "found", "v": founding.core.wire()})
+
+    def _agreed(self, now: float, sender: str) -> None:
+        founding = self.founding
+        if founding is None:
+            return
+        founding.agreed.add(sender)
+        if founding.agreed >= set(founding.members) and self.follower.core is None:
+            self.founding = None
+            core = Core(FOUNDED, founding.members)
+            self._start(now, self.clerk.write(now, core, {CORE: core.value()}, 10.0), self._founded)
+
+    def _founded(self, round: Round) -> None:
+        if round.phase is not Phase.DONE:
+            return
+        for card in self.neighbours.others():
+            if card.still is not None:
+                self.doors.datagram(card.still["post"], {"t": "core", "v": round.values[CORE].wire()})
+
+    def _recovered(self, sender: str, wire: dict[str, Any]) -> None:
+        """A voting keeper has told a recovering one all that it has."""
+        keeper, core = self.keeper, self.follower.core
+        if keeper is None or core is None or keeper.state is not Voting.RECOVERING:
+            return
+        self._recovering[sender] = {key: Value.of(value) for key, value in wire.items()}
+        if not core.covers(self._recovering):
+            return
+        best: dict[str, Value] = {}
+        for values in self._recovering.values():
+            for key, value in values.items():
+                if key not in best or value > best[key]:
+                    best[key] = value
+        self._recovering = {}
+        self.doors.say("registry", f"recovers {len(best)} values")
+        self.doors.persist(Persist(best, (SELF, {"t": "recovered", "r": ""})))
+
+    # ---- messages --------------------------------------------------------------------------------
+
+    def _to_keeper(self, now: float, name: str, address: str, message: Message) -> None:
+        if name == self.name and self.keeper is not None:
+            self._keep(now, SELF, message)
+        else:
+            self.doors.line(address, message)
+
+    def _keep(self, now: float, via: Any, message: Message) -> None:
+        """A call to this process's keeper."""
+        if self.keeper is None:
+            self._answer(now, via, {"t": "no", "r": message.get("r")})
+            return
+        if message["t"] == "ask" and via is not SELF:
+            self.followers[via] = now
+        answers, persists = self.keeper.handle(via, message)
+        for to, answer in answers:
+            self._answer(now, to, answer)
+        for persist in persists:
+            self.doors.persist(persist)
+
+    def _answer(self, now: float, via: Any, message: Message) -> None:
+        message["m"] = self.name
+        if via is SELF:
+            self._reply(now, message)
+        else:
+            self.doors.back(via, message)
+
+    def synced(self, now: float, persist: Persist, well: bool) -> None:
+        """The disk is done with it."""
+        self._now = now
+        keeper = self.keeper
+        assert keeper is not None
+        if not well:
+            self.doors.say("registry", "the disk takes nothing: this keeper does not count")
+        answer = persist.then[1]
+        for to, message in keeper.synced(persist, well):
+            if answer["t"] == "recovered" and well:
+                keeper.recovered()
+                self.doors.say("registry", "recovered, and votes")
+            else:
+                self._answer(now, to, message)
+        if well and keeper.votes:
+            self._hold(dict(keeper.values))
+            self._push()
+
+    def _push(self) -> None:
+        """Numbered news to whoever follows here."""
+        assert self.keeper is not None
+        self.pushed += 1
+        news = {"t": "news", "n": self.pushed, "s": self.keeper.stamps(), "m": self.name}
+        for via in self.followers:
+            self.doors.back(via, news)
+
+    def message(self, now: float, via: Any, message: Message) -> None:
+        """Something came on a held connection; answers go back on it."""
+        self._now = now
+        match message["t"]:
+            case "store" | "fetch" | "ask" | "found?":
+                self._keep(now, via, message)
+            case "had":
+                self.acknowledged += 1
+            case "list":
+                if not self.addresses.take(now, message):
+                    self.doors.back(via, {"t": "list?"})
+                else:
+                    self.relisted()
+            case "list?":
+                if self.addresses.known():
+                    self.doors.back(via, self.addresses.whole(now))
+            case _:
+                self._reply(now, message)
+
+    def _reply(self, now: float, message: Message) -> None:
+        sender, kind = message.get("m", ""), message["t"]
+        if kind == "no" and "core" in message:
+            self._hear_of_core(message["core"])
+        if kind == "agreed":
+            self._agreed(now, sender)
+        elif kind == "found" and message["r"] == "recover":
+            self._recovered(sender, message["v"])
+        elif kind == "found" and message["r"] == "f":
+            self._hold({key: Value.of(value) for key, value in message["v"].items()})
+        elif kind in ("found", "stored"):
+            if (round := self.clerk.take(now, sender, message)) is not None:
+                self._drive(now, round)
+        else:
+            for name, out in self.follower.take(now, sender, message):
+                if self.follower.core is not None:
+                    self._to_keeper(now, name, self.follower.core.all[name], out)
+
+    def _hear_of_core(self, wire: Any) -> None:
+        core = Value.of(wire)
+        if core.version >= FOUNDED:
+            self._hold({CORE: core})
+            self.founding = None
+
+    def datagram(self, now: float, back: str, message: Message) -> None:
+        """Something came from another process, whose address is `back`."""
+        self._now = now
+        kind = message["t"]
+        if kind == "core?":
+            if self.follower.core is not None:
+                self.doors.datagram(back, {"t": "core", "v": self.follower.values[CORE].wire()})
+            return
+        if kind == "core":
+            self._hear_of_core(message["v"])
+            return
+        for address, answer in self.neighbours.take(now, back, message):
+            self.doors.datagram(address, answer)
+        for name, incarnation, _, _, age, totals in message.get("c", ()):
+            card = self.neighbours.cards.get(name)
+            if card is not None and card is not self.neighbours.me and card.heard == now:
+                self.franking.heard(now, name, incarnation, age, totals)
+
+    def polled(self, now: float, number: int, entries: list[Any] | None) -> None:
+        """The platform's answer, or None where it gave none."""
+        self._now = now
+        if entries is None:
+            self.addresses.failed()
+            return
+        news = self.addresses.polled(now, number, entries)
+        self.relisted()
+        if news is not None:
+            for card in self.neighbours.live(self.settings.region):
+                if card is not self.neighbours.me and card.still is not None:
+                    self.doors.line(card.still["post"], news)
+
+    # ---- the directory -----------------------------------------------------------------------------
+
+    def resolve(self, now: float, region: str) -> list[str]:
+        """Where clients of that region go: its gatekeepers that are ready and heard of; else all such."""
+        near, all_ = [], []
+        for card in self.neighbours.live():
+            own = card is self.neighbours.me
+            well = self.ready(now) if own else card.ready and card.standing.value == "up"
+            if well and card.still is not None and card.still["plain"]:
+                all_.append(card.still["plain"])
+                if card.still["region"] == region:
+                    near.append(card.still["plain"])
+        return sorted(near if len(near) >= 2 else all_)[:64]
--- /dev/null
+++ b/millfront/post/registry.py
@@ -0,0 +1,314 @@
+"""The registry: versioned values on a majority of the core's disks. No log, no leader, no I/O, no clock.
+
+A value is (version, tie, data); of two the higher (version, tie) holds, wherever it is. A *keeper* stands on
+each core machine and answers from what its disk has synced. A *clerk*, in any process, writes to all keepers
+and is done with a majority W = N // 2 + 1; it reads from a majority and writes back what it found before it
+answers. A follower's question which versions are newest needs only R = N - W + 1 answers: W + R > N, so one
+of those asked has what was acknowledged.
+
+A keeper whose disk was found empty though the system is not starting for the first time has forgotten what it
+may have acknowledged: it recovers from R others before it answers anybody (docs/design/system.md has the
+bound).
+"""
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+Message = dict[str, Any]
+CORE = "core"  # the key of the core itself
+FOUNDED = 2  # the first epoch that all members have agreed to
+
+
+def write_quorum(core: int) -> int:
+    """W: acknowledged is what so many keepers have synced.
+
+    >>> [(n, write_quorum(n), read_quorum(n)) for n in (1, 3, 4, 6, 8)]
+    [(1, 1, 1), (3, 2, 2), (4, 3, 2), (6, 4, 3), (8, 5, 4)]
+    """
+    return core // 2 + 1
+
+
+def read_quorum(core: int) -> int:
+    """R: of so many answers one knows what was acknowledged."""
+    return core - write_quorum(core) + 1
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Value:
+    """One version of one key."""
+
+    version: int
+    tie: str
+    data: str = field(compare=False)
+
+    @property
+    def stamp(self) -> list[Any]:
+        return [self.version, self.tie]
+
+    def wire(self) -> list[Any]:
+        return [self.version, self.tie, self.data]
+
+    @classmethod
+    def of(cls, wire: Any) -> "Value":
+        """:raises ValueError: it is no value"""
+        match wire:
+            case [int() as version, str() as tie, str() as data]:
+                return cls(version, tie, data)
+        raise ValueError("no value")
+
+
+class Voting(Enum):
+    """Whether a keeper's word counts."""
+
+    NEW = "new: the system starts for the first time"
+    RECOVERING = "recovering: its disk was lost"
+    VOTING = "voting"
+
+
+@dataclass(slots=True)
+class Persist:
+    """To be synced to the disk; then the keeper is told by `synced`."""
+
+    values: dict[str, Value]
+    then: tuple[Any, Message]  # whom to answer, and what
+
+
+@dataclass(frozen=True, slots=True)
+class Core:
+    """Who keeps the registry: names and addresses, of one epoch. While it changes (``old`` is not empty),
+    both the old and the new members must agree to everything."""
+
+    epoch: int
+    members: dict[str, str]
+    old: dict[str, str] = field(default_factory=dict)
+
+    @classmethod
+    def of(cls, value: Value) -> "Core":
+        """:raises ValueError: it is no core"""
+        told = json.loads(value.data)
+        return cls(value.version, dict(told["m"]), dict(told.get("o") or {}))
+
+    def value(self, tie: str = "") -> Value:
+        return Value(self.epoch, tie, json.dumps({"m": self.members, "o": self.old}, sort_keys=True))
+
+    @property
+    def sets(self) -> tuple[dict[str, str], ...]:
+        return (self.members, self.old) if self.old else (self.members,)
+
+    @property
+    def all(self) -> dict[str, str]:
+        return {**self.old, **self.members}
+
+    def majority(self, names: Iterable[str]) -> bool:
+        """Whether what these have synced is acknowledged."""
+        had = set(names)
+        return all(len(had & set(part)) >= write_quorum(len(part)) for part in self.sets)
+
+    def covers(self, names: Iterable[str]) -> bool:
+        """Whether one of these knows what was acknowledged."""
+        had = set(names)
+        return all(len(had & set(part)) >= read_quorum(len(part)) for part in self.sets)
+
+
+class Keeper:
+    """The part of the registry that stands on one core machine."""
+
+    def __init__(self, kept: dict[str, Value], fresh: bool) -> None:
+        """:param kept: what the disk has; nothing, and not fresh: the disk was lost"""
+        self.values = dict(kept)
+        held = kept.get(CORE)
+        founded = held is not None and held.version >= FOUNDED
+        begun = held is not None or fresh  # a founding that was cut off goes on
+        self.state = Voting.VOTING if founded else Voting.NEW if begun else Voting.RECOVERING
+        self.refusing = False  # the disk takes nothing
+
+    def become(self, state: Voting) -> None:
+        """The one change of state."""
+        self.state = state
+
+    @property
+    def votes(self) -> bool:
+        return self.state is Voting.VOTING
+
+    def stamps(self) -> dict[str, list[Any]]:
+        return {key: value.stamp for key, value in self.values.items()}
+
+    @property
+    def core(self) -> Core | None:
+        held = self.values.get(CORE)
+        return Core.of(held) if held is not None else None
+
+    def handle(self, back: Any, message: Message) -> tuple[list[tuple[Any, Message]], list[Persist]]:
+        """A clerk's, a follower's or a founder's call; answers go to `back`."""
+        ref, kind = message.get("r"), message["t"]
+        held = self.values.get(CORE)
+        if kind == "found?":
+            return self._propose(back, ref, Value.of(message["v"]))
+        if (
+            not self.votes or held is None or message.get("e", 0) < held.version
+        ):  # the fence: of an older core
+            if kind == "store" and CORE in message["v"]:
+                return self._store(back, ref, message["v"])
+            return [(back, self._no(ref))], []
+        match kind:
+            case "store":
+                return self._store(back, ref, message["v"])
+            case "fetch":
+                keys = message.get("k")
+                found = {k: v.wire() for k, v in self.values.items() if keys is None or k in keys}
+                return [(back, {"t": "found", "r": ref, "v": found})], []
+            case "ask":
+                return [(back, {"t": "newest", "r": ref, "s": self.stamps()})], []
+        return [(back, self._no(ref))], []
+
+    def _no(self, ref: Any) -> Message:
+        held = self.values.get(CORE)
+        return {"t": "no", "r": ref} | ({"core": held.wire()} if held is not None and self.votes else {})
+
+    def _propose(self, back: Any, ref: Any, core: Value) -> tuple[list[tuple[Any, Message]], list[Persist]]:
+        """At the first start: every member agrees to the core, then it is marked with epoch 2."""
+        held = self.values.get(CORE)
+        if held is None and self.state is not Voting.NEW:
+            return [(back, self._no(ref))], []
+        if held is not None and core < held:
+            return [(back, {"t": "no", "r": ref, "core": held.wire()})], []
+        if held == core:
+            return [(back, {"t": "agreed", "r": ref})], []
+        return [], [Persist({CORE: core}, (back, {"t": "agreed", "r": ref}))]
+
+    def _store(
+        self, back: Any, ref: Any, wire: dict[str, Any]
+    ) -> tuple[list[tuple[Any, Message]], list[Persist]]:
+        told = {key: Value.of(value) for key, value in wire.items()}
+        newer = {k: v for k, v in told.items() if k not in self.values or v > self.values[k]}
+        answer: Message = {"t": "stored", "r": ref}
+        if not newer:
+            return [(back, answer if self.votes else self._no(ref))], []
+        return [], [Persist(newer, (back, answer))]
+
+    def synced(self, persist: Persist, well: bool) -> list[tuple[Any, Message]]:
+        """The disk has answered."""
+        back, answer = persist.then
+        self.refusing = not well
+        if not well:
+            return [(back, {"t": "no", "r": answer["r"]})]
+        self._keep(persist.values)
+        held = self.values.get(CORE)
+        if self.state is Voting.NEW and held is not None and held.version >= FOUNDED:
+            self.become(Voting.VOTING)
+        if not self.votes and answer["t"] == "stored":
+            return [(back, {"t": "no", "r": answer["r"]})]
+        return [(back, answer)]
+
+    def recovered(self) -> None:
+        """What others had is synced here."""
+        self.become(Voting.VOTING)
+
+    def _keep(self, values: dict[str, Value]) -> None:
+        for key, value in values.items():
+            if key not in self.values or value > self.values[key]:
+                self.values[key] = value
+
+
+class Phase(Enum):
+    """Of one round of a clerk."""
+
+    READING = "reading"
+    WRITING = "writing"
+    DONE = "done"
+    FAILED = "failed"
+
+
+@dataclass(slots=True)
+class Round:
+    """One write or one read with its write-back, over the keepers of one core."""
+
+    ref: str
+    core: Core
+    phase: Phase
+    values: dict[str, Value]
+    until: float
+    keys: list[str] | None = None
+    answered: set[str] = field(default_factory=set)
+    refused: set[str] = field(default_factory=set)
+    sent: dict[str, float] = field(default_factory=dict)
+    stale: bool = False  # a read found keepers that differ
+
+
+AGAIN_S = 0.7  # to a keeper that has not answered
+
+
+class Clerk:
+    """Writes to and reads from a majority. Each call is a round that ends once, with DONE or FAILED."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.rounds: dict[str, Round] = {}
+        self._next = 0
+
+    def write(self, now: float, core: Core, values: dict[str, Value], within: float) -> Round:
+        return self._begin(now, core, Phase.WRITING, values, within)
+
+    def read(self, now: float, core: Core, keys: list[str] | None, within: float) -> Round:
+        made = self._begin(now, core, Phase.READING, {}, within)
+        made.keys = keys
+        return made
+
+    def _begin(self, now: float, core: Core, phase: Phase, values: dict[str, Value], within: float) -> Round:
+        self._next += 1
+        made = Round(f"{self.name}/{self._next}", core, phase, values, now + within)
+        self.rounds[made.ref] = made
+        return made
+
+    def drive(self, now: float, round: Round) -> list[tuple[str, Message]]:
+        """What is to be sent now: first to all, then again to those that are silent or said no."""
+        if round.phase in (Phase.DONE, Phase.FAILED):
+            return []
+        if now >= round.until:
+            self._turn(round, Phase.FAILED)
+            return []
+        message: Message = {"t": "fetch", "r": round.ref, "e": round.core.epoch, "k": round.keys}
+        if round.phase is Phase.WRITING:
+            wire = {key: value.wire() for key, value in round.values.items()}
+            message = {"t": "store", "r": round.ref, "e": round.core.epoch, "v": wire}
+        out = []
+        for name in round.core.all:
+            if name not in round.answered and now - round.sent.get(name, -1e9) >= AGAIN_S:
+                round.sent[name] = now
+                out.append((name, message))
+        return out
+
+    def take(self, now: float, sender: str, message: Message) -> Round | None:
+        """A keeper's answer; the round it belongs to, which may have turned."""
+        round = self.rounds.get(message.get("r", ""))
+        if round is None or sender not in round.core.all:
+            return None
+        kind = message["t"]
+        if kind == "found" and round.phase is Phase.READING:
+            self._found(round, sender, message["v"])
+            if round.core.majority(round.answered):
+                self._turn(round, Phase.WRITING if round.stale and round.values else Phase.DONE)
+        elif kind == "stored" and round.phase is Phase.WRITING:
+            round.answered.add(sender)
+            if round.core.majority(round.answered):
+                self._turn(round, Phase.DONE)
+        return round
+
+    def _found(self, round: Round, sender: str, wire: dict[str, Any]) -> None:
+        found = {key: Value.of(value) for key, value in wire.items()}
+        if round.answered and found != round.values:
+            round.stale = True
+        for key, value in found.items():
+            if key not in round.values or value > round.values[key]:
+                round.values[key] = value
+        round.answered.add(sender)
+
+    def _turn(self, round: Round, phase: Phase) -> None:
+        """The one change of a round's phase."""
+        round.phase = phase
+        round.answered, round.sent = set(), {}
+        if phase in (Phase.DONE, Phase.FAILED):
+            self.rounds.pop(round.ref, None)
--- /dev/null
+++ b/millfront/post/rounds.py
@@ -0,0 +1,139 @@
+"""Rounds (delivery): how a process follows the registry, and until when it may trust what it holds. No I/O,
+no clock.
+
+A follower asks keepers which versions are newest, over held connections on which keepers also push numbered
+news, and fetches what it lacks. A keeper's answer that names nothing newer than what is held here confirms,
+as of the moment the question was sent, that nothing newer was acknowledged *if* so many keepers say so that
+each majority has one of them (Core.covers). The lease is that moment plus LEASE_SHARE of ``revoke_within``: a
+key whose removal was acknowledged at t is refused here from t + LEASE_SHARE * revoke_within on, whether this
+process is in touch or not, without the acknowledgement having waited for anybody. Derivation:
+docs/design/system.md.
+"""
+
+from dataclasses import dataclass
+from typing import Any
+
+from millfront.post.registry import CORE, Core, Value
+
+LEASE_SHARE = (
+    0.8  # of revoke_within: the rest is for a clock that runs 1% slow and a request that waits to be sent
+)
+ASK_S = 1.0
+AGAIN_S = 0.45  # a keeper that is silent for so long is passed over for another one
+Message = dict[str, Any]
+
+
+@dataclass(slots=True)
+class Confirmed:
+    """What one keeper has said last."""
+
+    asked: float = -1e9  # when the last question went out that it confirmed by
+    out: float = -1e9  # when a question went out that is not answered yet
+    waiting: float = 0.0  # 0: none is
+    stamps: dict[str, list[Any]] | None = None  # of its last answer
+    as_of: float = -1e9
+    failed: float = -1e9
+    news: int = 0  # the last numbered push
+
+
+class Follower:
+    """Holds the newest values known here, and how sure that is."""
+
+    def __init__(self, name: str, lease_s: float) -> None:
+        self.name = name
+        self.lease_s = lease_s
+        self.values: dict[str, Value] = {}
+        self.core: Core | None = None
+        self.keepers: dict[str, Confirmed] = {}
+        self._fetching: dict[str, float] = {}  # key -> since
+
+    # ---- what is held ----------------------------------------------------------------------------
+
+    def hold(self, found: dict[str, Value]) -> list[str]:
+        """Take what is newer; returns the keys that changed."""
+        changed = [k for k, v in found.items() if k not in self.values or v > self.values[k]]
+        for key in changed:
+            self.values[key] = found[key]
+            self._fetching.pop(key, None)
+        if CORE in changed:
+            self.core = Core.of(self.values[CORE])
+            self.keepers = {name: self.keepers.get(name, Confirmed()) for name in self.core.all}
+        if changed:
+            for said in self.keepers.values():
+                self._confirm(said)
+        return changed
+
+    def lease_until(self) -> float:
+        """Nothing newer was acknowledged before this time less `lease_s`."""
+        if self.core is None:
+            return -1e9
+        times = sorted({said.asked for said in self.keepers.values()}, reverse=True)
+        for time in times:
+            if self.core.covers(name for name, said in self.keepers.items() if said.asked >= time):
+                return time + self.lease_s
+        return -1e9
+
+    # ---- asking ----------------------------------------------------------------------------------
+
+    def tick(self, now: float, near: list[str]) -> list[tuple[str, Message]]:
+        """Questions to be sent to keepers; `near` is the order of preference, nearest and soundest first."""
+        if self.core is None:
+            return []
+        core = self.core
+        order = [name for name in near if name in self.keepers]
+        order += [name for name in self.keepers if name not in order]
+        for said in self.keepers.values():
+            if said.waiting and now - said.waiting > AGAIN_S:
+                said.failed, said.waiting = now, 0.0
+        order.sort(key=lambda name: now - self.keepers[name].failed < 3.0 * ASK_S)
+        chosen: list[str] = []
+        for name in order:
+            if core.covers(chosen):
+                break
+            chosen.append(name)
+        # while the lease is not renewed in time all are asked
+        if self.lease_until() - self.lease_s < now - 2.0 * ASK_S:
+            chosen = order
+        out = []
+        for name in chosen:
+            said = self.keepers[name]
+            if now - said.out >= ASK_S * 0.95 or now - said.failed < 0.2:
+                said.out = said.waiting = now
+                out.append((name, {"t": "ask", "r": f"a{now!r}", "e": core.epoch}))
+        return out
+
+    def take(self, now: float, sender: str, message: Message) -> list[tuple[str, Message]]:
+        """A keeper's answer or push; returns what is to be fetched, and from whom."""
+        said = self.keepers.get(sender)
+        if said is None:
+            return []
+        if message["t"] == "news":
+            said.news = message["n"]
+            return [(sender, {"t": "had", "n": message["n"]}), *self._lacking(now, sender, message["s"])]
+        said.waiting = 0.0
+        if message["t"] != "newest":
+            return []
+        said.failed = -1e9
+        said.stamps, said.as_of = message["s"], float(message["r"][1:])
+        self._confirm(said)
+        return self._lacking(now, sender, message["s"])
+
+    def _confirm(self, said: Confirmed) -> None:
+        if said.stamps is not None and not self._newer(said.stamps):
+            said.asked = max(said.asked, said.as_of)
+
+    def _newer(self, stamps: dict[str, list[Any]]) -> list[str]:
+        lacking = []
+        for key, (version, tie) in stamps.items():
+            held = self.values.get(key)
+            if held is None or (held.version, held.tie) < (version, tie):
+                lacking.append(key)
+        return lacking
+
+    def _lacking(self, now: float, sender: str, stamps: dict[str, list[Any]]) -> list[tuple[str, Message]]:
+        keys = [k for k in self._newer(stamps) if now - self._fetching.get(k, -1e9) > AGAIN_S]
+        if not keys or self.core is None:
+            return []
+        for key in keys:
+            self._fetching[key] = now
+        return [(sender, {"t": "fetch", "r": "f", "e": self.core.epoch, "k": keys})]
--- /dev/null
+++ b/millfront/post/service.py
@@ -0,0 +1,227 @@
+"""One office as a process: the loop, its connections and its disk round the pure parts, and its end."""
+
+import asyncio
+import gc
+import json
+import signal
+import sys
+import time
+from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import uvloop
+from loguru import logger
+from result import Err, Ok
+
+from millfront.node.config import Address
+from millfront.node.endings import Ended
+from millfront.node.http import Wire as HttpWire
+from millfront.node.http import dial
+from millfront.post import counter
+from millfront.post.addresses import told_by_platform
+from millfront.post.carrier import Carrier
+from millfront.post.disk import Disk, DiskFault
+from millfront.post.office import BEAT_S, Office
+from millfront.post.registry import Persist, Value
+from millfront.post.settings import Settings, load, seconds
+from millfront.post.wire import Line, Message, Wire
+
+CLOUD_S = 0.9  # the whole of a call to the platform
+MOST_PAGES = 40
+LEAVE_S = 0.6  # of the grace, from SIGTERM until clients are no longer taken on
+LAST_S = 0.3  # before the grace ends
+
+
+class Service:
+    """Doors of one office."""
+
+    def __init__(self, settings: Settings, kept: dict[str, Value] | None, disk: Disk | None) -> None:
+        self.settings, self.disk = settings, disk
+        self.loop = asyncio.get_running_loop()
+        seed = time.time_ns() & 0xFFFFFFFF
+        self.office = Office(settings, self, kept, self.now(), time.time_ns() // 1_000_000, seed)
+        self.carrier = Carrier(self.office, seed, self.now)
+        self.wire = Wire(
+            lambda line, message: self.office.message(self.now(), line, message),
+            lambda back, message: self.office.datagram(self.now(), back, message),
+        )
+        self.threads = ThreadPoolExecutor(1)
+        self.counters: list[counter.Counter] = []
+        self.ending = asyncio.Event()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def now(self) -> float:
+        return time.monotonic()
+
+    # ---- doors -----------------------------------------------------------------------------------
+
+    def datagram(self, address: str, message: Message) -> None:
+        self.wire.datagram(address, message)
+
+    def line(self, address: str, message: Message) -> None:
+        self.wire.line(address, message)
+
+    def back(self, via: Any, message: Message) -> None:
+        assert isinstance(via, Line)
+        via.send(message)
+
+    def persist(self, persist: Persist) -> None:
+        self.start(self._persist(persist))
+
+    def poll(self, number: int) -> None:
+        self.start(self._poll(number))
+
+    def say(self, part: str, text: str) -> None:
+        logger.info("{}: {}", part, text)
+
+    def start(self, work: Any) -> None:
+        """A task whose fault is its own."""
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: "asyncio.Task[None]") -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and (wrong := task.exception()) is not None:
+            logger.opt(exception=wrong).error("service: a task failed")
+
+    async def _persist(self, persist: Persist) -> None:
+        assert self.disk is not None
+        try:
+            await self.loop.run_in_executor(self.threads, self.disk.store, persist.values)
+        except DiskFault as fault:
+            logger.warning("disk: {}", fault)
+            self.office.synced(self.now(), persist, False)
+            return
+        self.office.synced(self.now(), persist, True)
+
+    async def _poll(self, number: int) -> None:
+        entries = None
+        try:
+            entries = await asyncio.wait_for(self._list(), CLOUD_S)
+        except (TimeoutError, Ended, ValueError, KeyError, AttributeError) as wrong:
+            logger.info("addresses: the platform's list can't be had: {!r}", wrong)
+        finally:
+            self.office.polled(self.now(), number, entries)
+
+    async def _list(self) -> list[Any]:
+        """All pages, on one connection."""
+        import h11
+
+        host, _, port = self.settings.cloud.rpartition(":")
+        stream = await dial(Address(host, int(port)), int(CLOUD_S * 1e6))
+        wire = HttpWire(stream, h11.CLIENT)
+        entries: list[Any] = []
+        token = None
+        try:
+            for _ in range(MOST_PAGES):
+                target = "/instances" + (f"?page_token={token}" if token else "")
+                request = h11.Request(method="GET", target=target, headers=[("Host", self.settings.cloud)])
+                await wire.write(request, h11.EndOfMessage())
+                answer = await wire.read_answer()
+                if answer.start != 200:
+                    raise ValueError(f"status {answer.start}")
+                page = json.loads(answer.body)
+                entries += told_by_platform(page["instances"], seconds)
+                token = page.get("next_token")
+                if not token:
+                    return entries
+                if not wire.reusable():
+                    await wire.close()
+                    wire = HttpWire(await dial(Address(host, int(port)), int(CLOUD_S * 1e6)), h11.CLIENT)
+            raise ValueError("pages without an end")
+        finally:
+            await wire.close()
+
+    # ---- a life ------------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        settings = self.settings
+        await self.wire.listen(settings.ip, settings.port)
+        self.counters = counter.of(self.office, self.now, settings.bindings)
+        if "plain" in settings.bindings:
+            host, _, port = settings.bindings["plain"].rpartition(":")
+            self.carrier.server.listen(Address(host, int(port)))
+        for made in (self.carrier.server, *(c.server for c in self.counters)):
+            self.start(made.sweep())
+        self.start(self.carrier.members.run())
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.ending.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        logger.info("service: {} serves {}", settings.name, " ".join(settings.serves))
+        beat = self.loop.create_task(self._beat())
+        await self.ending.wait()
+        await self._end()
+        beat.cancel()
+
+    async def _beat(self) -> None:
+        due = self.loop.time()
+        while True:
+            try:
+                self.office.beat(self.now())
+                self.carrier.share_cold()
+            except Exception:  # one beat's fault must not stop all others
+                logger.exception("service: a beat failed")
+            due = max(due + BEAT_S, self.loop.time() - BEAT_S)
+            await asyncio.sleep(max(0.01, due - self.loop.time()))
+
+    def reload(self) -> None:
+        """The settings file has changed: its seeds hold from now on; a torn one changes nothing."""
+        import os
+
+        match load(os.environ):
+            case Err(fault):
+                logger.warning("settings: the file stays unread: {}", fault)
+            case Ok(told):
+                port = self.settings.port
+                self.office.neighbours.seeds = [f"{seed.rpartition(':')[0]}:{port}" for seed in told.seeds]
+                logger.info("settings: read anew")
+
+    async def _end(self) -> None:
+        """Say so to all, go on while clients come, send them away, finish what is open."""
+        grace = self.settings.bounds.grace_period
+        end = self.now() + grace - LAST_S
+        logger.info("service: ends")
+        for address, message in self.office.neighbours.bye():
+            self.wire.datagram(address, message)
+        server = self.carrier.server
+        await asyncio.sleep(LEAVE_S * grace * 0.5)
+        server.send_away(True)
+        await asyncio.sleep(LEAVE_S * grace * 0.3)
+        server.stop_accepting()
+        while self.now() < end and (self.carrier.open > 0 or server.unanswered()):
+            server.close_at_rest()
+            await asyncio.sleep(0.02)
+        server.close_at_rest()
+        await asyncio.sleep(0.1)
+
+
+def run(environment: Mapping[str, str]) -> int:
+    """Serve until SIGTERM. Exit code 0 after a planned end, 2 where the settings can't be used."""
+    logger.remove()
+    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO")
+    match load(environment):
+        case Err(fault):
+            print(f"millfront: {fault}", file=sys.stderr)
+            return 2
+        case Ok(settings):
+            pass
+    disk, kept = None, None
+    if settings.state_dir is not None and "control" in settings.serves:
+        disk = Disk(settings.state_dir)
+        try:
+            kept, why = disk.load()
+            if why:
+                logger.warning("disk: what was kept can't be read and is set aside: {}", why)
+        except DiskFault as fault:
+            logger.warning("disk: nothing can be kept here: {}", fault)
+            disk = kept = None
+    gc.collect()
+    gc.freeze()
+
+    async def serve() -> None:
+        await Service(settings, kept, disk).run()
+
+    uvloop.run(serve())
+    return 0
--- /dev/null
+++ b/millfront/post/settings.py
@@ -0,0 +1,201 @@
+"""The settings file of one process, read and checked. Errors name the field; unknown fields are ignored.
+
+Times are seconds, rates are per second, addresses ``HOST:PORT``. Source: the operators' pages on deployment.
+"""
+
+import re
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from result import Err, Ok, Result
+from schema import And, Optional, Schema, SchemaError, Use
+
+VARIABLE = "MILLFRONT_CONFIG"
+DURATION = re.compile(r"([0-9]{1,9}(?:\.[0-9]{1,9})?)(ms|s)")
+ADDRESS = re.compile(r"[0-9A-Za-z_.\-]{1,253}:[0-9]{1,5}")
+
+
+class SettingsFault(Exception):
+    """The settings can't be used; the text names the field."""
+
+
+def seconds(text: object) -> float:
+    """A time as text, in seconds.
+
+    >>> seconds("1500ms"), seconds("2.5s")
+    (1.5, 2.5)
+    """
+    found = DURATION.fullmatch(text) if isinstance(text, str) else None
+    if found is None:
+        raise ValueError(f"{text!r} is no time such as 1500ms or 2.5s")
+    return float(found[1]) / (1000.0 if found[2] == "ms" else 1.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """The rules' figures that decisions go by; defaults are for a file that leaves one out."""
+
+    contact: float = 4.0
+    ack_within: float = 6.0
+    drain_within: float = 3.0
+    grace_period: float = 6.0
+    apply_within: float = 3.0
+    revoke_global: bool = True
+    revoke_within: float = 5.0
+    retry_ratio: float = 0.2
+    retry_window: float = 10.0
+    retry_extra: float = 60.0
+    rate_window: float = 5.0
+    rate_excess: float = 0.1
+    rate_extra: float = 20.0
+    warmup_excess: float = 1.5
+    warmup_extra: float = 5.0
+    evacuate_within: float = 5.0
+    ttl_max: float = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What the platform tells one process."""
+
+    name: str
+    ip: str
+    zone: str
+    region: str
+    fresh: bool
+    counts_loss: bool
+    state_dir: str | None
+    serves: tuple[str, ...]
+    ram_mb: int
+    fd_limit: int
+    port: int  # for traffic between the system's own processes, TCP and UDP
+    seeds: tuple[str, ...]
+    bindings: Mapping[str, str]
+    zones: Mapping[str, str]
+    cloud: str
+    cloud_rate: float
+    cloud_lag: float
+    bounds: Bounds = field(default_factory=Bounds)
+
+    @property
+    def post_address(self) -> str:
+        """Where the system's own processes reach this one."""
+        return f"{self.ip}:{self.port}"
+
+
+number: Any = And(lambda n: isinstance(n, int | float), lambda n: not isinstance(n, bool) and n >= 0)
+text: Any = And(str, len)
+address: Any = And(str, lambda a: ADDRESS.fullmatch(a) is not None, error="{!r} is not HOST:PORT")
+duration = Use(seconds)
+FORM = Schema(
+    {
+        "self": {
+            "node_name": text,
+            "ip_addr": text,
+            "zone": text,
+            "region": text,
+            Optional("fresh", default=False): bool,
+            Optional("counts_loss", default=False): bool,
+            Optional("state_dir", default=""): str,
+            "serves": [str],
+            "limits": {
+                Optional("ram_mb", default=128): And(int, lambda n: n > 0),
+                Optional("fd_limit", default=1024): And(int, lambda n: n > 64),
+            },
+        },
+        "network": {
+            "port_range": And([int], lambda p: len(p) == 2 and 0 <= p[0] <= p[1] < 65536),
+            "seed_nodes": [address],
+            Optional("bindings", default={}): {Optional(str): address},
+            "zones": {str: str},
+        },
+        "platform": {
+            "cloud_api": {
+                "address": address,
+                Optional("rate_per_s", default=10.0): number,
+                Optional("max_lag", default=1.0): duration,
+            },
+        },
+        "terms": {
+            "bounds": {
+                **{
+                    Optional(name): duration
+                    for name in [
+                        "contact",
+                        "ack_within",
+                        "drain_within",
+                        "grace_period",
+                        "apply_within",
+                        "revoke_within",
+                        "retry_window",
+                        "rate_window",
+                        "evacuate_within",
+                        "ttl_max",
+                    ]
+                },
+                **{
+                    Optional(name): number
+                    for name in [
+                        "retry_ratio",
+                        "retry_extra",
+                        "rate_excess",
+                        "rate_extra",
+                        "warmup_excess",
+                        "warmup_extra",
+                    ]
+                },
+                Optional("revoke_global"): bool,
+            },
+        },
+    },
+    ignore_extra_keys=True,
+)
+
+
+def read(document: dict[str, Any]) -> Result[Settings, SettingsFault]:
+    """The parsed file, checked field by field."""
+    try:
+        told = FORM.validate(document)
+    except SchemaError as wrong:
+        why = "; ".join(dict.fromkeys(part for part in [*wrong.autos, *wrong.errors] if part))
+        return Err(SettingsFault(why.replace("\n", " ")))
+    me, network, platform = told["self"], told["network"], told["platform"]
+    return Ok(
+        Settings(
+            name=me["node_name"],
+            ip=me["ip_addr"],
+            zone=me["zone"],
+            region=me["region"],
+            fresh=me["fresh"],
+            counts_loss=me["counts_loss"],
+            state_dir=me["state_dir"] or None,
+            serves=tuple(me["serves"]),
+            ram_mb=me["limits"]["ram_mb"],
+            fd_limit=me["limits"]["fd_limit"],
+            port=network["port_range"][0],
+            seeds=tuple(network["seed_nodes"]),
+            bindings=dict(network["bindings"]),
+            zones=dict(network["zones"]),
+            cloud=platform["cloud_api"]["address"],
+            cloud_rate=float(platform["cloud_api"]["rate_per_s"]),
+            cloud_lag=platform["cloud_api"]["max_lag"],
+            bounds=Bounds(**told["terms"]["bounds"]),
+        )
+    )
+
+
+def load(environment: Mapping[str, str]) -> Result[Settings, SettingsFault]:
+    """From the file that MILLFRONT_CONFIG names."""
+    path = environment.get(VARIABLE)
+    if not path:
+        return Err(SettingsFault(f"{VARIABLE}: is not set"))
+    try:
+        document = tomllib.loads(Path(path).read_text())
+    except OSError as wrong:
+        return Err(SettingsFault(f"{VARIABLE}: {path}: {wrong.strerror}"))
+    except ValueError as wrong:
+        return Err(SettingsFault(f"{VARIABLE}: {path} is not TOML: {wrong}"))
+    return read(document)
