Nothing is let in on an empty store, and below a quarter of it no level is above its share

Change: refused while the store is empty; while it is scarce the bucket fills at no more than the share of the quota.

--- a/millfront/post/franking.py
+++ b/millfront/post/franking.py
@@ -22,8 +22,9 @@
 
 FIRST_PRICE = 1.0
 HIGHEST_PRICE = 8.0  # an n undercounted by so much is still outbid
+SCARCE = 0.25  # of the store: below it nobody's level is above its share of the quota
 SHARE_UNITS = 8.0  # asked by all in a tick for it to weigh half in a share
-SLACK = 0.6  # of what rate_excess and rate_extra allow, held in the store; the rest is for what is on the way
+SLACK = 0.5  # of what rate_excess and rate_extra allow, held in the store; the rest is for what is on the way
 BORROW_ABOVE = 0.5  # of the store: above it a clump may draw on what the others leave
 GHOST_S = 8.0  # a process not heard of goes on sending at its last rate for so long
 IDLE_S = 30.0
@@ -101,6 +102,8 @@
         self._fill(now, tenant, found)
         found.seen = now
         found.asked += 1.0
+        if found.store <= 0.0:  # all has been let in that is owed, whatever the prices say
+            return max(0.05, min(5.0, (1.0 - found.store) / tenant.rate))
         if found.bucket < 1.0:
             if self.alone or found.store < BORROW_ABOVE * self.capacity(tenant) + 1.0:
                 return max(0.05, min(5.0, (1.0 - found.bucket) / max(found.level, 0.05)))
@@ -121,8 +124,10 @@
     def _fill(self, now: float, tenant: Tenant, account: Account) -> None:
         lasted, account.at = max(0.0, now - account.at), now
         account.store = min(account.store + tenant.rate * lasted, self.capacity(tenant))
-        most = max(1.0, account.share * account.store)
-        account.bucket = min(account.bucket + account.level * lasted, most)
+        level = account.level
+        if account.store < SCARCE * self.capacity(tenant):  # a level of before the rush: the price comes a tick later
+            level = min(level, tenant.rate * account.share)
+        account.bucket = min(account.bucket + level * lasted, max(1.0, account.share * account.store))
 
     def totals(self) -> dict[str, list[float]]:
         """For this process's card."""
