Less memory a process, one poller of the platform, orders without a common home refused at once

Two regions each asked the platform; a call that failed was made again each beat. One poller, a deputy in each region, then anybody; a rest after a failure.

--- a/millfront/__main__.py
+++ b/millfront/__main__.py
@@ -5,12 +5,10 @@
 
 
 def main() -> int:
-    if sys.argv[1:] == [
-        "office"
-    ]:  # without the commands of the gatekeeper in service, whose imports it can spare
-        from millfront.post import cli
+    if sys.argv[1:] == ["office"]:  # a role of the whole system: it starts without the commands' imports
+        from millfront.post import lean
 
-        return cli.main()
+        return lean.office(os.environ)
     if len(sys.argv) > 1 or "_MILLFRONT_COMPLETE" in os.environ:
         from millfront.cli import commands
 
--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -8,7 +8,6 @@
 from http import HTTPStatus
 from typing import Any, Protocol
 
-import anyio
 from anyio.abc import TaskStatus
 
 from millfront.logs import Log
@@ -482,7 +481,7 @@
         try:
             while self._listener is not None or self._connections:
                 ends = self._listener is None
-                await anyio.sleep(0.05 if ends else SWEEP_S)
+                await asyncio.sleep(0.05 if ends else SWEEP_S)
                 now = self.clock.now()
                 for connection in list(self._connections):
                     connection.expire(now, PARTIAL_LAST_US if ends else self.partial_us)
--- a/millfront/node/members.py
+++ b/millfront/node/members.py
@@ -7,8 +7,6 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-import anyio
-
 from millfront.node.bodies import Upload
 from millfront.node.config import Address
 from millfront.node.endings import Ended, Ending
@@ -436,7 +434,7 @@
     async def run(self) -> None:
         """Close what has been idle for long, what a member has ended, and what leads to one that stopped."""
         while True:
-            await anyio.sleep(SWEEP_S)
+            await asyncio.sleep(SWEEP_S)
             self.wear.fade()
             too_long = self.clock.now() - self.idle_us
             for connection in list(self._idle):
--- a/millfront/post/addresses.py
+++ b/millfront/post/addresses.py
@@ -1,6 +1,6 @@
 """Addresses (service discovery): which servers there are, by the platform's list. No I/O, no clock.
 
-Within a region one process asks the platform (a duty cut by key) and tells the others what has changed, each
+One process asks the platform (a duty cut by key) and tells the others what has changed, each
 time under a number above all it has seen: the fence. What comes under a lower number is of one that has lost
 the duty, and is not taken. Who has heard nothing for STALE_S asks the platform itself. Of one life of a
 server (``ident``) the phase only goes forward, ready, draining, gone, so that an old list brings nothing
@@ -12,7 +12,9 @@
 from typing import Any
 
 POLL_S = 0.8
-STALE_S = 1.7  # two polls missed; with the lag of the list well inside drain_within
+DEPUTY_S = 1.7  # a poll missed, by the region's deputy
+STALE_S = 2.2  # by anybody; what it asks then is there well inside drain_within
+REST_S = 0.5  # after a call that failed
 FORGET_S = 30.0
 
 Message = dict[str, Any]
@@ -76,22 +78,26 @@
         self.number = 0  # the fence: of the list held
         self.heard = -1e9  # when it was last confirmed
         self.asking = False
+        self.rests_until = -1e9
         self.version = 0  # rises with each change
 
     def known(self) -> bool:
         return self.number > 0
 
-    def due(self, now: float, duty: bool) -> bool:
-        """Whether this process is to ask the platform now."""
-        return not self.asking and now - self.heard >= (POLL_S if duty else STALE_S)
+    def due(self, now: float, duty: bool, deputy: bool) -> bool:
+        """Whether this process is to ask the platform now: who has the duty does, its region's deputy where
+        nothing was heard for a while, and in the end anybody."""
+        if self.asking or now < self.rests_until:
+            return False
+        return now - self.heard >= (POLL_S if duty else DEPUTY_S if deputy else STALE_S)
 
     def begin(self) -> int:
         """A call to the platform begins; returns its number."""
         self.asking = True
         return self.number + 1
 
-    def failed(self) -> None:
-        self.asking = False
+    def failed(self, now: float) -> None:
+        self.asking, self.rests_until = False, now + REST_S
 
     def polled(self, now: float, number: int, entries: list[Told]) -> Message | None:
         """The platform's whole answer to the call of that number: what the others are to be told."""
--- a/millfront/post/carrier.py
+++ b/millfront/post/carrier.py
@@ -292,6 +292,9 @@
             seen = self.sorting.pick(
                 now, service, letter.course.repeatable, homes, size, letter.course.tried, most_out
             )
+        if not possible:  # a home of the route and another of the tenant: no server may have it
+            self.give_up(letter)
+            return
         if seen is None:
             self._hold(letter)
             return
--- a/millfront/post/franking.py
+++ b/millfront/post/franking.py
@@ -125,7 +125,7 @@
         lasted, account.at = max(0.0, now - account.at), now
         account.store = min(account.store + tenant.rate * lasted, self.capacity(tenant))
         level = account.level
-        if account.store < SCARCE * self.capacity(tenant):  # a level of before the rush: the price comes a tick later
+        if account.store < SCARCE * self.capacity(tenant):  # the price comes a tick later
             level = min(level, tenant.rate * account.share)
         account.bucket = min(account.bucket + level * lasted, max(1.0, account.share * account.store))
 
--- a/millfront/post/office.py
+++ b/millfront/post/office.py
@@ -241,10 +241,9 @@
         if self.keeper is not None and not self.keeper.votes:
             self._grow_up(now, self.keeper)
         self._follow(now)
-        region = self.settings.region
-        if self.addresses.due(now, self.neighbours.has_duty(f"list {region}", region)) and self._may_poll(
-            now
-        ):
+        duty = self.neighbours.has_duty("list")
+        deputy = self.neighbours.has_duty("list", self.settings.region)
+        if self.addresses.due(now, duty, deputy) and self._may_poll(now):
             self.doors.poll(self.addresses.begin())
         self.followers = {via: at for via, at in self.followers.items() if now - at < FOLLOWERS_S}
 
@@ -494,12 +493,12 @@
         """The platform's answer, or None where it gave none."""
         self._now = now
         if entries is None:
-            self.addresses.failed()
+            self.addresses.failed(now)
             return
         news = self.addresses.polled(now, number, entries)
         self.relisted()
         if news is not None:
-            for card in self.neighbours.live(self.settings.region):
+            for card in self.neighbours.live():
                 if card is not self.neighbours.me and card.still is not None:
                     self.doors.line(card.still["post"], news)
 
--- a/millfront/post/service.py
+++ b/millfront/post/service.py
@@ -2,33 +2,28 @@
 
 import asyncio
 import gc
-import json
 import signal
 import sys
 import time
 from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-import uvloop
 from loguru import logger
 from result import Err, Ok
 
 from millfront.node.config import Address
-from millfront.node.endings import Ended
-from millfront.node.http import Wire as HttpWire
-from millfront.node.http import dial
 from millfront.post import counter
-from millfront.post.addresses import told_by_platform
 from millfront.post.carrier import Carrier
-from millfront.post.disk import Disk, DiskFault
+from millfront.post.cloud import CloudFault, listed
 from millfront.post.office import BEAT_S, Office
 from millfront.post.registry import Persist, Value
-from millfront.post.settings import Settings, load, seconds
+from millfront.post.settings import Settings, load
 from millfront.post.wire import Line, Message, Wire
 
-CLOUD_S = 0.9  # the whole of a call to the platform
-MOST_PAGES = 40
+if TYPE_CHECKING:
+    from millfront.post.disk import Disk
+
 LEAVE_S = 0.6  # of the grace, from SIGTERM until clients are no longer taken on
 LAST_S = 0.3  # before the grace ends
 
@@ -36,7 +31,7 @@
 class Service:
     """Doors of one office."""
 
-    def __init__(self, settings: Settings, kept: dict[str, Value] | None, disk: Disk | None) -> None:
+    def __init__(self, settings: Settings, kept: dict[str, Value] | None, disk: "Disk | None") -> None:
         self.settings, self.disk = settings, disk
         self.loop = asyncio.get_running_loop()
         seed = time.time_ns() & 0xFFFFFFFF
@@ -87,6 +82,8 @@
             logger.opt(exception=wrong).error("service: a task failed")
 
     async def _persist(self, persist: Persist) -> None:
+        from millfront.post.disk import DiskFault
+
         assert self.disk is not None
         try:
             await self.loop.run_in_executor(self.threads, self.disk.store, persist.values)
@@ -99,41 +96,12 @@
     async def _poll(self, number: int) -> None:
         entries = None
         try:
-            entries = await asyncio.wait_for(self._list(), CLOUD_S)
-        except (TimeoutError, Ended, ValueError, KeyError, AttributeError) as wrong:
-            logger.info("addresses: the platform's list can't be had: {!r}", wrong)
+            entries = await listed(self.settings.cloud)
+        except CloudFault as fault:
+            logger.info("addresses: the platform's list can't be had: {}", fault)
         finally:
             self.office.polled(self.now(), number, entries)
 
-    async def _list(self) -> list[Any]:
-        """All pages, on one connection."""
-        import h11
-
-        host, _, port = self.settings.cloud.rpartition(":")
-        stream = await dial(Address(host, int(port)), int(CLOUD_S * 1e6))
-        wire = HttpWire(stream, h11.CLIENT)
-        entries: list[Any] = []
-        token = None
-        try:
-            for _ in range(MOST_PAGES):
-                target = "/instances" + (f"?page_token={token}" if token else "")
-                request = h11.Request(method="GET", target=target, headers=[("Host", self.settings.cloud)])
-                await wire.write(request, h11.EndOfMessage())
-                answer = await wire.read_answer()
-                if answer.start != 200:
-                    raise ValueError(f"status {answer.start}")
-                page = json.loads(answer.body)
-                entries += told_by_platform(page["instances"], seconds)
-                token = page.get("next_token")
-                if not token:
-                    return entries
-                if not wire.reusable():
-                    await wire.close()
-                    wire = HttpWire(await dial(Address(host, int(port)), int(CLOUD_S * 1e6)), h11.CLIENT)
-            raise ValueError("pages without an end")
-        finally:
-            await wire.close()
-
     # ---- a life ------------------------------------------------------------------------------------
 
     async def run(self) -> None:
@@ -209,6 +177,8 @@
             pass
     disk, kept = None, None
     if settings.state_dir is not None and "control" in settings.serves:
+        from millfront.post.disk import Disk, DiskFault  # lmdb: only where there is a disk
+
         disk = Disk(settings.state_dir)
         try:
             kept, why = disk.load()
@@ -223,5 +193,5 @@
     async def serve() -> None:
         await Service(settings, kept, disk).run()
 
-    uvloop.run(serve())
+    asyncio.run(serve())
     return 0
