--- /dev/null
+++ b/millfront/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions, split by concern; millfront/choice.py ties them together."""
--- /dev/null
+++ b/millfront/decisions/cold.py
@@ -0,0 +1,28 @@
+"""Cold backends: what they may get (rule 4)."""
+
+from millfront.decisions.state import Backend, State
+
+COLD_HEADROOM, COLD_CREDIT = 1.2, 2.0  # of its fair share: lets it catch up; sends it may save up
+
+
+class Cold(State):
+    def cold_share(self, now: int, backend: Backend) -> float:
+        """The least capacity the backend may have, as a share of its full one."""
+        rules = self.settings.rules
+        if not backend.started_us:
+            return 1.0
+        age = max(0, now - backend.started_us) / max(1, rules.ramp_us)
+        return min(1.0, rules.cold_from + (1.0 - rules.cold_from) * age)
+
+    def spend_credit(self, now: int, chosen: Backend) -> None:
+        """Rule 4 by this gateway alone: any send earns each cold backend its part by capacity of now."""
+        able = [(b, b.weight * self.cold_share(now, b)) for b in self.backends.values() if not b.stopped]
+        whole = sum(capacity for _, capacity in able) or 1.0
+        for backend, capacity in able:
+            if capacity < backend.weight:
+                backend.credit = min(COLD_CREDIT, backend.credit + COLD_HEADROOM * capacity / whole)
+        chosen.credit -= 1.0
+
+    def restarted(self, backend: Backend, started_us: int) -> None:
+        backend.started_us, backend.credit = started_us, self.random.random()
+        backend.slow, backend.errors, backend.rests_until, backend.reset = 1.0, 0.0, 0, False
--- a/millfront/node/host.py
+++ b/millfront/node/host.py
@@ -15,7 +15,9 @@
 import anyio
 
 from millfront import interface as api
-from millfront.choice import NEVER_RAN, Customer, Gateway
+from millfront.choice import Gateway
+from millfront.decisions.attempts import NEVER_RAN
+from millfront.decisions.state import Customer
 from millfront.logs import Log
 from millfront.node.bodies import Source
 
--- a/millfront/plans/carry.py
+++ b/millfront/plans/carry.py
@@ -24,7 +24,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from millfront.choice import grain_of
+from millfront.decisions.prices import grain_of
 from millfront.interface import Plan
 
 SECOND = 1_000_000
--- a/millfront/post/franking.py
+++ b/millfront/post/franking.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from millfront.choice import LEAST_PRICE, next_price
+from millfront.decisions.prices import level_at, next_price
 from millfront.post.orders import Tenant
 from millfront.post.settings import Bounds
 
@@ -26,6 +26,7 @@
 SHARE_UNITS = 8.0  # asked by all in a tick for it to weigh half in a share
 SLACK = 0.5  # of what rate_excess and rate_extra allow, held in the store; the rest is for what is on the way
 BORROW_ABOVE = 0.5  # of the store: above it a clump may draw on what the others leave
+LEAST_LEVEL = 0.02  # requests a second: a process that had no share yet admits something
 IDLE_S = 30.0
 
 
@@ -204,8 +205,7 @@
         account.share = (account.own_asked + SHARE_UNITS * even) / (asked_all + SHARE_UNITS)
         account.price = min(next_price(account.price, total, quota, HIGHEST_PRICE), HIGHEST_PRICE)
         room = max(quota - total, 0.0)
-        level = quota * even / max(account.price, LEAST_PRICE)
-        account.level = min(level, account.own_sent + room * account.share)
-        account.level = max(account.level, 0.25 * quota * even if total < quota else 0.0, 0.02)
+        least = max(0.25 * quota * even if total < quota else 0.0, LEAST_LEVEL)
+        account.level = level_at(account.price, quota, self.n, account.own_sent, room, account.share, least)
         if account.store <= 0.0:  # more was let in than is owed: paid back before anything else is
             account.bucket = min(account.bucket, account.share * account.store)
--- a/millfront/takeover.py
+++ b/millfront/takeover.py
@@ -10,7 +10,9 @@
 from collections.abc import Mapping
 from typing import Any
 
-from millfront.choice import TICK_US, Backend, Customer, Gateway
+from millfront.choice import Gateway
+from millfront.decisions.customers import TICK_US
+from millfront.decisions.state import Backend, Customer
 from millfront.interface import mixed
 
 VERSION = 1
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -7,6 +7,7 @@
 from millfront import choice
 from millfront import interface as api
 from millfront.choice import Gateway
+from millfront.decisions import attempts, cold, members, prices, state
 from millfront.settings import SettingsError, check
 
 SECOND = 1_000_000
@@ -112,7 +113,7 @@
     [(1.0, 3.0, 0.75), (0.5, 12.0, 1.0), (0.1, 0.0, 0.0), (0.4, 6.0, 0.4), (0.4, 7.2, 0.5)],
 )
 def test_price_moves_by_the_projected_step(price: float, sent: float, expected: float) -> None:
-    assert choice.next_price(price, sent, 6.0) == pytest.approx(expected)
+    assert prices.next_price(price, sent, 6.0) == pytest.approx(expected)
 
 
 @pytest.mark.parametrize(
@@ -127,7 +128,7 @@
 def test_level_is_utility_less_price_under_the_room_cap(
     price: float, own: float, room: float, share: float, expected: float
 ) -> None:
-    assert choice.level_at(price, 6.0, 3, own, room, share) == pytest.approx(expected)
+    assert prices.level_at(price, 6.0, 3, own, room, share) == pytest.approx(expected)
 
 
 @pytest.mark.parametrize(("outcome", "later"), [(api.Outcome.RESET, False), (api.Outcome.FULL, True)])
@@ -138,7 +139,7 @@
         (call,) = counts(bench.beats(4.0))[:1]
         bench.tell(api.CounterAnswered(call.name, outcome, 0.0))
         bench.ask(plan=1)
-    assert (bench.gateway.call_rate < choice.FIRST_CALLS / SETTINGS.peers) is later
+    assert (bench.gateway.call_rate < state.FIRST_CALLS / SETTINGS.peers) is later
     (customer,) = bench.gateway.customers.values()
     assert (customer.sent > 1.0) is later  # what may have been added is not told again
 
@@ -175,10 +176,10 @@
     (call,) = counts(bench.beats(1.1))
     bench.tell(
         api.CounterAnswered(
-            call.name, api.Outcome.OK, call.amount + 8 + 8 * choice.PACK + 4 * (1 + choice.PACK)
+            call.name, api.Outcome.OK, call.amount + 8 + 8 * prices.PACK + 4 * (1 + prices.PACK)
         )
     )
-    assert customer.bucket <= choice.MARGIN
+    assert customer.bucket <= state.MARGIN
 
 
 def test_newcomer_starts_at_the_even_slice_and_is_refused_at_once_when_it_is_spent() -> None:
@@ -195,11 +196,11 @@
     for _ in range(3):
         bench.serve(plan=1)
     (call,) = counts(bench.beats(1.1))
-    assert call.amount == 3 + choice.PACK * 3
+    assert call.amount == 3 + prices.PACK * 3
     bench.tell(api.CounterAnswered(call.name, api.Outcome.OK, call.amount))
     bench.serve(plan=1)
     (call,) = counts(bench.beats(1.1))
-    bench.tell(api.CounterAnswered(call.name, api.Outcome.OK, 4 + choice.PACK * 4))
+    bench.tell(api.CounterAnswered(call.name, api.Outcome.OK, 4 + prices.PACK * 4))
     customer = bench.gateway.customers[1]
     assert customer.price < 1.0
     assert customer.level > 2.0
@@ -216,12 +217,12 @@
     assert (customer.price, customer.level) == (1.0, 2.0)
     told_again = customer.sent > 0
     assert told_again == (outcome is api.Outcome.FULL)  # a time-out may have been added
-    assert bench.gateway.call_rate < choice.FIRST_CALLS / SETTINGS.peers
+    assert bench.gateway.call_rate < state.FIRST_CALLS / SETTINGS.peers
 
 
 def test_forgetful_counter_opens_no_level() -> None:
     bench = Bench()
-    for total in (100 + choice.PACK * 100, 1 + choice.PACK):
+    for total in (100 + prices.PACK * 100, 1 + prices.PACK):
         bench.serve(plan=1)
         (call,) = counts(bench.beats(1.1))
         bench.tell(api.CounterAnswered(call.name, api.Outcome.OK, float(total)))
@@ -364,15 +365,15 @@
         if len(out) > 4:
             bench.end(out.pop(0), api.Outcome.OK)
     fair = 200 * 0.2 / 3.2  # by capacity: it has a fifth of each of the three warm ones'
-    assert 1 <= picked.count(0) <= fair * choice.COLD_HEADROOM + choice.COLD_CREDIT
+    assert 1 <= picked.count(0) <= fair * cold.COLD_HEADROOM + cold.COLD_CREDIT
 
 
 def test_most_of_the_pool_cold_takes_its_part_of_the_work() -> None:
     """After a release that replaced most members, the warm ones left stood under queues of ten each while the
     cold ones were given their part of a fleet that was no longer there."""
     bench = Bench(backends=5)
-    cold = tuple(replace(entry, started_us=START) for entry in bench.entries[1:])
-    bench.tell(api.BackendList(api.ListKind.DELTA, cold))
+    newcomers = tuple(replace(entry, started_us=START) for entry in bench.entries[1:])
+    bench.tell(api.BackendList(api.ListKind.DELTA, newcomers))
     out: list[api.Send] = []
     picked = []
     for _ in range(200):
@@ -382,7 +383,7 @@
             bench.end(out.pop(0), api.Outcome.OK)
     fair = 200 * 0.2 / 1.8  # of each, by capacity: one warm, four with a fifth
     parts = [picked.count(backend) for backend in range(1, 5)]
-    assert all(0.8 * fair <= part <= fair * choice.COLD_HEADROOM + choice.COLD_CREDIT for part in parts)
+    assert all(0.8 * fair <= part <= fair * cold.COLD_HEADROOM + cold.COLD_CREDIT for part in parts)
 
 
 # ---- failures found
@@ -394,7 +395,7 @@
     first = bench.gateway.window
     for _ in range(6):
         slow = sends(bench.ask())
-        bench.beats(choice.GOOD_SHARE * SAFE.aim_us / SECOND + 0.1)
+        bench.beats(attempts.GOOD_SHARE * SAFE.aim_us / SECOND + 0.1)
         for send in slow:
             bench.end(send, api.Outcome.OK)
     assert bench.gateway.window < 0.9 * first
@@ -409,9 +410,9 @@
         customer = gateway.customer_of(bench.now, api.RequestArrived(1, 0, 0, 7, SAFE.deadline_us, 1.0, 1, 0))
         gateway.load = gateway.mean_load = 6
         for i in range(1, 101):
-            age = int(choice.GOOD_SHARE * SAFE.aim_us) + 1 if i % slow_every == 0 else 0
-            attempt = choice.Attempt(backend, bench.now - age, ended=True)
-            request = choice.Request(i, 0, SAFE, 4, customer, 0, bench.now, 1.0, attempts=[attempt])
+            age = int(attempts.GOOD_SHARE * SAFE.aim_us) + 1 if i % slow_every == 0 else 0
+            attempt = state.Attempt(backend, bench.now - age, ended=True)
+            request = state.Request(i, 0, SAFE, 4, customer, 0, bench.now, 1.0, attempts=[attempt])
             gateway.judge(bench.now, request, 0)
         return gateway.window
 
@@ -445,14 +446,14 @@
     (again,) = sends(bench.end(send, api.Outcome.CONNECT_FAILED))
     bench.end(again, api.Outcome.OK, attempt=1)
     assert {s.backend for s in (bench.serve() for _ in range(10)) if s} == {1 - send.backend}
-    bench.beats(choice.EJECT_US / SECOND + 0.1)
+    bench.beats(members.EJECT_US / SECOND + 0.1)
     assert {s.backend for _ in range(3) for s in sends(bench.ask())} == {0, 1}
 
 
 def test_silent_backend_is_left_before_any_time_out() -> None:
     bench = Bench(backends=2)
     (send,) = sends(bench.ask(cls=1))
-    bench.now += int(choice.SILENT_SHARE * SAFE.aim_us) + 1
+    bench.now += int(members.SILENT_SHARE * SAFE.aim_us) + 1
     assert {s.backend for s in (bench.serve() for _ in range(10)) if s} == {1 - send.backend}
 
 
@@ -487,7 +488,7 @@
     (send,) = sends(bench.ask(cls=1))
     bench.end(send, api.Outcome.RESET)
     assert bench.serve()
-    for _ in range(choice.EJECT_FAILS):
+    for _ in range(members.EJECT_FAILS):
         (send,) = sends(bench.ask(cls=1))
         bench.end(send, api.Outcome.RESET)
     assert finals(bench.ask())
@@ -546,8 +547,8 @@
     for seed in range(60):
         bench = Bench(replace(SETTINGS, peers=60), backends=30)
         bench.gateway.random.seed(seed)
-        cold = api.BackendEntry(99, 0, 0, 0, api.BackendState.READY, 1.0, bench.now)
-        bench.tell(api.BackendList(api.ListKind.DELTA, (cold,)))
+        newcomer = api.BackendEntry(99, 0, 0, 0, api.BackendState.READY, 1.0, bench.now)
+        bench.tell(api.BackendList(api.ListKind.DELTA, (newcomer,)))
         for _ in range(15):
             bench.now += SECOND // 2
             send = bench.serve()
@@ -575,7 +576,7 @@
     first = sends(bench.ask())[0]
     assert sends(bench.ask())
     backend = bench.gateway.backends[0]
-    bench.gateway.blame(bench.now, backend, choice.EJECT_FAILS)
+    bench.gateway.blame(bench.now, backend, members.EJECT_FAILS)
     assert bench.gateway.load == 0
     bench.gateway.readmit(bench.now, backend)
     assert bench.gateway.load == 2
@@ -648,7 +649,7 @@
     the total came when it had been refused."""
     bench, call = thin_bench()
     bench.now += 5_000
-    after = bench.tell(api.CounterAnswered(call.name, outcome, call.amount + others * (1 + choice.PACK)))
+    after = bench.tell(api.CounterAnswered(call.name, outcome, call.amount + others * (1 + prices.PACK)))
     assert bool(sends(after)) is sent
     assert bool(finals(after)) is not sent
 
@@ -668,7 +669,7 @@
     (send,) = sends(bench.tell(api.CounterAnswered(call.name, api.Outcome.OK, call.amount)))
     bench.end(send, api.Outcome.OK)
     bench, call = thin_bench(plan=2)
-    total = call.amount + 60.0 * (1 + choice.PACK)  # sent on by all before this gateway was killed
+    total = call.amount + 60.0 * (1 + prices.PACK)  # sent on by all before this gateway was killed
     assert finals(bench.tell(api.CounterAnswered(call.name, api.Outcome.OK, total)))
 
 
@@ -679,7 +680,7 @@
     for customer in range(20):
         bench.ask(plan=1, customer=customer, spread=30)
     out = sum(len(waiting) for waiting in bench.gateway.calls.values())
-    assert 0 < out <= choice.FIRST_CALLS / THIN.peers  # the others find no call left
+    assert 0 < out <= state.FIRST_CALLS / THIN.peers  # the others find no call left
     rates = [bench.gateway.call_rate]
     for late in (True, True, False, False):
         for _ in range(50):
@@ -720,5 +721,5 @@
     bench.end(more, api.Outcome.CONNECT_FAILED)
     assert finals(bench.ask())  # not asked again at once
     bench.end(kept, api.Outcome.OK)
-    bench.now += choice.REST_US
+    bench.now += attempts.REST_US
     assert bench.serve()
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from millfront import interface as api
-from millfront.choice import Customer
+from millfront.decisions.state import Customer
 from millfront.operators.faults import Unusable
 from millfront.operators.slices import driven
 from millfront.plans import book as books
--- a/tests/test_post_calls.py
+++ b/tests/test_post_calls.py
@@ -136,10 +136,12 @@
                                          "warm_left": "0ms"}  # fmt: skip
     cloud, port = await made.platform(), free_port()
     made.plain, made.ctl = (f"127.0.0.1:{free_port()}" for _ in range(2))
+    counters = dict.fromkeys(("ctl", "lookup", "readiness"), made.ctl)
     settings = Settings(
-        name="n", ip="127.0.0.1", zone="aa", region="a", fresh=True, counts_loss=True, state_dir=str(tmp_path),
+        name="n", ip="127.0.0.1", zone="aa", region="a", fresh=True, counts_loss=True,
+        state_dir=str(tmp_path),
         serves=("edge", "control", "directory"), ram_mb=100, fd_limit=1000, port=port,
-        seeds=(made.ctl,), bindings={"plain": made.plain} | dict.fromkeys(("ctl", "lookup", "readiness"), made.ctl),
+        seeds=(made.ctl,), bindings={"plain": made.plain} | counters,
         zones={"aa": "a", "ba": "b"}, cloud=cloud, cloud_rate=9.0, cloud_lag=0.5, bounds=Bounds(),
     )  # fmt: skip
     from millfront.post.disk import Disk
