The purse holds what a window's requests earn, so that copies are possible; readiness told at once

Cause: held at most 0.35 of a process's part, 1.97 tokens at 11 processes, where a copy asks for 2: no silent request ever got a second server (48 previews waited 20 s for servers that had lost power). A process that had started was told of to clients up to a second after it was ready. Change: what own requests earn is held over a window beside the fixed part, together 0.9 of the rule; a card goes out when readiness changes; a process asks for the newest as soon as it knows the core; in its own region clients are told of nobody whose card is over 1.7 s old.

--- a/millfront/post/forwarding.py
+++ b/millfront/post/forwarding.py
@@ -4,16 +4,16 @@
 Times are seconds on the caller's clock.
 """
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
 from millfront.node.endings import Ending
 from millfront.post.settings import Bounds
 
-PURSE_SHARE = 0.35  # of a process's part of retry_extra, held at most
-PURSE_RATE = 0.5  # of the same, earned over retry_window
-EARNED = 0.75  # of retry_ratio, for each own request
-DEAR = 1.0  # tokens that stay for tries after a failure: copies draw only on what is above
+HELD = 0.45  # of its part of retry_extra, and of what its requests of a window earn: held at most
+EARNED = 0.45  # of the same, earned over a window; held and earned together stay below the rule by a tenth
+COPY_LEAVES = 1.0  # tokens that copies of silent requests leave for tries after a failure
 
 
 class Fate(Enum):
@@ -73,29 +73,39 @@
 
 
 class Purse:
-    """Further tries of one service that this process may make: its part of the budget of all."""
+    """Further tries of one service that this process may make: its part of the budget of all.
+
+    Over any window the spent tokens are at most what was held at its begin and what is earned in it: 2 x 0.45
+    of `retry_extra` / n and of `retry_ratio` x the requests of this window and of the one before.
+    """
 
     def __init__(self, bounds: Bounds, now: float) -> None:
         self.bounds = bounds
-        self.tokens = 1.0
+        self.fixed = 0.5  # tokens, of retry_extra
+        self.earned = 0.5  # of own requests
+        self.requests = 0.0  # in a window, fading
         self.at = now
 
     def _fill(self, now: float, n: int) -> None:
         part = self.bounds.retry_extra / max(1, n)
-        most = max(1.0, PURSE_SHARE * part)
-        earned = PURSE_RATE * part / self.bounds.retry_window * max(0.0, now - self.at)
-        self.tokens, self.at = min(self.tokens + earned, most), now
+        windows = max(0.0, now - self.at) / self.bounds.retry_window
+        self.at = now
+        self.fixed = min(self.fixed + EARNED * part * windows, max(0.5, HELD * part))
+        self.requests *= math.exp(-windows)
+        self.earned = min(self.earned, max(0.5, HELD * self.bounds.retry_ratio * self.requests))
 
     def request(self, now: float, n: int) -> None:
         """A client's request for the service earns a part of a try."""
+        self.requests += 1.0
+        self.earned += EARNED * self.bounds.retry_ratio
         self._fill(now, n)
-        part = self.bounds.retry_extra / max(1, n)
-        self.tokens = min(self.tokens + EARNED * self.bounds.retry_ratio, max(1.0, PURSE_SHARE * part))
 
     def spend(self, now: float, n: int, copy: bool = False) -> bool:
         """Pay for one more arrival at the service."""
         self._fill(now, n)
-        if self.tokens < (1.0 + DEAR if copy else 1.0):
+        if self.fixed + self.earned < (1.0 + COPY_LEAVES if copy else 1.0):
             return False
-        self.tokens -= 1.0
+        self.earned -= 1.0
+        if self.earned < 0.0:
+            self.fixed, self.earned = self.fixed + self.earned, 0.0
         return True
--- a/millfront/post/office.py
+++ b/millfront/post/office.py
@@ -28,6 +28,7 @@
 AGAIN_S = 0.7
 READ_S, WRITE_S = 2.0, 4.0
 FOLLOWERS_S = 4.0  # a line on which nobody asked for so long is pushed nothing
+FRESH_S = 1.7  # a card of the own region is due each second: clients are told of nobody whose card is later
 GONE_S = 1.5  # beyond its lease: the card may have been late, and it asked for it a moment after
 BEAT_S = 0.25
 TICK_BEATS = 4  # of the neighbours' and the prices' tick, about a second
@@ -101,7 +102,7 @@
         self.followers: dict[Any, float] = {}
         self.pushed = 0
         self.acknowledged = 0
-        self.born = now
+        self.born = self._now = now
         self.beats = 0
         self.founding: Founding | None = None
         self._roster: frozenset[str] = frozenset()
@@ -147,8 +148,17 @@
                 self.doors.say(
                     "registry", f"core {value.version} is {' '.join(sorted(Core.of(value).members))}"
                 )
+        if CORE in changed and self.beats:
+            self._follow(self._now)  # at once: a process that starts has clients waiting
         if changed:
             self.changed()
+            self._stand(self._now)
+
+    def _stand(self, now: float) -> None:
+        """Ready or not: the neighbours, who tell clients where to go, learn of a change at once."""
+        if self.ready(now) != self.neighbours.me.ready and self.neighbours.ticks:
+            self.neighbours.me.ready = self.ready(now)
+            self.hurry(now)
 
     # ---- operators' calls ------------------------------------------------------------------------
 
@@ -244,6 +254,7 @@
         if self.keeper is not None and not self.keeper.votes:
             self._grow_up(now, self.keeper)
         self._follow(now)
+        self._stand(now)
         duty = self.neighbours.has_duty("list")
         deputy = self.neighbours.has_duty("list", self.settings.region)
         if self.addresses.due(now, duty, deputy) and self._may_poll(now):
@@ -456,6 +467,7 @@
                     self.doors.back(via, {"t": "list?"})
                 else:
                     self.relisted()
+                    self._stand(now)
             case "list?":
                 if self.addresses.known():
                     self.doors.back(via, self.addresses.whole(now))
@@ -512,6 +524,7 @@
             return
         news = self.addresses.polled(now, number, entries)
         self.relisted()
+        self._stand(now)
         if news is not None:
             for card in self.neighbours.live():
                 if card is not self.neighbours.me and card.still is not None:
@@ -524,7 +537,8 @@
         near, all_ = [], []
         for card in self.neighbours.live():
             own = card is self.neighbours.me
-            well = self.ready(now) if own else card.ready and card.standing.value == "up"
+            fresh = now - card.heard < FRESH_S or (card.still or {}).get("region") != self.settings.region
+            well = self.ready(now) if own else card.ready and fresh and card.standing is Standing.UP
             if well and card.still is not None and card.still["plain"]:
                 all_.append(card.still["plain"])
                 if card.still["region"] == region:
