Keepers have lives: an answer given before a disk was lost no longer acknowledges

Cause, found by exhaustive search over four disks, two writers and a wipe: a keeper that answered a store, lost its disk and recovered before the other answers came still counted, and two disks of four held what was acknowledged. Change: a recovery makes a new life known to R others before it takes over what they hold; answers name the lives known, and a clerk drops those of an ended one.

--- a/millfront/post/counter.py
+++ b/millfront/post/counter.py
@@ -5,6 +5,8 @@
 from typing import Any
 from urllib.parse import parse_qs
 
+from result import Result
+
 from millfront.node.bodies import Upload
 from millfront.node.clients import VirtualServer
 from millfront.node.config import Address
@@ -12,11 +14,14 @@
 from millfront.node.http import Fields, Message
 from millfront.node.stages.take_in import NotTaken
 from millfront.post.office import Office
+from millfront.post.orders import Orders, OrdersFault
 
 VALID = "2s"  # of an answer to clients: short, so that they leave soon where a gatekeeper is gone
 JSON: Fields = [(b"Content-Type", b"application/json")]
 EVACUATION = "/v1/evacuation/"
 CLIENTS = 400  # connections held at once
+SHORT = 16 * 1024  # of a configuration: a longer one is read beside the loop (1 ms a route that is new)
+Check = Callable[[str, Callable[[Result[Orders, OrdersFault]], None]], None]
 
 
 class Gather:
@@ -59,8 +64,11 @@
 class Counter:
     """One listening address and what it answers."""
 
-    def __init__(self, office: Office, now: Callable[[], float], serves: frozenset[str]) -> None:
-        self.office, self.now, self.serves = office, now, serves
+    def __init__(
+        self, office: Office, now: Callable[[], float], serves: frozenset[str], check: Check
+    ) -> None:
+        """:param check: reads a long configuration beside the loop"""
+        self.office, self.now, self.serves, self.check = office, now, serves, check
         self.clock = Clock()
         self.server = VirtualServer(self.clock, self, lambda message, _: message, self.take, None, CLIENTS)
         self.server.partial_us = 5_000_000
@@ -109,7 +117,10 @@
         except UnicodeDecodeError:
             call.answer(400, "is not UTF-8")
             return
-        self.office.put(self.now(), text, call.answer)
+        if len(text) < SHORT:
+            self.office.put(self.now(), text, call.answer)
+        else:
+            self.check(text, lambda read: self.office.put_checked(self.now(), read, call.answer))
 
     def _resolve(self, call: Call, now: float, query: dict[str, list[str]]) -> None:
         region = query.get("region", [""])[0]
@@ -128,7 +139,7 @@
             upload.attach(Gather(message.body, done))
 
 
-def of(office: Office, now: Callable[[], float], bindings: Any) -> list[Counter]:
+def of(office: Office, now: Callable[[], float], bindings: Any, check: Check) -> list[Counter]:
     """A counter for each address among the bindings; several names may share one."""
     by_address: dict[str, set[str]] = {}
     for name in ("readiness", "ctl", "lookup"):
@@ -136,7 +147,7 @@
             by_address.setdefault(bindings[name], set()).add(name)
     made = []
     for address, serves in by_address.items():
-        counter = Counter(office, now, frozenset(serves))
+        counter = Counter(office, now, frozenset(serves), check)
         counter.listen(address)
         made.append(counter)
     return made
--- a/millfront/post/franking.py
+++ b/millfront/post/franking.py
@@ -26,6 +26,9 @@
 SHARE_UNITS = 8.0  # asked by all in a tick for it to weigh half in a share
 SLACK = 0.5  # of what rate_excess and rate_extra allow, held in the store; the rest is for what is on the way
 BORROW_ABOVE = 0.5  # of the store: above it a clump may draw on what the others leave
+FIRST_STORE = (
+    0.3  # of the capacity, after a start: what a herd of restarts may take twice is within the slack
+)
 LEAST_LEVEL = 0.02  # requests a second: a process that had no share yet admits something
 IDLE_S = 30.0
 
@@ -89,7 +92,8 @@
         if found is None:
             # A quiet tenant's store is full, but a process that has just started doesn't know what others
             # sent
-            store = min(self.capacity(tenant), tenant.rate * (now - self.born))
+            begun = FIRST_STORE * self.capacity(tenant) + tenant.rate * (now - self.born)
+            store = min(self.capacity(tenant), begun)
             found = Account(share=1.0 / self.n, at=now, store=store, level=tenant.rate / self.n, seen=now)
             found.bucket = store * found.share
             self.accounts[tenant.name] = found
--- a/millfront/post/office.py
+++ b/millfront/post/office.py
@@ -5,18 +5,30 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any, Protocol
 
 from pyrsistent import PSet, pset
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from millfront.post import orders as standing
 from millfront.post.addresses import Addresses
 from millfront.post.franking import Franking
 from millfront.post.neighbours import Neighbours, Standing
-from millfront.post.registry import CORE, FOUNDED, Clerk, Core, Keeper, Persist, Phase, Round, Value, Voting
+from millfront.post.registry import (
+    CORE,
+    FOUNDED,
+    LIFE,
+    Clerk,
+    Core,
+    Keeper,
+    Persist,
+    Phase,
+    Round,
+    Value,
+    Voting,
+)
 from millfront.post.rounds import LEASE_SHARE, Follower
 from millfront.post.settings import Settings
 
@@ -87,7 +99,7 @@
             "core": kept is not None and "control" in settings.serves,
         }
         self.seeds_ctl = list(settings.seeds)
-        seeds = [f"{seed.rpartition(':')[0]}:{settings.port}" for seed in settings.seeds]
+        seeds = self._posts(settings.seeds)
         self.neighbours = Neighbours(settings.name, still, seeds, incarnation, seed)
         self.keeper = Keeper(kept, settings.fresh) if kept is not None and still["core"] else None
         self.clerk = Clerk(f"{settings.name}.{incarnation}")
@@ -108,9 +120,18 @@
         self._roster: frozenset[str] = frozenset()
         self._roster_since = now
         self._recovering: dict[str, dict[str, Value]] = {}
+        self._life = 0  # of a keeper that recovers: the new one, once others have told of those before
         if self.keeper is not None and self.keeper.votes:
             self._hold(dict(self.keeper.values))
 
+    def _posts(self, seeds: Iterable[str]) -> list[str]:
+        """Where the system's own processes on those machines are reached: all have the same ports."""
+        return [f"{seed.rpartition(':')[0]}:{self.settings.port}" for seed in seeds]
+
+    def reseed(self, seeds: Iterable[str]) -> None:
+        """The settings name others that may know more."""
+        self.seeds_ctl, self.neighbours.seeds = list(seeds), self._posts(seeds)
+
     # ---- what is in force ------------------------------------------------------------------------
 
     def trusted(self, now: float) -> bool:
@@ -164,7 +185,16 @@
 
     def put(self, now: float, text: str, done: Callable[[int, str], None]) -> None:
         """A configuration; `done` is told a status and a text, once."""
-        match standing.checked(text):
+        self.put_checked(now, standing.checked(text), done)
+
+    def put_checked(
+        self,
+        now: float,
+        read: Result[standing.Orders, standing.OrdersFault],
+        done: Callable[[int, str], None],
+    ) -> None:
+        """One that was read, perhaps in a thread of its own."""
+        match read:
             case Err(fault):
                 self.doors.say("counter", f"configuration refused: {fault}")
                 done(400, str(fault))
@@ -333,7 +363,9 @@
                 return
             for name, address in self.follower.core.all.items():
                 if name != self.name:
-                    message = {"t": "fetch", "r": "recover", "e": self.follower.core.epoch}
+                    message = {"t": "fetch", "r": "lives", "e": self.follower.core.epoch}
+                    if self._life:
+                        message = {"t": "recover", "r": f"heir {self._life}", "n": self.name, "l": self._life}
                     if self.beats % 3 == 0:
                         self._to_keeper(now, name, address, message)
 
@@ -383,11 +415,14 @@
             if card.still is not None:
                 self.doors.datagram(card.still["post"], {"t": "core", "v": round.values[CORE].wire()})
 
-    def _recovered(self, sender: str, wire: dict[str, Any]) -> None:
-        """A voting keeper has told a recovering one all that it has."""
+    def _recovered(self, sender: str, ref: str, wire: dict[str, Any]) -> None:
+        """A voting keeper has told a recovering one all that it has: first to learn which lives there were, then,
+        with the new one made known, to take all over."""
         keeper, core = self.keeper, self.follower.core
         if keeper is None or core is None or keeper.state is not Voting.RECOVERING:
             return
+        if ref != (f"heir {self._life}" if self._life else "lives"):
+            return
         self._recovering[sender] = {key: Value.of(value) for key, value in wire.items()}
         if not core.covers(self._recovering):
             return
@@ -397,6 +432,10 @@
                 if key not in best or value > best[key]:
                     best[key] = value
         self._recovering = {}
+        if not self._life:
+            before = best.get(LIFE + self.name)
+            self._life = (before.version if before else 0) + 1
+            return
         self.doors.say("registry", f"recovers {len(best)} values")
         self.doors.persist(Persist(best, (SELF, {"t": "recovered", "r": ""})))
 
@@ -458,7 +497,7 @@
         """Something came on a held connection; answers go back on it."""
         self._now = now
         match message["t"]:
-            case "store" | "fetch" | "ask" | "found?":
+            case "store" | "fetch" | "ask" | "found?" | "recover":
                 self._keep(now, via, message)
             case "had":
                 self.acknowledged += 1
@@ -480,8 +519,8 @@
             self._hear_of_core(message["core"])
         if kind == "agreed":
             self._agreed(now, sender)
-        elif kind == "found" and message["r"] == "recover":
-            self._recovered(sender, message["v"])
+        elif kind == "found" and message["r"].startswith(("lives", "heir ")):
+            self._recovered(sender, message["r"], message["v"])
         elif kind == "found" and message["r"] == "f":
             self._hold({key: Value.of(value) for key, value in message["v"].items()})
         elif kind in ("found", "stored"):
--- a/millfront/post/orders.py
+++ b/millfront/post/orders.py
@@ -18,6 +18,8 @@
 
 KINDS = ("idempotent", "effectful", "upload")
 MOST_OVER_S = 60.0  # a target time so far above its route's deadline is a slip of the pen
+MOST_RIGHT = 4096
+_right: set[str] = set()  # digests of entries whose form is right
 HEX = frozenset("0123456789abcdef")
 
 
@@ -186,9 +188,7 @@
     try:
         document = WHOLE.validate(json.loads(text))
         for resource in document["resources"]:
-            form = FORMS.get(resource["variant"])
-            if form is not None:
-                form.validate(resource["spec"])
+            _entry_checked(resource["variant"], resource["spec"])
     except SchemaError as wrong:
         return Err(OrdersFault(_said(wrong)))
     except (ValueError, RecursionError) as wrong:
@@ -196,6 +196,19 @@
     return compiled(text, document)
 
 
+def _entry_checked(variant: str, spec: dict[str, Any]) -> None:
+    """Versions repeat most of their entries: one that was found right is not checked again."""
+    form = FORMS.get(variant)
+    if form is None:
+        return
+    known = digest_of(variant + json.dumps(spec))
+    if known not in _right:
+        form.validate(spec)
+        if len(_right) >= MOST_RIGHT:
+            _right.clear()
+        _right.add(known)
+
+
 def _said(wrong: SchemaError) -> str:
     parts = [part for part in wrong.errors if part] or [part for part in wrong.autos if part]
     return "; ".join(dict.fromkeys(parts)).replace("\n", " ")[:400]
--- a/millfront/post/registry.py
+++ b/millfront/post/registry.py
@@ -19,6 +19,7 @@
 
 Message = dict[str, Any]
 CORE = "core"  # the key of the core itself
+LIFE = "life/"  # and a keeper's name: the key of its life, which ends with its disk
 FOUNDED = 2  # the first epoch that all members have agreed to
 
 
@@ -133,6 +134,10 @@
     def votes(self) -> bool:
         return self.state is Voting.VOTING
 
+    def lives(self) -> dict[str, int]:
+        """Of keepers that have lost a disk, as far as this one was told, itself among them; the first is 0."""
+        return {key[len(LIFE) :]: held.version for key, held in self.values.items() if key.startswith(LIFE)}
+
     def stamps(self) -> dict[str, list[Any]]:
         return {key: value.stamp for key, value in self.values.items()}
 
@@ -147,6 +152,8 @@
         held = self.values.get(CORE)
         if kind == "found?":
             return self._propose(back, ref, Value.of(message["v"]))
+        if kind == "recover" and self.votes:
+            return self._heir(back, ref, message["n"], message["l"])
         if (
             not self.votes or held is None or message.get("e", 0) < held.version
         ):  # the fence: of an older core
@@ -158,8 +165,7 @@
                 return self._store(back, ref, message["v"])
             case "fetch":
                 keys = message.get("k")
-                found = {k: v.wire() for k, v in self.values.items() if keys is None or k in keys}
-                return [(back, {"t": "found", "r": ref, "v": found})], []
+                return [(back, self._told(ref, keys))], []
             case "ask":
                 return [(back, {"t": "newest", "r": ref, "s": self.stamps()})], []
         return [(back, self._no(ref))], []
@@ -179,6 +185,19 @@
             return [(back, {"t": "agreed", "r": ref})], []
         return [], [Persist({CORE: core}, (back, {"t": "agreed", "r": ref}))]
 
+    def _told(self, ref: Any, keys: list[str] | None = None) -> Message:
+        found = {k: v.wire() for k, v in self.values.items() if keys is None or k in keys}
+        return {"t": "found", "r": ref, "v": found, "l": self.lives()}
+
+    def _heir(
+        self, back: Any, ref: Any, name: str, life: int
+    ) -> tuple[list[tuple[Any, Message]], list[Persist]]:
+        """A keeper begins a new life: whoever asks here from now on learns that what it answered in an earlier
+        one is worth nothing; then it is told all that is held here."""
+        if self.lives().get(name, 0) >= life:
+            return [(back, self._told(ref))], []
+        return [], [Persist({LIFE + name: Value(life, "", "")}, (back, {"t": "heir", "r": ref}))]
+
     def _store(
         self, back: Any, ref: Any, wire: dict[str, Any]
     ) -> tuple[list[tuple[Any, Message]], list[Persist]]:
@@ -186,7 +205,7 @@
         newer = {k: v for k, v in told.items() if k not in self.values or v > self.values[k]}
         answer: Message = {"t": "stored", "r": ref}
         if not newer:
-            return [(back, answer if self.votes else self._no(ref))], []
+            return [(back, answer | {"l": self.lives()} if self.votes else self._no(ref))], []
         return [], [Persist(newer, (back, answer))]
 
     def synced(self, persist: Persist, well: bool) -> list[tuple[Any, Message]]:
@@ -199,9 +218,11 @@
         held = self.values.get(CORE)
         if self.state is Voting.NEW and held is not None and held.version >= FOUNDED:
             self.become(Voting.VOTING)
+        if answer["t"] == "heir":
+            return [(back, self._told(answer["r"]))]
         if not self.votes and answer["t"] == "stored":
             return [(back, {"t": "no", "r": answer["r"]})]
-        return [(back, answer)]
+        return [(back, answer | {"l": self.lives()})]
 
     def recovered(self) -> None:
         """What others had is synced here."""
@@ -232,8 +253,8 @@
     values: dict[str, Value]
     until: float
     keys: list[str] | None = None
-    answered: set[str] = field(default_factory=set)
-    refused: set[str] = field(default_factory=set)
+    answered: dict[str, int] = field(default_factory=dict)  # who, and in which of its lives
+    lives: dict[str, int] = field(default_factory=dict)  # the newest that any answer has told of
     sent: dict[str, float] = field(default_factory=dict)
     stale: bool = False  # a read found keepers that differ
 
@@ -288,27 +309,37 @@
             return None
         kind = message["t"]
         if kind == "found" and round.phase is Phase.READING:
-            self._found(round, sender, message["v"])
+            self._found(round, message["v"])
+            self._count(round, sender, message["l"])
             if round.core.majority(round.answered):
                 self._turn(round, Phase.WRITING if round.stale and round.values else Phase.DONE)
         elif kind == "stored" and round.phase is Phase.WRITING:
-            round.answered.add(sender)
+            self._count(round, sender, message["l"])
             if round.core.majority(round.answered):
                 self._turn(round, Phase.DONE)
         return round
 
-    def _found(self, round: Round, sender: str, wire: dict[str, Any]) -> None:
+    @staticmethod
+    def _count(round: Round, sender: str, lives: dict[str, int]) -> None:
+        """Count an answer, and no longer what was answered in a life that has ended: a keeper that recovered
+        asked so many others that one of any majority beside it can tell."""
+        for name, life in lives.items():
+            round.lives[name] = max(life, round.lives.get(name, 0))
+        round.answered[sender] = lives.get(sender, 0)
+        for name in [n for n, life in round.answered.items() if life < round.lives.get(n, 0)]:
+            del round.answered[name]
+
+    def _found(self, round: Round, wire: dict[str, Any]) -> None:
         found = {key: Value.of(value) for key, value in wire.items()}
         if round.answered and found != round.values:
             round.stale = True
         for key, value in found.items():
             if key not in round.values or value > round.values[key]:
                 round.values[key] = value
-        round.answered.add(sender)
 
     def _turn(self, round: Round, phase: Phase) -> None:
         """The one change of a round's phase."""
         round.phase = phase
-        round.answered, round.sent = set(), {}
+        round.answered, round.sent = {}, {}
         if phase in (Phase.DONE, Phase.FAILED):
             self.rounds.pop(round.ref, None)
--- a/millfront/post/service.py
+++ b/millfront/post/service.py
@@ -2,28 +2,31 @@
 
 import asyncio
 import gc
+import os
 import signal
 import sys
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Any
 
 from loguru import logger
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from millfront.node.config import Address
 from millfront.post import counter
 from millfront.post.carrier import Carrier
 from millfront.post.cloud import CloudFault, listed
 from millfront.post.office import BEAT_S, Office
+from millfront.post.orders import Orders, OrdersFault, checked
 from millfront.post.registry import Persist, Value
-from millfront.post.settings import Settings, load
+from millfront.post.settings import VARIABLE, Settings, load
 from millfront.post.wire import Line, Message, Wire
 
 if TYPE_CHECKING:
     from millfront.post.disk import Disk
 
+LOOK_BEATS = 8  # between two looks at the settings file, 2 s
 LEAVE_S = 0.6  # of the grace, from SIGTERM until clients are no longer taken on
 LAST_S = 0.3  # before the grace ends
 
@@ -41,9 +44,10 @@
             lambda line, message: self.office.message(self.now(), line, message),
             lambda back, message: self.office.datagram(self.now(), back, message),
         )
-        self.threads = ThreadPoolExecutor(1)
+        self.threads, self.readers = ThreadPoolExecutor(1), ThreadPoolExecutor(1)
         self.counters: list[counter.Counter] = []
         self.ending = asyncio.Event()
+        self.file_of: int | None = None  # when the settings file was changed, as far as it was read
         self.tasks: set[asyncio.Task[None]] = set()
 
     def now(self) -> float:
@@ -93,6 +97,14 @@
             return
         self.office.synced(self.now(), persist, True)
 
+    def check(self, text: str, then: Callable[[Result[Orders, OrdersFault]], None]) -> None:
+        """Read a long configuration in a thread, so that traffic goes on."""
+
+        async def checking() -> None:
+            then(await self.loop.run_in_executor(self.readers, checked, text))
+
+        self.start(checking())
+
     async def _poll(self, number: int) -> None:
         entries = None
         try:
@@ -107,7 +119,7 @@
     async def run(self) -> None:
         settings = self.settings
         await self.wire.listen(settings.ip, settings.port)
-        self.counters = counter.of(self.office, self.now, settings.bindings)
+        self.counters = counter.of(self.office, self.now, settings.bindings, self.check)
         if "plain" in settings.bindings:
             host, _, port = settings.bindings["plain"].rpartition(":")
             self.carrier.server.listen(Address(host, int(port)))
@@ -129,21 +141,31 @@
             try:
                 self.office.beat(self.now())
                 self.carrier.share_cold()
+                if self.office.beats % LOOK_BEATS == 0:
+                    self.look()
             except Exception:  # one beat's fault must not stop all others
                 logger.exception("service: a beat failed")
             due = max(due + BEAT_S, self.loop.time() - BEAT_S)
             await asyncio.sleep(max(0.01, due - self.loop.time()))
 
+    def look(self) -> None:
+        """The settings file may change without a signal."""
+        try:
+            changed = os.stat(os.environ.get(VARIABLE, "")).st_mtime_ns
+        except OSError:
+            return
+        if changed != self.file_of:
+            if self.file_of is not None:
+                self.reload()
+            self.file_of = changed
+
     def reload(self) -> None:
         """The settings file has changed: its seeds hold from now on; a torn one changes nothing."""
-        import os
-
         match load(os.environ):
             case Err(fault):
                 logger.warning("settings: the file stays unread: {}", fault)
             case Ok(told):
-                port = self.settings.port
-                self.office.neighbours.seeds = [f"{seed.rpartition(':')[0]}:{port}" for seed in told.seeds]
+                self.office.reseed(told.seeds)
                 logger.info("settings: read anew")
 
     async def _end(self) -> None:
--- a/tests/test_post_calls.py
+++ b/tests/test_post_calls.py
@@ -367,3 +367,40 @@
             writer.close()
 
     play(story)
+
+
+def test_a_settings_file_that_is_torn_changes_nothing_and_a_whole_one_its_seeds(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    file = tmp_path / "node.toml"
+    monkeypatch.setenv("MILLFRONT_CONFIG", str(file))
+    whole = """
+[self]
+node_name = "n"
+ip_addr = "127.0.0.1"
+zone = "aa"
+region = "a"
+serves = ["edge"]
+[self.limits]
+[network]
+port_range = [1, 2]
+seed_nodes = ["10.9.9.9:81"]
+[network.zones]
+aa = "a"
+[platform.cloud_api]
+address = "127.0.0.1:1"
+[terms.bounds]
+"""
+
+    async def story() -> None:
+        async with stage(tmp_path / "disk", [well], servers=1) as made:
+            before = list(made.service.office.neighbours.seeds)
+            file.write_text(whole[: len(whole) // 2])
+            made.service.reload()
+            assert made.service.office.neighbours.seeds == before
+            made.service.look()
+            file.write_text(whole)
+            made.service.look()  # as the beat does, without a signal
+            assert made.service.office.neighbours.seeds[0].startswith("10.9.9.9:")
+
+    play(story)
