--- a/millfront/post/registry.py
+++ b/millfront/post/registry.py
@@ -135,7 +135,7 @@
         return self.state is Voting.VOTING
 
     def lives(self) -> dict[str, int]:
-        """Of keepers that have lost a disk, as far as this one was told, itself among them; the first is 0."""
+        """Of keepers that have lost a disk, as far as this one was told; the first life is 0."""
         return {key[len(LIFE) :]: held.version for key, held in self.values.items() if key.startswith(LIFE)}
 
     def stamps(self) -> dict[str, list[Any]]:
