--- /dev/null
+++ b/benchmarks/office_cost.py
@@ -0,0 +1,211 @@
+"""What a request costs an office of the whole system, in turns with the gatekeeper in service.
+
+    python -m benchmarks.office_cost [--rounds 24] [--requests 400]
+
+A real process of each, both up at once, between stand-ins and a client with kept connections on loopback;
+each round gives both a block of requests, in an order drawn anew. CPU is that of the process's threads. The
+office is alone: it has founded a core of one on its disk and keeps the quota of a tenant that is never
+reached.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import re
+import signal
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from benchmarks.kills import PageServer, Play
+from benchmarks.request_cost import CONNECTIONS, Pages, Running, cpu_s, load, rss_mb
+
+HERE = Path(__file__).parent.parent
+ID = re.compile(rb"Millfront-Attempt-Id: ([^\r]*)\r")
+READY_S = 20.0
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+class Shop(PageServer):
+    """A server of the system's protocol: at once and always well."""
+
+    def data_received(self, data: bytes) -> None:
+        self.data += data
+        if self.data.endswith(b"\r\n\r\n"):
+            found, self.data = ID.search(self.data), b""
+            name = found[1] if found else b""
+            self.transport.write(
+                b"HTTP/1.1 200 OK\r\nMillfront-Attempt-Id: " + name + b"\r\nMillfront-Server-Seal: 1\r\n"
+                b"Millfront-Server-Load: 1,0,100\r\nContent-Length: 2\r\n\r\nok"
+            )
+
+
+class Platform(asyncio.Protocol):
+    """One server, on one page."""
+
+    shop = ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        entry = {"target": "shop", "address": self.shop, "zone": "aa", "revision": "v1", "capacity": 100,
+                 "phase": "ready", "warm_left": "0ms"}  # fmt: skip
+        page = json.dumps({"instances": {"i-1": entry}, "next_token": None}).encode()
+        self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(page), page))
+
+
+SETTINGS = """
+[self]
+node_name = "bench"
+ip_addr = "127.0.0.1"
+zone = "aa"
+region = "a"
+serves = ["edge", "control", "directory"]
+fresh = true
+state_dir = "{folder}"
+[self.limits]
+fd_limit = 1000
+[network]
+port_range = [{port}, {port}]
+seed_nodes = ["{ctl}"]
+[network.bindings]
+plain = "{plain}"
+ctl = "{ctl}"
+[network.zones]
+aa = "a"
+[platform.cloud_api]
+address = "{cloud}"
+[terms.bounds]
+"""
+CONFIGURATION = {
+    "revision": "00000001",
+    "resources": [
+        {"variant": "routes", "meta": {"name": "r"}, "spec": {
+            "host": "a.example", "path_prefix": "/p/", "variant_tag": "idempotent", "deadline": "4s",
+            "target_time": "1s", "rank": 1, "target": "shop", "max_tries": 2}},
+        {"variant": "services", "meta": {"name": "shop"}, "spec": {"max_conns": 100}},
+        {"variant": "tenants", "meta": {"name": "t"}, "spec": {
+            "api_keys": ["k"], "rate_per_s": 1000000, "burst_size": 1000000}},
+    ],
+}  # fmt: skip
+
+
+async def call(address: str, request: bytes) -> int:
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(request)
+        return int((await reader.readuntil(b"\r\n\r\n")).split()[1])
+    finally:
+        writer.close()
+
+
+async def started(folder: Path, cloud: str) -> tuple[subprocess.Popen[str], str, float]:
+    """An office that is ready; its address, and how long that took."""
+    first, ctl = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
+    told = SETTINGS.format(folder=folder / "disk", port=free_port(), ctl=ctl, plain=first, cloud=cloud)
+    (folder / "node.toml").write_text(told)
+    (folder / "disk").mkdir()
+    given = os.environ | {"MILLFRONT_CONFIG": str(folder / "node.toml")}
+    began = time.monotonic()
+    command = [sys.executable, "-B", "-m", "millfront", "office"]
+    process = subprocess.Popen(command, cwd=HERE, env=given, stderr=subprocess.DEVNULL, text=True)
+    body = json.dumps(CONFIGURATION).encode()
+    put = b"PUT /v1/config HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+    while time.monotonic() < began + READY_S:
+        try:
+            if await call(ctl, put) == 200 and await ask_once(first) == 200:
+                return process, first, time.monotonic() - began
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        await asyncio.sleep(0.05)
+    process.kill()
+    raise SystemExit("the office is not ready in time")
+
+
+def request(number: int) -> bytes:
+    return (
+        f"GET /p/{number} HTTP/1.1\r\nHost: a.example\r\nMillfront-Attempt-Id: {number:016x}\r\n"
+        "Millfront-Deadline-Ms: 2000\r\nAuthorization: Token k\r\n\r\n"
+    ).encode()
+
+
+async def ask_once(address: str) -> int:
+    return await call(address, request(0))
+
+
+async def office_load(address: str, requests: int) -> None:
+    host, _, port = address.rpartition(":")
+
+    async def client(begin: int) -> None:
+        reader, writer = await asyncio.open_connection(host, int(port))
+        for number in range(requests // CONNECTIONS):
+            writer.write(request(begin + number))
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b" 200 " in head[:20], head
+            await reader.readexactly(2)
+        writer.close()
+
+    await asyncio.gather(*(client(1_000_000 * k) for k in range(CONNECTIONS)))
+
+
+async def rounds(folder: Path, count: int, requests: int) -> None:
+    loop = asyncio.get_running_loop()
+    page = await loop.create_server(Pages, "127.0.0.1", 0)
+    shop = await loop.create_server(Shop, "127.0.0.1", 0)
+    Platform.shop = f"127.0.0.1:{shop.sockets[0].getsockname()[1]}"
+    cloud = await loop.create_server(Platform, "127.0.0.1", 0)
+    where = f"127.0.0.1:{page.sockets[0].getsockname()[1]}"
+    gatekeeper = await asyncio.to_thread(Running, folder / "gatekeeper", "off", HERE, where)
+    office, address, took = await started(folder, f"127.0.0.1:{cloud.sockets[0].getsockname()[1]}")
+    cost: dict[str, list[float]] = {"gatekeeper": [], "office": []}
+    play, draws = Play(), random.Random(1)
+    for turn in range(-1, count):  # the first is for warming up
+        for name in random.sample(sorted(cost), 2):
+            pid = office.pid if name == "office" else gatekeeper.process.pid
+            before = cpu_s(pid)
+            if name == "office":
+                await office_load(address, requests)
+            else:
+                await load(gatekeeper.address, play, draws, requests)
+            if turn >= 0:
+                cost[name].append((cpu_s(pid) - before) / requests * 1e6)
+    ratios = sorted(a / b for a, b in zip(cost["office"], cost["gatekeeper"], strict=True))
+    low, high = ratios[len(ratios) // 4], ratios[len(ratios) * 3 // 4]
+    for name, pid in (("gatekeeper", gatekeeper.process.pid), ("office", office.pid)):
+        print(f"{name:10} {statistics.median(cost[name]):6.0f} µs a request, {rss_mb(pid):.1f} MB")
+    print(
+        f"office over gatekeeper {statistics.median(ratios):.2f} (half of the pairs {low:.2f} to {high:.2f})"
+    )
+    print(f"the office served {took:.2f} s after its start, a core of one founded")
+    office.send_signal(signal.SIGTERM)
+    await asyncio.to_thread(office.wait)
+    await asyncio.to_thread(gatekeeper.stop)
+    for server in (page, shop, cloud):
+        server.close()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--rounds", type=int, default=24)
+    parser.add_argument("--requests", type=int, default=400)
+    told = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        asyncio.run(rounds(Path(folder), told.rounds, told.requests))
+
+
+if __name__ == "__main__":
+    main()
