--- a/millfront/post/carrier.py
+++ b/millfront/post/carrier.py
@@ -133,7 +133,6 @@
         self.hurries = False
         self.endings: Counter[Ending] = Counter()
         self.answers: Counter[int] = Counter()
-        self.probing: Callable[[Seen], None] = lambda _: None
         office.relisted = self.relisted
         office.changed = self.changed
 
--- a/millfront/post/counter.py
+++ b/millfront/post/counter.py
@@ -1,6 +1,7 @@
 """The counter: calls of operators, of the platform and of clients that ask where to go
 (docs/openapi/post.json)."""
 
+import json
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs
@@ -16,7 +17,7 @@
 from millfront.post.office import Office
 from millfront.post.orders import Orders, OrdersFault
 
-VALID = "2s"  # of an answer to clients: short, so that they leave soon where a gatekeeper is gone
+VALID_S = 2.0  # of an answer to clients: short, so that they leave soon where a gatekeeper is gone
 JSON: Fields = [(b"Content-Type", b"application/json")]
 EVACUATION = "/v1/evacuation/"
 CLIENTS = 400  # connections held at once
@@ -48,19 +49,13 @@
             self.over = True
             body = text.encode()
             if status >= 400 and text:
-                body = b'{"error":%s}' % _quoted(text)
+                body = json.dumps({"error": text}).encode()
             fields = list(JSON) if body else []
             if status == 503:
                 fields.append((b"Retry-After", b"0.3"))
             self.caller.give(Message(status, fields, fields, body))  # type: ignore[attr-defined]
 
 
-def _quoted(text: str) -> bytes:
-    import json
-
-    return json.dumps(text).encode()
-
-
 class Counter:
     """One listening address and what it answers."""
 
@@ -125,8 +120,8 @@
     def _resolve(self, call: Call, now: float, query: dict[str, list[str]]) -> None:
         region = query.get("region", [""])[0]
         if found := self.office.resolve(now, region):
-            listed = ",".join(f'"{address}"' for address in found)
-            call.answer(200, f'{{"addresses":[{listed}],"valid":"{VALID}"}}')
+            valid = min(VALID_S, self.office.settings.bounds.ttl_max)
+            call.answer(200, json.dumps({"addresses": found, "valid": f"{valid:g}s"}))
         else:
             call.answer(503, "no gatekeeper is ready")
 
--- a/millfront/post/franking.py
+++ b/millfront/post/franking.py
@@ -64,7 +64,6 @@
     last_asked: float = 0.0
     own_asked: float = 0.0  # a second, smoothed
     own_sent: float = 0.0
-    total_sent: float = 0.0  # of all, a second
     others: float = 0.0  # the rate at which all others are taken to send until they are heard of again
     peers: dict[str, Peer] = field(default_factory=dict)
 
@@ -203,7 +202,7 @@
         account.last_sent, account.last_asked = account.sent, account.asked
         account.own_asked += 0.2 * (asked / lasted - account.own_asked)
         account.own_sent = own / lasted
-        total = account.total_sent = account.own_sent + max(0.0, account.others)
+        total = account.own_sent + max(0.0, account.others)
         even = 1.0 / self.n
         asked_all = account.own_asked + sum(peer.asked_rate for peer in account.peers.values())
         account.share = (account.own_asked + SHARE_UNITS * even) / (asked_all + SHARE_UNITS)
--- a/millfront/post/office.py
+++ b/millfront/post/office.py
@@ -112,8 +112,9 @@
         self.relisted: Callable[[], None] = lambda: None  # servers have
         self.waiting: dict[str, tuple[Round, Callable[[Round], None]]] = {}
         self.followers: dict[Any, float] = {}
-        self.pushed = 0
-        self.acknowledged = 0
+        self.pushed = 0  # the number of the last news
+        self.had: set[Any] = set()  # who has acknowledged it
+        self.to = 0  # how many it was pushed to
         self.born = self._now = now
         self.beats = 0
         self.founding: Founding | None = None
@@ -335,6 +336,9 @@
         return sorted(self.follower.keepers, key=distance)
 
     def _tick(self, now: float) -> None:
+        if self.to:
+            self.doors.say("rounds", f"news {self.pushed} was had by {len(self.had)} of {self.to}")
+            self.to = 0
         me = self.neighbours.me
         me.ready, me.totals = self.ready(now), self.franking.totals()
         for address, message in self.neighbours.tick(now):
@@ -416,8 +420,8 @@
                 self.doors.datagram(card.still["post"], {"t": "core", "v": round.values[CORE].wire()})
 
     def _recovered(self, sender: str, ref: str, wire: dict[str, Any]) -> None:
-        """A voting keeper has told a recovering one all that it has: first to learn which lives there were, then,
-        with the new one made known, to take all over."""
+        """A voting keeper has told a recovering one all that it has: first to learn which lives there were,
+        then, with the new one made known, to take all over."""
         keeper, core = self.keeper, self.follower.core
         if keeper is None or core is None or keeper.state is not Voting.RECOVERING:
             return
@@ -490,6 +494,7 @@
         assert self.keeper is not None
         self.pushed += 1
         news = {"t": "news", "n": self.pushed, "s": self.keeper.stamps(), "m": self.name}
+        self.had, self.to = set(), len(self.followers)
         for via in self.followers:
             self.doors.back(via, news)
 
@@ -499,8 +504,8 @@
         match message["t"]:
             case "store" | "fetch" | "ask" | "found?" | "recover":
                 self._keep(now, via, message)
-            case "had":
-                self.acknowledged += 1
+            case "had" if message["n"] == self.pushed:
+                self.had.add(via)
             case "list":
                 if not self.addresses.take(now, message):
                     self.doors.back(via, {"t": "list?"})
--- a/millfront/post/registry.py
+++ b/millfront/post/registry.py
@@ -124,7 +124,6 @@
         founded = held is not None and held.version >= FOUNDED
         begun = held is not None or fresh  # a founding that was cut off goes on
         self.state = Voting.VOTING if founded else Voting.NEW if begun else Voting.RECOVERING
-        self.refusing = False  # the disk takes nothing
 
     def become(self, state: Voting) -> None:
         """The one change of state."""
@@ -141,11 +140,6 @@
     def stamps(self) -> dict[str, list[Any]]:
         return {key: value.stamp for key, value in self.values.items()}
 
-    @property
-    def core(self) -> Core | None:
-        held = self.values.get(CORE)
-        return Core.of(held) if held is not None else None
-
     def handle(self, back: Any, message: Message) -> tuple[list[tuple[Any, Message]], list[Persist]]:
         """A clerk's, a follower's or a founder's call; answers go to `back`."""
         ref, kind = message.get("r"), message["t"]
@@ -192,8 +186,8 @@
     def _heir(
         self, back: Any, ref: Any, name: str, life: int
     ) -> tuple[list[tuple[Any, Message]], list[Persist]]:
-        """A keeper begins a new life: whoever asks here from now on learns that what it answered in an earlier
-        one is worth nothing; then it is told all that is held here."""
+        """A keeper begins a new life: whoever asks here from now on learns that what it answered in an
+        earlier one is worth nothing; then it is told all that is held here."""
         if self.lives().get(name, 0) >= life:
             return [(back, self._told(ref))], []
         return [], [Persist({LIFE + name: Value(life, "", "")}, (back, {"t": "heir", "r": ref}))]
@@ -211,7 +205,6 @@
     def synced(self, persist: Persist, well: bool) -> list[tuple[Any, Message]]:
         """The disk has answered."""
         back, answer = persist.then
-        self.refusing = not well
         if not well:
             return [(back, {"t": "no", "r": answer["r"]})]
         self._keep(persist.values)
