--- a/tests/test_post_calls.py
+++ b/tests/test_post_calls.py
@@ -13,6 +13,8 @@
 import pytest
 
 from millfront.post import office
+from millfront.post.addresses import Addresses
+from millfront.post.cloud import CloudFault, listed
 from millfront.post.service import Service
 from millfront.post.settings import Bounds, Settings
 from tests.post_world import document
@@ -404,3 +406,41 @@
             assert made.service.office.neighbours.seeds[0].startswith("10.9.9.9:")
 
     play(story)
+
+
+def test_a_key_removed_between_a_request_s_arrival_and_its_sending_is_refused(tmp_path: Path) -> None:
+    async def story() -> None:
+        async with stage(tmp_path, [well]) as made:
+            carrier = made.service.carrier
+            carrier.sorting.evacuated = frozenset({"aa"})  # no server takes it for a moment: it is held
+            asked = asyncio.get_running_loop().create_task(made.ask("POST", "/p/a1", b"order", more=KEY))
+            await made.until(lambda: carrier.open == 1)
+            assert await made.put(document(2, {"t": ["key-2"]})) == 200  # and the zone is free again
+            assert (await asked)[0] == 401
+            assert made.seen == []
+
+    play(story)
+
+
+def test_a_list_whose_second_page_is_refused_is_no_list() -> None:
+    async def refusing(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        page = json.dumps({"instances": {}, "next_token": "p-50"}).encode()
+        status = b"429 Too Many Requests" if b"page_token=p-50" in head else b"200 OK"
+        writer.write(b"HTTP/1.1 " + status + b"\r\nContent-Length: %d\r\n\r\n%s" % (len(page), page))
+        await writer.drain()
+        writer.close()
+
+    async def story() -> None:
+        server = await asyncio.start_server(refusing, "127.0.0.1", 0)
+        with pytest.raises(CloudFault, match="429"):
+            await listed(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        server.close()
+
+    play(story)
+    addresses = Addresses()
+    addresses.polled(1.0, addresses.begin(), [["i-1", "shop", "10.0.2.1:80", "aa", 3, 0, 0.0]])
+    addresses.begin()
+    addresses.failed(2.0)
+    assert addresses.servers["i-1"].phase.name == "READY"  # what was known stays
+    assert not addresses.due(2.1, True, True) and addresses.due(2.6, True, True)  # and the platform rests
