Clients are told how long a connection may lie idle, and max_body_bytes is held to

Need: idle client connections were closed without notice, and bodies ended at 33 MB whatever the configuration said. The limit of a body and a Keep-Alive line are parameters of the clients' side; what is in service keeps its figures. A test that a reused address gets nothing on the old service's idle connection.

--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -15,7 +15,7 @@
 from millfront.node.config import Address
 from millfront.node.endings import Ending
 from millfront.node.host import Clock
-from millfront.node.http import MOST_BODY, MOST_HEAD, Message
+from millfront.node.http import MOST_BODY, MOST_HEAD, MOST_STREAMED, Message
 from millfront.node.http1 import Requests
 from millfront.node.link import NO_ROOM, Link, accept, listener_at
 from millfront.node.stages import relay
@@ -133,7 +133,7 @@
 
     def __init__(self, server: "VirtualServer", sock: socket.socket) -> None:
         self.server = server
-        self.codec = Requests()
+        self.codec = Requests(server.most_body)
         self.opened: Any = None  # what admit() made of the request that is taken
         self.busy = False  # from a request's last byte to its answer's
         self.deaf = False  # nothing more is taken on it
@@ -341,7 +341,7 @@
             self.cut()
             return
         self.opened = None
-        data, goes_on = self.codec.answer(answer, self.server.closing or self.deaf)
+        data, goes_on = self.codec.answer(self.told(answer), self.server.closing or self.deaf)
         if self.write(data):
             self.answered(goes_on)
 
@@ -350,11 +350,17 @@
         if self.over:
             return
         self.source = source
-        told = replace(relay.served(answer), length=answer.length)
+        told = self.told(replace(relay.served(answer), length=answer.length))
         data = self.codec.begin(told, self.server.closing or self.deaf) + self.codec.body(answer.body)
         if self.write(data) and not self.link.unsent:
             self.server.loop.call_soon(self.drained)
 
+    def told(self, answer: Message) -> Message:
+        """With how long the connection may lie idle after it, where clients are told."""
+        if self.server.closing or self.deaf or not self.server.keep_alive:
+            return answer
+        return replace(answer, raw=[*answer.raw, (b"Keep-Alive", self.server.keep_alive)])
+
     def more(self, data: bytes) -> bool:
         if self.over or not self.write(self.codec.body(data)):
             return False
@@ -457,6 +463,8 @@
         self.endings: Counter[Ending] = Counter()  # of client connections
         self.closing = False  # answers say Connection: close
         self.partial_us, self.at_rest_us = PARTIAL_US, AT_REST_US
+        self.most_body = MOST_STREAMED
+        self.keep_alive = b""  # told with each answer; empty: nothing is told
         self.address: Address | None = None
         self.loop: asyncio.AbstractEventLoop
         self._listener: socket.socket | None = None
--- a/millfront/node/http1.py
+++ b/millfront/node/http1.py
@@ -89,12 +89,15 @@
         "_head",
         "_headless",
         "_left",
+        "_most",
         "_request",
         "_size",
         "under_way",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, most: int = MOST_STREAMED) -> None:
+        """:param most: bytes of a body"""
+        self._most = most
         self.under_way = False  # a body whose beginning was taken by next(); the rest is for piece()
         self._left = 0  # bytes of it that are to come, on the fast path
         self._size = 0  # bytes of it that came, on h11
@@ -156,7 +159,7 @@
             read = None
             if match is not None and match.end() == end + 4 <= MOST_HEAD:
                 read = parsed_fields(match[3])
-            if match is None or read is None or read[3] != 1 or (read[2] or 0) > MOST_STREAMED:
+            if match is None or read is None or read[3] != 1 or (read[2] or 0) > self._most:
                 self._hand_over()
                 return None
             fields, raw, length, _ = read
@@ -219,7 +222,7 @@
             if len(framing) > 1 or (b"transfer-encoding" in framing and event.http_version < b"1.1"):
                 raise NotTaken(400, "Content-Length or HTTP/1.0 with Transfer-Encoding")
             length = int(framing.get(b"content-length", b"0"))
-            if length > MOST_STREAMED:
+            if length > self._most:
                 raise NotTaken(413, "body too long")
             self._size = 0
             if length > MOST_BODY:
@@ -227,7 +230,7 @@
         elif isinstance(event, h11.Data):
             self._body += event.data
             self._size += len(event.data)
-            if self._size > MOST_STREAMED:
+            if self._size > self._most:
                 raise NotTaken(413, "body too long")
             if not self.under_way and self._size > MOST_BODY and self._request is not None:
                 return self._begun(self._request, None)
--- a/millfront/post/carrier.py
+++ b/millfront/post/carrier.py
@@ -169,7 +169,10 @@
                     seen.credited, seen.credit = now, 0.0
         self.share_cold()
         if (orders := self.office.orders) is not None:
-            self.server.at_rest_us = int(orders.limits.idle_timeout * 1e6)
+            idle = orders.limits.idle_timeout
+            self.server.at_rest_us = int(idle * 1e6)
+            self.server.most_body = orders.limits.max_body
+            self.server.keep_alive = b"timeout=%d" % (idle - 1.0) if idle >= 2.0 else b""  # a second to spare
             self.server.partial_us = int(orders.limits.header_deadline * 1e6) + 300_000
 
     # ---- a request comes ---------------------------------------------------------------------------
--- a/tests/test_post_calls.py
+++ b/tests/test_post_calls.py
@@ -326,6 +326,48 @@
     play(story)
 
 
+def test_an_address_that_another_service_took_over_gets_nothing_on_the_old_connection(tmp_path: Path) -> None:
+    async def story() -> None:
+        async with stage(tmp_path, [well]) as made:
+            one = made.instances.pop("i-1")
+            await made.until(lambda: made.service.office.addresses.servers["i-1"].phase.name == "GONE")
+            assert (await made.ask("POST", "/p/a1", b"x", more=KEY))[0] == 200
+            assert made.service.carrier.members.get("i-0").idle  # type: ignore[union-attr]
+            made.instances |= {"i-9": made.instances.pop("i-0") | {"target": "lab"}, "i-2": one}
+            await made.until(lambda: "i-9" in made.service.office.addresses.servers)
+            assert (await made.ask("POST", "/p/a2", b"x", more=KEY))[0] == 200
+            assert [(number, field(head, "Millfront-Target-Instance")) for number, head, _ in made.seen] == [
+                (0, b"i-0"),
+                (1, b"i-2"),
+            ]
+
+    play(story)
+
+
+def test_the_configuration_s_limit_of_a_body_is_held_to(tmp_path: Path) -> None:
+    async def story() -> None:
+        async with stage(tmp_path, [well]) as made:
+            told = json.loads(document(2, {"t": ["key-1"]}))
+            told["resources"].append({"variant": "limits", "meta": {}, "spec": {"max_body_bytes": 100_000}})
+            assert await made.put(json.dumps(told)) == 200
+            assert (await made.ask("POST", "/p/a1", b"x" * 100_000, more=KEY))[0] == 200
+            assert (await made.ask("POST", "/p/a2", b"x" * 100_001, more=KEY))[0] == 413
+            assert len(made.seen) == 1
+
+    play(story)
+
+
+def test_a_client_is_told_how_long_its_connection_may_lie_idle(tmp_path: Path) -> None:
+    async def story() -> None:
+        async with stage(tmp_path, [well]) as made:
+            assert field((await made.ask("POST", "/p/a1", b"x", more=KEY))[1], "Keep-Alive") == b"timeout=14"
+            made.service.carrier.server.send_away(True)
+            _, head, _ = await made.ask("POST", "/p/a2", b"x", more=KEY)
+            assert field(head, "Connection") == b"close" and not field(head, "Keep-Alive")
+
+    play(story)
+
+
 def test_a_server_s_own_error_comes_back_unchanged(tmp_path: Path) -> None:
     async def story() -> None:
         async with stage(tmp_path, [says(status="500 Oh", body=b"why")]) as made:
