--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON := PYTHONPATH=. .venv/bin/python
 LISTEN ?= 127.0.0.1:8081
 
-.PHONY: build test lint run
+.PHONY: build test lint run run-system
 
 build: .venv/ready
 
@@ -22,3 +22,7 @@
 # A gatekeeper with toy page servers and a receiver of usage; NODE_CONFIG alone starts one as the platform does.
 run: build
 	$(PYTHON) examples/try.py --listen $(LISTEN)
+
+# A whole system on loopback: three offices, toy servers, a platform and a first configuration.
+run-system: build
+	$(PYTHON) examples/try_system.py
--- /dev/null
+++ b/examples/try_system.py
@@ -0,0 +1,142 @@
+"""A whole system to try on loopback: three offices in two regions, toy servers, a platform that lists them,
+and a first configuration.
+
+python examples/try_system.py
+
+All of it runs until Ctrl-C, in a folder of its own that goes with it.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import urllib.error
+import urllib.request
+from http.server import ThreadingHTTPServer
+from pathlib import Path
+
+from page_hall import hall, platform
+
+ZONES = {"north": "a", "south": "a", "far": "b"}
+HOST, KEY = "shop.example", "a-key-to-try"
+START_S = 20.0
+
+
+def behind(made: ThreadingHTTPServer) -> str:
+    threading.Thread(target=made.serve_forever, daemon=True).start()
+    return f"127.0.0.1:{made.server_port}"
+
+
+def ports(count: int) -> list[int]:
+    """Free ones; each office has an address of its own and the same ports."""
+    held = [socket.socket() for _ in range(count)]
+    for sock in held:
+        sock.bind(("127.0.0.1", 0))
+    found = [int(sock.getsockname()[1]) for sock in held]
+    for sock in held:
+        sock.close()
+    return found
+
+
+def settings(folder: Path, number: int, cloud: str, plain: int, ctl: int, post: int) -> Path:
+    """The settings file of one office, on an address of its own."""
+    ip, zone = f"127.0.0.{number + 1}", list(ZONES)[number]
+    seeds = [f"127.0.0.{other + 1}:{ctl}" for other in range(len(ZONES))]
+    lines = [
+        "[self]", f'node_name = "{zone}"', f'ip_addr = "{ip}"',
+        f'zone = "{zone}"', f'region = "{ZONES[zone]}"',
+        'serves = ["edge", "control", "directory"]', "fresh = true", "counts_loss = true",
+        f'state_dir = "{folder / zone}"', "[self.limits]", "fd_limit = 1000",
+        "[network]", f"port_range = [{post}, {post}]", f"seed_nodes = {json.dumps(seeds)}",
+        "[network.bindings]", f'plain = "{ip}:{plain}"', f'ctl = "{ip}:{ctl}"', f'lookup = "{ip}:{ctl}"',
+        f'readiness = "{ip}:{ctl}"', "[network.zones]", *(f'{name} = "{of}"' for name, of in ZONES.items()),
+        "[platform.cloud_api]", f'address = "{cloud}"', "[terms.bounds]",
+    ]  # fmt: skip
+    path = folder / f"{zone}.toml"
+    path.write_text("\n".join(lines) + "\n")
+    return path
+
+
+def configuration(version: int) -> str:
+    """One service, one route, one tenant with a quota of 5 requests a second."""
+    route = {"host": HOST, "path_prefix": "/pages/", "variant_tag": "idempotent", "deadline": "3s",
+             "target_time": "800ms", "rank": 1, "target": "shop", "max_tries": 2}  # fmt: skip
+    tenant = {"api_keys": [KEY], "rate_per_s": 5, "burst_size": 5}
+    return json.dumps({
+        "revision": f"{version:08x}",
+        "resources": [
+            {"variant": "services", "meta": {"name": "shop"}, "spec": {"warmup": "3s", "warmup_rate_s": 2}},
+            {"variant": "routes", "meta": {"name": "pages"}, "spec": route},
+            {"variant": "tenants", "meta": {"name": "readers"}, "spec": tenant},
+        ],
+    })  # fmt: skip
+
+
+def call(method: str, url: str, body: str = "") -> tuple[int, str]:
+    """A call of the operator: status and text; 0 where nobody answers."""
+    asked = urllib.request.Request(url, body.encode() or None, method=method)
+    try:
+        with urllib.request.urlopen(asked, timeout=5) as answer:
+            return answer.status, answer.read().decode()
+    except urllib.error.HTTPError as wrong:
+        return wrong.code, ""
+    except OSError:
+        return 0, ""
+
+
+def until(what: str, method: str, url: str, body: str = "") -> str:
+    """Asked again until it is answered with 200, as an operator does."""
+    end = time.monotonic() + START_S
+    while time.monotonic() < end:
+        status, text = call(method, url, body)
+        if status == 200:
+            return text
+        time.sleep(0.2)
+    sys.exit(f"{what}: not within {START_S:g} s")
+
+
+def say(line: str) -> None:
+    print(line, flush=True)
+
+
+def main() -> int:
+    halls = {f"i-{number}": (behind(hall(f"i-{number}")), zone) for number, zone in enumerate(ZONES)}
+    cloud = behind(platform(halls))
+    plain, ctl, post = ports(3)
+    started: list[subprocess.Popen[bytes]] = []
+    ended = threading.Event()
+    for ends in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(ends, lambda *_: ended.set())
+    with tempfile.TemporaryDirectory(prefix="millfront-") as name:
+        try:
+            for number in range(len(ZONES)):
+                path = settings(Path(name), number, cloud, plain, ctl, post)
+                command = [sys.executable, "-B", "-m", "millfront", "office"]
+                given = os.environ | {"MILLFRONT_CONFIG": str(path)}
+                started.append(subprocess.Popen(command, env=given))
+            until("the configuration", "PUT", f"http://127.0.0.2:{ctl}/v1/config", configuration(1))
+            for number in range(len(ZONES)):
+                until("readiness", "GET", f"http://127.0.0.{number + 1}:{ctl}/v1/readiness")
+            say(f"where:    curl 'http://127.0.0.1:{ctl}/v1/resolve?name={HOST}&region=a&zone=north'")
+            say(f"ask:      curl -i http://127.0.0.1:{plain}/pages/1 -H 'Host: {HOST}' \\")
+            say(f"            -H 'Authorization: Token {KEY}' -H 'Millfront-Attempt-Id: 1' \\")
+            say("            -H 'Millfront-Deadline-Ms: 3000'")
+            say(f"read:     curl http://127.0.0.3:{ctl}/v1/config")
+            say(f"evacuate: curl -X POST http://127.0.0.2:{ctl}/v1/evacuation/north    (-X DELETE: back)")
+            say(f"state of each office: {name}/ZONE; Ctrl-C ends all")
+            ended.wait()
+        finally:
+            for process in started:
+                process.terminate()
+            for process in started:
+                process.wait(10)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/millfront/cli/commands.py
+++ b/millfront/cli/commands.py
@@ -21,15 +21,19 @@
         "rehearse": "millfront.cli.rehearse",
         "usage": "millfront.cli.usage",
     }
+    ROLES: ClassVar[dict[str, str]] = {"office": "millfront.post.cli"}  # of the whole system
 
     def list_commands(self, ctx: click.Context) -> list[str]:
-        return sorted([*super().list_commands(ctx), *self.GROUPS])
+        return sorted([*super().list_commands(ctx), *self.GROUPS, *self.ROLES])
 
     def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
         if cmd_name in self.GROUPS:
             module = importlib.import_module(self.GROUPS[cmd_name])
             group: click.Command = module.group
             return group
+        if cmd_name in self.ROLES:
+            role: click.Command = getattr(importlib.import_module(self.ROLES[cmd_name]), cmd_name)
+            return role
         return super().get_command(ctx, cmd_name)
 
 
@@ -64,10 +68,15 @@
 
 @group.command()
 @click.argument("files", nargs=-1, required=True, type=click.Path(dir_okay=False))
-@click.option("--kind", type=click.Choice(["operators", "plans", "config"]), help="Of all of them.")
+@click.option(
+    "--kind",
+    type=click.Choice(["operators", "plans", "config", "settings", "orders"]),
+    help="Of all of them.",
+)
 @json_option
 def check(files: tuple[str, ...], kind: str | None, as_json: bool) -> None:
-    """Check FILES of ours: operators' files, plan books, configurations. Exits with 2 on any fault."""
+    """Check FILES of ours: operators' files, plan books, configurations of a gatekeeper; of the whole system
+    settings (.toml) and configurations (orders). Exits with 2 on any fault."""
     from millfront.cli import documents
 
     found: list[dict[str, Any]] = []
@@ -85,6 +94,12 @@
     sys.exit(UNUSABLE if bad else 0)
 
 
+@group.command()
+def version() -> None:
+    """Print the version."""
+    click.echo(f"millfront {_version()}")
+
+
 @group.command()
 @click.argument("name", type=click.Choice(["operators", "plans"]))
 def schema(name: str) -> None:
--- a/millfront/cli/documents.py
+++ b/millfront/cli/documents.py
@@ -1,6 +1,7 @@
 """Our documents by their kind: checked, and their schemas."""
 
 import json
+import tomllib
 from pathlib import Path
 from typing import Any
 
@@ -18,6 +19,8 @@
         text = path.read_bytes()
     except OSError as wrong:
         return kind or "unknown", [Fault("$", f"can't be read: {wrong.strerror}")]
+    if kind == "settings" or (kind is None and path.suffix == ".toml"):
+        return "settings", _system(text, "settings")
     try:
         held = json.loads(text)
     except ValueError as wrong:
@@ -25,6 +28,8 @@
     if not isinstance(held, dict):
         return kind or "unknown", [Fault("$", "is not an object")]
     kind = kind or kind_of(held)
+    if kind == "orders":
+        return kind, _system(text, kind)
     try:
         if kind == "operators":
             document.parse(text)
@@ -43,7 +48,25 @@
     return kind, []
 
 
+def _system(text: bytes, kind: str) -> list[Fault]:
+    """Of the whole system's documents the first fault is named."""
+    from result import Err
+
+    from millfront.post import orders, settings
+
+    try:
+        if kind == "orders":
+            read: Any = orders.checked(text.decode())
+        else:
+            read = settings.read(tomllib.loads(text.decode()))
+    except ValueError as wrong:
+        return [Fault("$", f"is not TOML: {wrong}")]
+    return [Fault("$", str(read.err_value))] if isinstance(read, Err) else []
+
+
 def kind_of(held: dict[str, Any]) -> str:
+    if "resources" in held:
+        return "orders"
     if "settings" in held or "discovery" in held:
         return "config"
     return "plans" if "version" in held or "assignments" in held else "operators"
--- a/millfront/post/service.py
+++ b/millfront/post/service.py
@@ -188,14 +188,15 @@
 
 def run(environment: Mapping[str, str]) -> int:
     """Serve until SIGTERM. Exit code 0 after a planned end, 2 where the settings can't be used."""
-    logger.remove()
-    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO")
     match load(environment):
         case Err(fault):
             print(f"millfront: {fault}", file=sys.stderr)
             return 2
         case Ok(settings):
             pass
+    logger.remove()
+    form = "{time:HH:mm:ss.SSS} {level} {message}"
+    logger.add(sys.stderr, format=form, level=settings.log_level, serialize=settings.log_json)
     disk, kept = None, None
     if settings.state_dir is not None and "control" in settings.serves:
         from millfront.post.disk import Disk, DiskFault  # lmdb: only where there is a disk
--- a/millfront/post/settings.py
+++ b/millfront/post/settings.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from result import Err, Ok, Result
-from schema import And, Optional, Schema, SchemaError, Use
+from schema import And, Optional, Or, Schema, SchemaError, Use
 
 VARIABLE = "MILLFRONT_CONFIG"
 DURATION = re.compile(r"([0-9]{1,9}(?:\.[0-9]{1,9})?)(ms|s)")
@@ -79,6 +79,8 @@
     cloud_rate: float
     cloud_lag: float
     bounds: Bounds = field(default_factory=Bounds)
+    log_level: str = "INFO"
+    log_json: bool = False
 
     @property
     def post_address(self) -> str:
@@ -90,6 +92,7 @@
 text: Any = And(str, len)
 address: Any = And(str, lambda a: ADDRESS.fullmatch(a) is not None, error="{!r} is not HOST:PORT")
 duration = Use(seconds)
+LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 FORM = Schema(
     {
         "self": {
@@ -119,6 +122,14 @@
                 Optional("max_lag", default=1.0): duration,
             },
         },
+        Optional("log", default={}): {
+            Optional("level", default="INFO"): Or(
+                *LEVELS, error="log.level: {!r} is none of " + " ".join(LEVELS)
+            ),
+            Optional("format", default="text"): Or(
+                "text", "json", error="log.format: {!r} is not text or json"
+            ),
+        },
         "terms": {
             "bounds": {
                 **{
@@ -183,6 +194,8 @@
             cloud_rate=float(platform["cloud_api"]["rate_per_s"]),
             cloud_lag=platform["cloud_api"]["max_lag"],
             bounds=Bounds(**told["terms"]["bounds"]),
+            log_level=told["log"].get("level", "INFO"),
+            log_json=told["log"].get("format") == "json",
         )
     )
 
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -1,6 +1,7 @@
 """What `make run` starts, tried as the README says: a few pages, a refusal, a larger plan, and usage that
 arrives."""
 
+import json
 import os
 import re
 import signal
@@ -45,6 +46,29 @@
     assert tried.returncode == 0
 
 
+def test_a_whole_system_comes_up_and_answers_what_it_prints() -> None:
+    line = [sys.executable, "-B", "examples/try_system.py"]
+    given = os.environ | {"PYTHONPATH": str(ROOT)}
+    with subprocess.Popen(line, cwd=ROOT, env=given, stdout=subprocess.PIPE, text=True) as tried:
+        assert tried.stdout is not None
+        try:
+            said = ""
+            while "Ctrl-C" not in said and (more := tried.stdout.readline()):
+                said += more
+            plain, where = re.search(r"http://\S+/pages/1", said), re.search(r"'(http://\S+)'", said)
+            key = re.search(r"Token (\S+)'", said)
+            assert plain is not None and where is not None and key is not None
+            fields = {"Host": "shop.example", "Millfront-Attempt-Id": "1", "Millfront-Deadline-Ms": "3000"}
+            request = urllib.request.Request(plain[0], headers=fields | {"Authorization": f"Token {key[1]}"})
+            with urllib.request.urlopen(request, timeout=5) as answer:
+                assert answer.read().startswith(b"GET /pages/1 for readers, by i-")
+            with urllib.request.urlopen(where[1], timeout=5) as answer:
+                assert len(json.load(answer)["addresses"]) == 2  # the two of the region
+        finally:
+            tried.send_signal(signal.SIGTERM)
+            assert tried.wait(20) == 0
+
+
 def ask(address: str, number: int) -> tuple[int, bytes]:
     fields = {"Request-Id": f"{number:x}", "Plan": "casual", "Request-Timeout": "2000m"}
     fields["Quota-Info"] = "units=1,spread=1,first=0"
