Why a tenant is refused: price, level, store and totals told by each office

Need: operators ask why requests are refused. 'millfront post tenant NAME' tells what the office decided by, and how often it refused for want of store (all together have let in what is owed) and how often at its own level. A benchmark of control state in simulated time.

--- /dev/null
+++ b/benchmarks/registered_mail.py
@@ -0,0 +1,157 @@
+"""Control state in simulated time: how soon a change is in force, a fleet whole again, and what it costs.
+
+    python -m benchmarks.registered_mail            # the figures of docs/design/registered-mail.md
+    python -m benchmarks.registered_mail --histories 10000
+
+The worlds are the tests' (`tests/post_world.py`): the very offices, links of 1 to 2 ms in a region and 20 to
+40 ms between two, disks that sync in 2 ms. Times are seconds.
+"""
+
+import argparse
+import os
+import random
+import tempfile
+import time
+from collections.abc import Callable
+from typing import Any
+
+from millfront.post import postings
+from millfront.post.disk import Disk
+from millfront.post.registry import Value
+from millfront.post.wire import encoded
+from tests import test_post_core_changes, test_post_core_search
+from tests.post_world import ZONES, Node, World, document
+
+CHANGES = 30
+
+
+class Counted(World):
+    """A world that counts what crosses between regions, and all that is carried."""
+
+    far = near = 0
+
+    def carry(self, sender: Node, address: str, give: Callable[[Any, Any], None], message: Any) -> None:
+        to = self.by_address.get(address)
+        if to is not None:
+            size = len(encoded(message))
+            if ZONES[sender.zone] == ZONES[to.zone]:
+                self.near += size
+            else:
+                self.far += size
+        super().carry(sender, address, give, message)
+
+
+def fleet(n: int, disks: int, seed: int = 1) -> Counted:
+    world = Counted(n, disks, seed)
+    world.start().run(6.0)
+    world.put(n - 1, document(1))
+    world.run(3.0)
+    return world
+
+
+def until(world: World, condition: Callable[[], bool], most: float = 60.0) -> float:
+    """Seconds until it holds."""
+    began = world.env.now
+    while not condition():
+        world.run(0.02)
+        if world.env.now - began > most:
+            return float("inf")
+    return float(world.env.now - began)
+
+
+def in_force(n: int, disks: int) -> None:
+    """From the acknowledgement of a version until each process acts on it."""
+    world, chance, lags = fleet(n, disks), random.Random(n), []
+    far, began = world.far, world.env.now
+    world.run(20.0)
+    idle = (world.far - far) / (world.env.now - began)
+    far, began = world.far, world.env.now
+    for version in range(2, 2 + CHANGES):
+        waiting = set(world.nodes)
+        answers = world.put(
+            chance.randrange(n), document(version, {f"t{k}": [f"key-{version}-{k}"] for k in range(40)})
+        )
+        ends, acknowledged = world.env.now + 6.0, 0.0
+        at: dict[Node, float] = {}
+        while world.env.now < ends:
+            world.run(0.01)
+            for node in [node for node in waiting if node.office and node.office.orders]:
+                if node.office.orders.version >= version:  # type: ignore[union-attr]
+                    at[node] = world.env.now
+                    waiting.discard(node)
+            if answers and not acknowledged:
+                acknowledged = answers[0][2]
+        lags += [max(0.0, when - acknowledged) for when in at.values()] + [float("inf")] * len(waiting)
+    lags.sort()
+    cost = (world.far - far - idle * (world.env.now - began)) / CHANGES
+    print(
+        f"{n:5} {disks:5}  {lags[len(lags) // 2]:.3f}  {lags[int(len(lags) * 0.99)]:.3f}  {lags[-1]:.3f}"
+        f"  {idle / 1000:9.2f}  {cost / 1000:9.2f}"
+    )
+
+
+def whole_again(n: int, disks: int) -> None:
+    """After all of the core was killed, and after all machines lost power: until all keepers vote, and until
+    every process is ready."""
+
+    def ready() -> bool:
+        return all(node.office is not None and node.office.ready(node.now()) for node in world.nodes)
+
+    def votes() -> bool:
+        keepers = [node.office.keeper for node in world.nodes[:disks] if node.office]
+        return all(keeper is not None and keeper.votes for keeper in keepers)
+
+    figures = []
+    for down in (range(disks), range(n)):
+        world = fleet(n, disks, seed=3)
+        for number in down:
+            world.nodes[number].kill()
+        world.run(0.5)
+        for number in down:
+            world.nodes[number].start()
+        figures += [until(world, votes), until(world, ready)]
+    print(f"{n:5} {disks:5}  " + "  ".join(f"{figure:.2f}" for figure in figures))
+
+
+def size_on_disk() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        disk = Disk(folder)
+        disk.load()
+        text = document(1, {f"t{number}": [f"key-{number}"] for number in range(300)})
+        for version in range(1, 1001):
+            disk.store({"config": Value(version, "tie", text)})
+        disk.close()
+        blocks = sum(os.stat(os.path.join(disk.folder, name)).st_blocks for name in os.listdir(disk.folder))
+        print(f"1,000 versions of {len(text) / 1000:.0f} KB: {blocks * 512 / 1000:.0f} KB on the disk")
+
+
+def histories(count: int) -> None:
+    postings.JOINED_S, postings.RELIEVED_S = 2.0, 8.0
+    began = time.monotonic()
+    print("search:", test_post_core_search.found(count) or f"nothing in {count} plays")
+    play = (
+        test_post_core_changes.test_histories_with_changes_of_the_core_lose_nothing_and_have_one_core_an_epoch
+    )
+    for seed in range(1000, 1000 + count // 20):
+        play(seed)
+    print(f"histories: nothing in {count // 20} of whole fleets; {time.monotonic() - began:.0f} s in all")
+
+
+def main() -> None:
+    told = argparse.ArgumentParser()
+    told.add_argument("--histories", type=int, default=0)
+    if count := told.parse_args().histories:
+        histories(count)
+        return
+    print("in force after the acknowledgement; KB between regions: a second at rest, a change")
+    print("    n disks   p50    p99  worst    at rest   a change")
+    for n, disks in ((11, 4), (82, 6)):
+        in_force(n, disks)
+    print("whole again, s: all voting and all ready after the core was killed, the same after all lost power")
+    for n, disks in ((11, 4), (82, 6)):
+        whole_again(n, disks)
+    size_on_disk()
+
+
+if __name__ == "__main__":
+    main()
--- a/millfront/post/cli.py
+++ b/millfront/post/cli.py
@@ -64,6 +64,32 @@
     show(as_json, pages, "\n".join(lines))
 
 
+@group.command()
+@at_option
+@click.argument("name")
+@json_option
+def tenant(address: str, name: str, as_json: bool) -> None:
+    """Why a tenant's requests are let in or refused by an office. Exits with 1 where there is none such."""
+    told = _asked(address, "GET", "/v1/office/tenants").get(name)
+    if told is None:
+        fail(DIFFERS, f"no tenant {name} in the configuration in force at {address}")
+    lines = [f"{name}: no limit"]
+    if told["rate"]:
+        lines = [
+            f"{name}: {told['rate']:g} a second and {told['burst']:g} at once, over {told['n']} processes"
+        ]
+    if "price" in told:
+        refused = f"refused {told['refused_level']} at its level"
+        refused += f", {told['refused_store']} with nothing left to let in"
+        lines += [
+            f"  sent {told['sent_here']:g} a second here, {told['sent_elsewhere']:g} elsewhere"
+            f" (heard of from {told['heard_of']}); asked {told['asked_here']:g} here",
+            f"  price {told['price']:g}, level {told['level']:g} a second, share {told['share']:g}",
+            f"  store {told['store']:g} of {told['capacity']:g}, bucket {told['bucket']:g}; {refused}",
+        ]
+    show(as_json, told, "\n".join(lines))
+
+
 @group.command("export")
 @at_option
 @click.argument("file", type=click.Path(dir_okay=False, path_type=Path))
--- a/millfront/post/counter.py
+++ b/millfront/post/counter.py
@@ -102,6 +102,8 @@
         elif path == "/v1/office/daybook" and "ctl" in self.serves and method == "GET":
             part = parse_qs(query).get("part", [""])[0]
             call.answer(200, json.dumps({"pages": office.daybook.pages(now, part)}))
+        elif path == "/v1/office/tenants" and "ctl" in self.serves and method == "GET":
+            call.answer(200, json.dumps(statement.tenants(office)))
         elif path == "/v1/register" and "ctl" in self.serves and method == "GET":
             office.read_all(now, call.answer)
         elif path == "/v1/register" and "ctl" in self.serves and method == "PUT":
--- a/millfront/post/franking.py
+++ b/millfront/post/franking.py
@@ -65,6 +65,8 @@
     own_asked: float = 0.0  # a second, smoothed
     own_sent: float = 0.0
     others: float = 0.0  # the rate at which all others are taken to send until they are heard of again
+    refused_store: int = 0  # all that is owed had been let in, by all processes together
+    refused_level: int = 0  # this process's level was reached
     peers: dict[str, Peer] = field(default_factory=dict)
 
 
@@ -107,9 +109,11 @@
         found.seen = now
         found.asked += 1.0
         if found.store <= 0.0:  # all has been let in that is owed, whatever the prices say
+            found.refused_store += 1
             return max(0.05, min(5.0, (1.0 - found.store) / tenant.rate))
         if found.bucket < 1.0:
             if found.store < BORROW_ABOVE * self.capacity(tenant) + 1.0:
+                found.refused_level += 1
                 return max(0.05, min(5.0, (1.0 - found.bucket) / max(found.level, 0.05)))
             self.hurry = True
         else:
@@ -133,6 +137,27 @@
             level = min(level, tenant.rate * account.share)
         account.bucket = min(account.bucket + level * lasted, max(1.0, account.share * account.store))
 
+    def told(self, tenant: Tenant) -> dict[str, float | int]:
+        """Why a tenant's requests are let in or refused here. Units are requests, rates requests a second."""
+        found = self.accounts.get(tenant.name)
+        limits = {"rate": tenant.rate, "burst": tenant.burst, "n": self.n}
+        if found is None or tenant.rate <= 0.0:
+            return limits
+        return limits | {
+            "price": found.price,
+            "level": found.level,
+            "share": found.share,
+            "bucket": found.bucket,
+            "store": found.store,
+            "capacity": self.capacity(tenant),
+            "asked_here": found.own_asked,
+            "sent_here": found.own_sent,
+            "sent_elsewhere": max(0.0, found.others),
+            "heard_of": len(found.peers),
+            "refused_store": found.refused_store,
+            "refused_level": found.refused_level,
+        }
+
     def totals(self) -> dict[str, list[float]]:
         """For this process's card."""
         return {name: [a.sent, a.asked] for name, a in self.accounts.items()}
--- a/millfront/post/statement.py
+++ b/millfront/post/statement.py
@@ -54,6 +54,15 @@
     }
 
 
+def tenants(office: "Office") -> dict[str, dict[str, Any]]:
+    """Each tenant's price, level, store and totals, and how often it was refused here for which reason."""
+    by_name = office.orders.by_name if office.orders is not None else {}
+    return {
+        name: {key: round(value, 4) for key, value in office.franking.told(tenant).items()}
+        for name, tenant in sorted(by_name.items())
+    }
+
+
 def _lacks(office: "Office", now: float) -> list[str]:
     """Why it is not ready, in the order in which a start gets there."""
     checks = (
--- a/tests/test_post_calls.py
+++ b/tests/test_post_calls.py
@@ -234,6 +234,13 @@
             assert json.loads(told)["keeper"]["held"]["config"] == 1
             code, told = await asyncio.to_thread(asked, made.ctl, "why", "--part", "registry")
             assert code == 0 and "configuration 00000001 is in force" in told and "founds a core of 1" in told
+            assert await made.put(document(8, {"t": ["key-1"]}, rate=1.0)) == 200
+            assert (await made.ask("POST", "/p/a1", b"x", more=KEY))[0] == 200
+            made.service.office.franking.accounts["t"].store = -0.5  # others have let in all there was
+            assert (await made.ask("POST", "/p/a2", b"x", more=KEY))[0] == 429
+            code, told = await asyncio.to_thread(asked, made.ctl, "tenant", "t")
+            assert code == 0 and "1 with nothing left to let in" in told
+            assert (await asyncio.to_thread(asked, made.ctl, "tenant", "nobody"))[0] == 1
             assert await made.put(document(9)) == 200
             assert (await asyncio.to_thread(asked, made.ctl, "export", str(file)))[0] == 0
         async with stage(tmp_path / "two", [well]) as made:
