Cards in part and by relays: fewer bytes between regions, and less at many processes

Cause: a card that was hurried went whole to every process, five or six times between regions for each clump; of 82 processes each would tell 81. Now what has moved goes to all of the region and to two relays of each other one, who pass it on; far cards are passed on at once by who gets them instead of by everybody a tick later. A tenant that is first told of by a process whose totals are known counts from 0.

--- a/millfront/post/franking.py
+++ b/millfront/post/franking.py
@@ -31,6 +31,7 @@
 )
 LEAST_LEVEL = 0.02  # requests a second: a process that had no share yet admits something
 IDLE_S = 30.0
+QUIET_S = 1.6  # of a tenant nothing was told with that many seconds of a process's cards: nothing moved
 
 
 @dataclass(slots=True)
@@ -59,6 +60,7 @@
     store: float = 0.0
     share: float = 0.0
     at: float = 0.0  # the bucket is filled up to here
+    moved: float = -1e9  # when `sent` or `asked` last rose
     seen: float = 0.0
     last_sent: float = 0.0  # `sent` at the last tick
     last_asked: float = 0.0
@@ -80,6 +82,8 @@
         self.n = 1
         self.born = now
         self.hurry = False  # the card is to go out before the next tick
+        self._heard: dict[str, float] = {}  # of whom a card came last when
+        self._whole: dict[str, int] = {}  # of whom all totals were heard, and in which life
 
     def capacity(self, tenant: Tenant) -> float:
         """What the store may hold: over any `rate_window` w all let in at most capacity + Q·w, and the rule
@@ -106,7 +110,7 @@
             return 0.0
         found = self.account(now, tenant)
         self._fill(now, tenant, found)
-        found.seen = now
+        found.seen = found.moved = now
         found.asked += 1.0
         if found.store <= 0.0:  # all has been let in that is owed, whatever the prices say
             found.refused_store += 1
@@ -162,8 +166,18 @@
         """For this process's card."""
         return {name: [a.sent, a.asked] for name, a in self.accounts.items()}
 
-    def heard(self, now: float, name: str, life: int, age: float, totals: dict[str, Any]) -> None:
-        """Another process's card."""
+    def moved(self, now: float, within: float) -> dict[str, list[float]]:
+        """Of the totals those that rose in so many seconds."""
+        return {name: [a.sent, a.asked] for name, a in self.accounts.items() if now - a.moved < within}
+
+    def heard(
+        self, now: float, name: str, life: int, age: float, totals: dict[str, Any], whole: bool = True
+    ) -> None:
+        """Another process's card.
+
+        :param whole: its totals are all there are; else those that have moved lately
+        """
+        known = self._whole.get(name) == life  # then a tenant that was not told of had sent nothing
         for tenant, (sent, asked) in totals.items():
             account = self.accounts.get(tenant)
             if account is None:
@@ -176,11 +190,14 @@
                 peer.asked_rate += 0.6 * (max(0.0, asked - peer.asked) / lasted - peer.asked_rate)
                 account.store -= sent - peer.sent
             else:
-                if peer.life >= 0:  # a life that began anew: all that it sent is news
+                if peer.life >= 0 or known:  # a life that began anew, or its first units: all of it is news
                     account.store -= sent
                 peer.sent_rate = peer.asked_rate = 0.0
             peer.life, peer.age, peer.sent, peer.asked = life, age, sent, asked
             self._takes(now, account, peer, peer.sent_rate)
+        self._heard[name] = now
+        if whole:
+            self._whole[name] = life
 
     @staticmethod
     def _takes(now: float, account: Account, peer: Peer, rate: float) -> None:
@@ -217,6 +234,12 @@
             if name not in names:
                 self._takes(now, account, peer, 0.0)
                 del account.peers[name]
+                self._whole.pop(name, None)
+                self._heard.pop(name, None)
+            elif self._heard.get(name, 0.0) - peer.since > QUIET_S:  # heard of, and not with this tenant
+                account.store += peer.used * (now - peer.since)
+                peer.sent_rate, peer.asked_rate = 0.4 * peer.sent_rate, 0.4 * peer.asked_rate
+                self._takes(now, account, peer, peer.sent_rate)
             elif name in silent and peer.used < slice_:
                 self._takes(now, account, peer, slice_)
 
--- a/millfront/post/neighbours.py
+++ b/millfront/post/neighbours.py
@@ -5,7 +5,9 @@
 and the few whose duty it is tell another region. A card of a higher (incarnation, number) replaces a lower
 one, so that a late or a double one changes nothing. A process that finds a card of itself above its own (it
 restarted, its clock went back) refutes it by a higher incarnation. What never changes in a life (addresses,
-zone) travels apart, and is asked for when it is wanting. Times are seconds on the caller's steady clock.
+zone) travels apart, and is asked for when it is wanting. Between regions a
+letter goes to one or two only, who pass it on to their own. A card may be told in part: of its totals only
+what has moved lately. Times are seconds on the caller's steady clock.
 """
 
 import hashlib
@@ -15,12 +17,16 @@
 from typing import Any
 
 TICK_S = 1.0
-VIEW = 8  # neighbours told each tick: all of a small region; of a large one a sample that changes
+MESH = 64  # of a region that are told directly; of a larger one a view that is shuffled, and passes on
+VIEW = 8  # neighbours in such a view
 SUSPECT_TICKS = 2.2  # a card that late may be one lost datagram
 LOST_TICKS = 3.2  # three lost in a row at 2% each would be one in 100,000
 FORGET_S = 60.0
 PER_LETTER = 10  # cards in one datagram: keeps it near a kilobyte or two
 CARRIERS = 2  # of a region that tell another one: one may be gone without being missed yet
+RELAYS = 2  # of another region that get a single card and pass it on there
+CARRIED = 9  # a larger region is not carried whole by a few: each process sends its own card to relays
+READY, LEAVING, PART = 1, 2, 4  # flags of a card
 SHUFFLE_TICKS = 5
 
 Message = dict[str, Any]
@@ -51,15 +57,17 @@
     heard: float = 0.0  # when it last rose here
     standing: Standing = Standing.UP
     told: int = -1  # number when last passed on by us
+    part: bool = False  # not all of its totals were heard in this life
 
     @property
     def stamp(self) -> tuple[int, int]:
         return self.incarnation, self.number
 
-    def wire(self) -> list[Any]:
-        flags = self.ready | self.leaving << 1
-        age = round(self.age, 3)
-        return [self.name, self.incarnation, self.number, flags, age, self.totals, self.version]
+    def wire(self, moved: dict[str, list[float]] | None = None) -> list[Any]:
+        """:param moved: of its totals these alone"""
+        flags = READY * self.ready | LEAVING * self.leaving | PART * (self.part or moved is not None)
+        totals, age = self.totals if moved is None else moved, round(self.age, 3)
+        return [self.name, self.incarnation, self.number, flags, age, totals, self.version]
 
 
 def weight(key: str, name: str) -> bytes:
@@ -134,8 +142,11 @@
 
     # ---- each tick -----------------------------------------------------------------------------
 
-    def tick(self, now: float) -> list[Out]:
-        """Write this process's card anew, judge the others', and tell the view."""
+    def tick(self, now: float, moved: dict[str, list[float]] | None = None) -> list[Out]:
+        """Write this process's card anew, judge the others', and tell the view.
+
+        :param moved: of the totals those to be told; None: all
+        """
         if not self.born:
             self.born = now
         self.ticks += 1
@@ -147,37 +158,71 @@
             out += [(seed, self._hello()) for seed in self.seeds if seed != self.me.still["post"]]  # type: ignore[index]
         out += self._to_a_lost_one()
         self._shuffle()
-        region = self.me.still["region"]  # type: ignore[index]
-        news = [c for c in self.cards.values() if c.told < c.number and c.still is not None]
-        own = [c for c in news if c is self.me]
-        far = [c for c in news if c.still is not None and c.still["region"] != region]
-        for name in self.view:
-            if address := self.address(name):
-                out += self._letters(address, own + far)
-        out += self._to_other_regions(region)
-        for card in own + far:
-            card.told = card.number
-        return out
+        wires = [self.me.wire(moved)]
+        if len(self.live(self._region)) > MESH:  # news of others go on from here, too, once
+            others = [c for c in self.others() if c.told < c.number and c.still is not None]
+            wires += [card.wire() for card in others]
+            for card in others:
+                card.told = card.number
+        letters = self._letters(wires)
+        out += [
+            (address, letter) for name in self.view if (address := self.address(name)) for letter in letters
+        ]
+        return out + self._to_other_regions(wires[0])
 
-    def hurry(self) -> list[Out]:
-        """This process's card before its tick, to all that are live."""
-        self.me.number += 1
-        letter = {"t": "cards", "c": [self.me.wire()]}
-        return [(c.still["post"], letter) for c in self.live() if c is not self.me and c.still is not None]
+    @property
+    def _region(self) -> str:
+        return str(self.me.still["region"])  # type: ignore[index]
 
-    def _to_other_regions(self, region: str) -> list[Out]:
+    def hurry(self, moved: dict[str, list[float]]) -> list[Out]:
+        """This process's card before its tick, with what of its totals has moved: to all of its region, and
+        to relays in the others."""
+        self.me.number += 1
+        wire = self.me.wire(moved)
+        letter = {"t": "cards", "c": [wire]}
+        out = [
+            (c.still["post"], letter)
+            for c in self.live(self._region)
+            if c is not self.me and c.still is not None
+        ]
+        return out + self._to_relays(wire)
+
+    def _regions(self) -> list[str]:
+        return sorted({c.still["region"] for c in self.live() if c.still is not None} - {self._region})
+
+    def _to_relays(self, wire: list[Any]) -> list[Out]:
+        """One card to the few of each other region who pass this process's on."""
+        letter = {"t": "cards", "c": [wire], "p": 1}
+        names = [name for region in self._regions() for name in self._relays(region)]
+        return [(address, letter) for name in names if (address := self.address(name))]
+
+    def _relays(self, region: str) -> list[str]:
+        up = [card.name for card in self.live(region) if card.standing is Standing.UP]
+        return holders(f"relay {self.me.name}", up or self.live_names(region), RELAYS)
+
+    def _to_other_regions(self, wire: list[Any]) -> list[Out]:
+        """Each tick: of a small region a few carry all cards, each to one there who passes them on."""
+        near = self.live(self._region)
+        if len(near) > CARRIED:
+            return self._to_relays(wire)
         out: list[Out] = []
-        near = self.live(region)
-        regions = sorted({c.still["region"] for c in self.live() if c.still is not None} - {region})
-        for other in regions:
-            if not self.has_duty(f"carry {region} {other}", region, CARRIERS):
+        for other in self._regions():
+            if not self.has_duty(f"carry {self._region} {other}", self._region, CARRIERS):
                 continue
             there = [c for c in self.live(other) if c.standing is Standing.UP] or self.live(other)
-            to = self.random.choice(there)
-            if address := self.address(to.name):
-                out += self._letters(address, near)
+            if address := self.address(self.random.choice(there).name):
+                letters = self._letters([card.wire() for card in near])
+                out += [(address, letter | {"p": 1}) for letter in letters]
         return out
 
+    def _passed_on(self, cards: list[list[Any]]) -> list[Out]:
+        """News from another region, for all of this one."""
+        letter = {"t": "cards", "c": cards}
+        mates = [c for c in self.live(self._region) if c is not self.me and c.still is not None]
+        if len(mates) > MESH:
+            mates = self.random.sample(mates, VIEW)
+        return [(card.still["post"], letter) for card in mates]  # type: ignore[index]
+
     def _to_a_lost_one(self) -> list[Out]:
         """A word now and then, so that parts of a fleet that was cut find each other though no seed is up."""
         lost = [
@@ -189,9 +234,8 @@
 
     def _shuffle(self) -> None:
         """The view: all of a small region; of a large one half stays and half is drawn anew."""
-        region = self.me.still["region"]  # type: ignore[index]
-        known = [c.name for c in self.live(region) if c is not self.me]
-        if len(known) <= VIEW:
+        known = [c.name for c in self.live(self._region) if c is not self.me]
+        if len(known) <= MESH:
             self.view = known
             return
         kept = [name for name in self.view if name in known]
@@ -218,14 +262,12 @@
 
     # ---- letters ---------------------------------------------------------------------------------
 
-    def _letters(self, to: str, cards: list[Card]) -> list[Out]:
-        """Cards in datagrams of bounded size; at least one goes out, for the view's sake."""
-        out: list[Out] = []
-        for at in range(0, max(1, len(cards)), PER_LETTER):
-            part = cards[at : at + PER_LETTER]
-            out.append((to, {"t": "cards", "c": [card.wire() for card in part]}))
+    def _letters(self, wires: list[list[Any]]) -> list[Message]:
+        """Cards in datagrams of bounded size."""
+        parts = range(0, len(wires), PER_LETTER)
+        out: list[Message] = [{"t": "cards", "c": wires[at : at + PER_LETTER]} for at in parts]
         if self._wanting:
-            out[0][1]["w"] = sorted(self._wanting)[:PER_LETTER]
+            out[0]["w"] = sorted(self._wanting)[:PER_LETTER]
         return out
 
     def _hello(self) -> Message:
@@ -245,7 +287,7 @@
             self._introduce(now, name, still)
         for incarnation_card in message.get("c", ()):
             self._take_card(now, incarnation_card)
-        out: list[Out] = []
+        out = self._passed_on(message["c"]) if message.get("p") else []
         kind = message["t"]
         asked = [name for name in message.get("w", ()) if name in self.cards]
         if kind == "hello":
@@ -281,9 +323,11 @@
         if (incarnation, number) <= card.stamp:
             return
         if incarnation != card.incarnation:
-            card.told = -1
+            card.told, card.part, card.totals = -1, True, {}
         card.incarnation, card.number, card.age = incarnation, number, age
-        card.ready, card.leaving, card.totals = bool(flags & 1), bool(flags & 2), totals
+        card.ready, card.leaving = bool(flags & READY), bool(flags & LEAVING)
+        card.part = card.part and bool(flags & PART)
+        card.totals = card.totals | totals if flags & PART else totals
         card.version = more[0] if more else 0
         card.heard = now
         self._stands(card, Standing.UP)
--- a/millfront/post/office.py
+++ b/millfront/post/office.py
@@ -16,7 +16,7 @@
 from millfront.post.addresses import Addresses
 from millfront.post.daybook import Daybook
 from millfront.post.franking import Franking
-from millfront.post.neighbours import Neighbours, Standing, holders
+from millfront.post.neighbours import PART, Neighbours, Standing, holders
 from millfront.post.postings import SELF, Postings
 from millfront.post.registry import CORE, FOUNDED, OWN, Clerk, Core, Keeper, Persist, Phase, Round, Value
 from millfront.post.restante import Restante
@@ -30,6 +30,10 @@
 FRESH_S = 1.7  # a card of the own region is due each second: clients are told of nobody whose card is later
 GONE_S = 1.5  # beyond its lease: the card may have been late, and it asked for it a moment after
 BEAT_S = 0.25
+WHOLE = 12  # totals of so many tenants go with each tick's card; of more, those that moved
+WHOLE_TICKS = 16  # and all of them each so many ticks
+MOVED_S = 5.5  # several ticks: a few letters may be lost
+HURRIED_S = 0.5
 TICK_BEATS = 4  # of the neighbours' and the prices' tick, about a second
 Message = dict[str, Any]
 
@@ -319,7 +323,7 @@
         self.franking.hurry = False
         me = self.neighbours.me
         me.totals, me.age = self.franking.totals(), now - self.neighbours.born
-        for address, message in self.neighbours.hurry():
+        for address, message in self.neighbours.hurry(self.franking.moved(now, HURRIED_S)):
             self.doors.datagram(address, message)
 
     def _may_poll(self, now: float) -> bool:
@@ -355,7 +359,9 @@
         me = self.neighbours.me
         me.ready, me.totals = self.ready(now), self.franking.totals()
         me.version = self.orders.version if self.orders is not None else 0
-        for address, message in self.neighbours.tick(now):
+        sparse = len(me.totals) > WHOLE and self.neighbours.ticks > 3 and self.neighbours.ticks % WHOLE_TICKS
+        moved = self.franking.moved(now, MOVED_S) if sparse else None
+        for address, message in self.neighbours.tick(now, moved):
             self.doors.datagram(address, message)
         tenants = self.orders.by_name if self.orders is not None else {}
         self.franking.tick(now, *self.neighbours.may_run(now, self._gone_after()), tenants)
@@ -519,10 +525,10 @@
             return
         for address, answer in self.neighbours.take(now, back, message):
             self.doors.datagram(address, answer)
-        for name, incarnation, _, _, age, totals, *_ in message.get("c", ()):
+        for name, incarnation, _, flags, age, totals, *_ in message.get("c", ()):
             card = self.neighbours.cards.get(name)
             if card is not None and card is not self.neighbours.me and card.heard == now:
-                self.franking.heard(now, name, incarnation, age, totals)
+                self.franking.heard(now, name, incarnation, age, totals, not flags & PART)
 
     def polled(self, now: float, number: int, entries: list[Any] | None) -> None:
         """The platform's answer, or None where it gave none."""
