The change read once more: one place for readiness, the core's duty and a region's mates

What a start lacks and whether it is ready were two lists of the same conditions; the statement cut the core's duty by other names than the postings do; two functions gathered a region's live others; poste restante wrote a value's stamp again. Behaviour stays, but for the statement, which now names the holder that the postings go by. Ruled out: the listed twins of shape (settings, slots, defaults), which are other logic.

--- a/millfront/post/neighbours.py
+++ b/millfront/post/neighbours.py
@@ -183,12 +183,11 @@
         self.me.number += 1
         wire = self.me.wire(moved)
         letter = {"t": "cards", "c": [wire]}
-        out = [
-            (c.still["post"], letter)
-            for c in self.live(self._region)
-            if c is not self.me and c.still is not None
-        ]
-        return out + self._to_relays(wire)
+        return [(post, letter) for post in self._mates()] + self._to_relays(wire)
+
+    def _mates(self) -> list[str]:
+        """Addresses of the others of this region that are live."""
+        return [c.still["post"] for c in self.live(self._region) if c is not self.me and c.still is not None]
 
     def _regions(self) -> list[str]:
         return sorted({c.still["region"] for c in self.live() if c.still is not None} - {self._region})
@@ -221,10 +220,10 @@
     def _passed_on(self, cards: list[list[Any]]) -> list[Out]:
         """News from another region, for all of this one."""
         letter = {"t": "cards", "c": cards}
-        mates = [c for c in self.live(self._region) if c is not self.me and c.still is not None]
+        mates = self._mates()
         if len(mates) > MESH:
             mates = self.random.sample(mates, VIEW)
-        return [(card.still["post"], letter) for card in mates]  # type: ignore[index]
+        return [(post, letter) for post in mates]
 
     def _to_a_lost_one(self) -> list[Out]:
         """A word now and then, so that parts of a fleet that was cut find each other though no seed is up."""
--- a/millfront/post/office.py
+++ b/millfront/post/office.py
@@ -127,13 +127,18 @@
         """Whether nothing newer than what is held here can have been acknowledged `revoke_within` ago."""
         return not self.settings.bounds.revoke_global or now < self.follower.lease_until()
 
-    def ready(self, now: float) -> bool:
-        return (
-            self.orders is not None
-            and self.addresses.known()
-            and self.trusted(now)
-            and not self.neighbours.me.leaving
+    def lacks(self, now: float) -> list[str]:
+        """What it takes to be ready and is not there, in the order in which a start gets to it."""
+        checks = (
+            (self.orders is not None, "a configuration"),
+            (self.addresses.known(), "a list of servers"),
+            (self.trusted(now), "a lease"),
+            (not self.neighbours.me.leaving, "to stay: it leaves"),
         )
+        return [name for well, name in checks if not well]
+
+    def ready(self, now: float) -> bool:
+        return not self.lacks(now)
 
     def _hold(self, found: dict[str, Value]) -> None:
         """The one way in for values: what is newer is in force from here on, and nothing goes back."""
--- a/millfront/post/postings.py
+++ b/millfront/post/postings.py
@@ -135,10 +135,12 @@
             if name not in up and (name not in cards or cards[name].standing is Standing.LOST)
         }
 
+    def holder(self, core: Core) -> str:
+        """Whose duty the core's changes are: cut by key over the members that are up."""
+        return "".join(holders("core", [name for name in core.all if name in self._known]))
+
     def _due(self, now: float, core: Core) -> bool:
-        """The duty is cut by key over the members that are up."""
-        up = sorted(name for name in core.all if name in self._known)
-        mine = holders("core", up, 1) == [self.office.name]
+        mine = self.holder(core) == self.office.name
         return mine and self.change is Change.NONE and now - self._tried >= BETWEEN_S
 
     def _begin(self, now: float, core: Core) -> None:
--- a/millfront/post/restante.py
+++ b/millfront/post/restante.py
@@ -8,12 +8,13 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Any
 
 from millfront.post.neighbours import Card, Standing
 from millfront.post.registry import Value
 
 YOUNG_S = 5.0  # a process seen for the first time that is older has been running, and lacks nothing
-Stamps = dict[str, tuple[int, str]]
+Stamps = dict[str, list[Any]]
 
 
 @dataclass(slots=True)
@@ -59,9 +60,7 @@
             elif not up:
                 shelf.missing = True
             if up and shelf.missing and card.incarnation >= 0:
-                due[card.name] = {
-                    k: value for k, value in values.items() if shelf.had.get(k) != (value.version, value.tie)
-                }
+                due[card.name] = {k: v for k, v in values.items() if shelf.had.get(k) != v.stamp}
                 shelf.missing = False
             if not shelf.missing:
                 shelf.had = _stamps(values)
@@ -71,4 +70,4 @@
 
 
 def _stamps(values: dict[str, Value]) -> Stamps:
-    return {key: (value.version, value.tie) for key, value in values.items()}
+    return {key: value.stamp for key, value in values.items()}
--- a/millfront/post/statement.py
+++ b/millfront/post/statement.py
@@ -32,7 +32,7 @@
         "region": office.settings.region,
         "up_s": round(now - office.born, 1),
         "ready": office.ready(now),
-        "not_ready_for": _lacks(office, now),
+        "not_ready_for": ([] if office.follower.core is not None else ["a core"]) + office.lacks(now),
         "version": f"{version:08x}",
         "evacuated": sorted(office.evacuated),
         "lease_s": round(max(0.0, office.follower.lease_until() - now), 2),
@@ -63,18 +63,6 @@
     }
 
 
-def _lacks(office: "Office", now: float) -> list[str]:
-    """Why it is not ready, in the order in which a start gets there."""
-    checks = (
-        (office.follower.core is not None, "a core"),
-        (office.orders is not None, "a configuration"),
-        (office.addresses.known(), "a list of servers"),
-        (office.trusted(now), "a lease"),
-        (not office.neighbours.me.leaving, "to stay: it leaves"),
-    )
-    return [name for well, name in checks if not well]
-
-
 def _core(office: "Office") -> dict[str, Any] | None:
     core = office.follower.core
     if core is None:
@@ -93,15 +81,11 @@
 
 def _duties(office: "Office") -> dict[str, Any]:
     """Who holds which, as seen from here; the list's fence is the number of the last list."""
-    names = office.neighbours.live_names()
-    core = office.follower.core
-    keepers = [name for name in core.all if name in names] if core is not None else []
+    names, core = office.neighbours.live_names(), office.follower.core
+    keeper, epoch = (office.postings.holder(core), core.epoch) if core is not None else ("", 0)
     return {
         "list": {"holder": "".join(holders("list", names)), "fence": office.addresses.number},
-        "core": {
-            "holder": "".join(holders("core", keepers)),
-            "fence": core.epoch if core else 0,
-        },
+        "core": {"holder": keeper, "fence": epoch},
     }
 
 
