The answer to HEAD is read to its end

It tells a length and has no body; the fast path waited for the body until the attempt was given up, and the client was told 502. Answers to HEAD are h11's now. tests/test_http1.py has the case: on the code before, the answer was never whole.

--- a/millfront/node/http1.py
+++ b/millfront/node/http1.py
@@ -365,6 +365,8 @@
         self.under_way = False  # a body whose beginning was taken; the rest is for piece()
         self._method = method
         self.reusable = False
+        if method == b"HEAD":  # its answer tells a length and has no body
+            self._hand_over()
 
     @property
     def begun(self) -> bool:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -152,6 +152,14 @@
     assert len(done) == 1 and member.reusable and member._h11 is None
 
 
+def test_the_answer_to_head_is_whole_with_its_head() -> None:
+    answers = Answers()
+    answers.expect(b"HEAD")
+    found = answers.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n")
+    assert found is not None and found.more
+    assert answers.piece(b"") == b"" and not answers.under_way and answers.reusable
+
+
 def test_what_is_written_is_what_h11_writes() -> None:
     fields = [(b"Content-Type", b"text/plain"), (b"Retry-After", b"0.500")]
     answer = Message(503, fields, fields, b"refused")
