A call goes out once, and one answer of it to its client: the faults found are mended

The new tests/test_post_call_once.py brings a fault about at each point between the choice of a connection and the answer's end. By reading: a copy for which no way is left no longer ends the request under way.

--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -269,6 +269,8 @@
         opened, self.opened, self.upload = self.opened, None, None
         if opened is not None:
             self.server.host.leave(opened)
+            if status == HTTPStatus.REQUEST_TIMEOUT and not self.server.may_promise(opened):
+                status = HTTPStatus.BAD_GATEWAY
         self.refuse(status, why)
 
     def refuse(self, status: int, why: str) -> None:
@@ -458,6 +460,8 @@
         self.most = most
         self.made = made
         self.room = Room(0)  # for answers that clients take slowly
+        # Whether a request that was left may be told 408, which to some clients says that it never runs
+        self.may_promise: Callable[[Any], bool] = lambda opened: True
         self.preface = b""  # with which another protocol begins on this port
         self.upgraded: Callable[[ClientConnection, bytes], None]  # told of a connection that began with it
         self.endings: Counter[Ending] = Counter()  # of client connections
--- a/millfront/node/endings.py
+++ b/millfront/node/endings.py
@@ -48,7 +48,8 @@
 class Ended(Exception):
     """A connection has ended, and how."""
 
-    def __init__(self, ending: Ending, detail: str = "", again: bool = False) -> None:
+    def __init__(self, ending: Ending, detail: str = "", again: bool = False, part: bool = False) -> None:
         super().__init__(f"{ending.value}: {detail}" if detail else ending.value)
         self.ending = ending
         self.again = again  # only this connection broke, and nothing ran: another may do at once
+        self.part = part  # the kernel had taken some of the request, so the member may have seen it
--- a/millfront/node/members.py
+++ b/millfront/node/members.py
@@ -113,6 +113,7 @@
         "link",
         "member",
         "members",
+        "owed",
         "upload",
         "written",
     )
@@ -124,6 +125,7 @@
         self.answers = Answers()
         self.flow: Flow | None = None
         self.written = False  # the request's last byte is with the kernel
+        self.owed = 0  # bytes of the request that were given to the link
         self.upload: Upload | None = None  # the rest of its body
         self.idle_since_us = 0
         self.idle_us = 0  # how long it lay idle before it was taken up; 0: it is new
@@ -143,7 +145,7 @@
             fields = [*fields, (b"Content-Length", b"%d" % len(body))]
         request = request_bytes(start, fields, body)
         self.answers.expect(start[0])
-        self.written, self.upload = False, upload
+        self.written, self.upload, self.owed = False, upload, len(request)
         try:
             self.link.write(request)
         except OSError as wrong:
@@ -162,6 +164,7 @@
             data = chunk(data) + (LAST_CHUNK if last else b"")
         try:
             if data:
+                self.owed += len(data)
                 self.link.write(data)
         except OSError as wrong:
             self.ended(repr(wrong))
@@ -241,7 +244,8 @@
             self.members.spoilt(self)
             return
         if not self.written:
-            flow.broken(Ended(Ending.UNCONNECTED, why or "ended", again=True))
+            part = self.link.unsent < self.owed
+            flow.broken(Ended(Ending.UNCONNECTED, why or "ended", again=True, part=part))
             return
         if why:
             flow.broken(Ended(Ending.BROKEN, why))
--- a/millfront/node/stages/send.py
+++ b/millfront/node/stages/send.py
@@ -241,6 +241,8 @@
         if self.connection is not None and ended.ending is Ending.BROKEN:
             self.connection.fared(False)
         self.let_go()
+        if ended.part and self.stage.part_may_run:
+            ended = Ended(Ending.BROKEN)
         upload = self.opened.arrival.message.upload
         kept = upload is None or not upload.moved  # what has gone on is not there any more
         if ended.again and self.again > 0 and kept and not self.over and not self.streams:
@@ -268,6 +270,7 @@
         self.judge = judge or (lambda _, answer: ending_of(answer))
         self.fields = fields or self._fields
         self.rest_s = REST_S
+        self.part_may_run = False  # a request that a member has seen in part only
         self.ways = ways
         self.begin = begin
         self.clock = clock
--- a/millfront/post/carrier.py
+++ b/millfront/post/carrier.py
@@ -43,6 +43,12 @@
 FLOW = itertools.count(1)
 
 
+def promise(answer: Message | None) -> bool:
+    """Whether to the client this says that it has not run and never will, which a server says by
+    Millfront-Not-Executed alone."""
+    return answer is not None and answer.start in (408, 429, 503)
+
+
 @dataclass(frozen=True, slots=True)
 class Arrival:
     """What the flows of the present program ask of a request."""
@@ -124,8 +130,10 @@
             self.clock, self.members, Road(self), self.book, ways, self.begin, self.judge, self.fields
         )
         self.send.rest_s = 3.0
+        self.send.part_may_run = True  # servers begin work when they like
         self.server = VirtualServer(self.clock, self, self.take_in, self.admit, None, sockets * 2 // 3)
         self.server.room = Room(memory // ROOM_PART)
+        self.server.may_promise = lambda letter: letter.course.promises()
         self.purses: dict[str, Purse] = {}
         self.sizes: dict[str, float] = {}  # by route: bytes of an answer
         self.open = 0
@@ -335,6 +343,8 @@
         letter.timer = None
         if letter.over or letter.streams >= 0 or letter.course.out != 1 or not letter.course.may_go_on():
             return
+        if letter.arrival.message.upload is not None:
+            return  # one at a time takes what follows of a long body
         left_us = letter.deadline_us - self.clock.now()
         if left_us > 100_000 and self.purse(letter.service).spend(
             self.now(), self.office.neighbours.count(), True
@@ -398,8 +408,8 @@
         letter.course.ended(ending)
         if seen is not None:
             self._learn(now, seen, flow.number, ending, letter)
-        if letter.over:
-            return
+        if letter.over or letter.streams not in (-1, flow.number):
+            return  # another's answer is, or was, the client's
         if ending is Ending.SERVED:
             if answer is not None:
                 size = self.sizes.get(letter.route.name, 1000.0)
@@ -411,7 +421,7 @@
             self.finish(letter)
             letter.caller.cut()
             return
-        if ending is Ending.ERRORED:
+        if ending is Ending.ERRORED and (letter.course.repeatable or not promise(answer)):
             letter.answer = answer
         if letter.course.out:
             return  # another one is under way
@@ -447,6 +457,8 @@
 
     def give_up(self, letter: Letter) -> None:
         """The final answer is the system's own, or a server's error."""
+        if letter.course.out:
+            return  # a copy could not go: the one under way ends it
         if letter.answer is not None:
             self.finish(letter)
             answer, letter.answer = letter.answer, None
--- /dev/null
+++ b/tests/test_post_call_once.py
@@ -0,0 +1,554 @@
+"""A call goes out once and its answer to whoever asked: faults at every point between the choice of a
+connection and the answer's end (docs/design/call-once.md), several clients at once, over real sockets.
+
+A *case* is (point, fault) x kind of request x fresh or kept connection. What servers ran and said, and to
+which connections a request's bytes went, is written down; `History.faults` judges that alone.
+"""
+
+import asyncio
+import json
+import random
+import re
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import product
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from millfront.node.endings import Ending
+from millfront.node.http import Message
+from millfront.node.link import Link
+from millfront.node.members import MemberConnection, Wear
+from millfront.node.stages import send
+from millfront.post import sorting
+from millfront.post.carrier import Carrier, Letter
+from millfront.post.forwarding import Course
+from millfront.post.postmaster import postings
+from millfront.post.sorting import State
+from tests import test_post_calls as calls
+from tests.post_world import document
+
+KINDS = {
+    "idempotent": b"",
+    "effectful": b"order " * 9,
+    "upload": b"pages " * 30_000,
+    "idempotent-long": b"pages " * 50_000,
+}
+# Where a server, or the kernel between, does something wrong, and what.
+CUT = ("reset", "close", "silence")
+POINTS: dict[str, tuple[str, ...]] = {
+    "accepted": ("reset", "close"),  # not a byte is read
+    "kernel": ("none", "part", "most"),  # so much of it is taken, then the connection is reset
+    "asked": (*CUT, "turned", "foreign"),  # its head has come, and the body not been read
+    "run": (*CUT, "foreign", "nameless", "unsealed", "turned", "misdirected", "busy", "error"),
+    "interim": CUT,  # after a 103
+    "answer": (*CUT, "turned"),  # in the middle of the answer's head
+    "body": CUT,  # in the middle of its body
+    "long": CUT,  # in the middle of a body too long to be gathered
+    "after": ("second", "late", "reset", "close"),  # the answer is whole
+    "client": ("leaves", "leaves midway", "stalls midway", "asks on"),  # the last: without its answer
+    "office": ("ends",),  # SIGTERM has come
+}
+CASES = [(point, fault) for point, faults in POINTS.items() for fault in faults]
+PROMISES = (408, 421, 429, 503)
+
+
+@dataclass
+class Said:
+    """What is known of one attempt."""
+
+    kind: str
+    written: list[int] = field(default_factory=list)  # connections that a byte of it was handed to
+    ran: list[bytes] = field(default_factory=list)  # the bodies that a server had whole when it began
+    turned: int = 0  # servers that said that they had not run it
+    answers: list[bytes] = field(default_factory=list)  # bodies of successes
+    told: tuple[int, bytes, bytes] | None = None  # the client's: status, head, body; None: it was cut
+
+
+class History(calls.Stage):
+    """An office between scripted servers, and what happened."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.said: dict[bytes, Said] = {}
+        self.plans: dict[bytes, tuple[str, str]] = {}  # by attempt: at its first arrival
+        self.dead: list[str] = []  # what becomes of the next connections
+        self.covered: set[tuple[str, str, str, bool]] = set()
+        self.reached: dict[bytes, asyncio.Event] = defaultdict(asyncio.Event)  # a server, by its head
+        self.left: dict[bytes, asyncio.Event] = defaultdict(asyncio.Event)  # by its client
+        self.number = 0
+
+    # ---- servers -------------------------------------------------------------------------------
+
+    async def serve(self, number: int) -> str:
+        async def serving(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            late = b""
+            try:
+                while True:
+                    if self.dead:
+                        return self.end(writer, self.dead.pop())
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    late = await self.answer(head, reader, writer, late)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                pass
+            finally:
+                writer.close()
+
+        server = await asyncio.start_server(serving, "127.0.0.1", 0)
+        self.servers.append(server)
+        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    @staticmethod
+    def end(writer: asyncio.StreamWriter, fault: str) -> None:
+        if fault == "reset":
+            writer.transport.abort()
+        writer.close()
+
+    async def answer(
+        self, head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, late: bytes
+    ) -> bytes:
+        """Serve one request by its plan; returns what is sent in the place of the next one's answer."""
+        name = calls.field(head, "Millfront-Attempt-Id")
+        said = self.said[name]
+        point, fault = self.plans.pop(name, ("", ""))
+        self.reached[name].set()
+
+        def foreign(more: str = calls.SEAL) -> bytes:
+            return calls.answer(head, b"another's", more=more, own=b"f0f0")
+
+        async def does(fault: str) -> None:
+            if fault in ("reset", "close"):
+                self.end(writer, fault)
+                raise ConnectionError
+            if fault == "silence":
+                while await reader.read(65536):
+                    pass
+                raise ConnectionError
+            if fault == "turned":
+                said.turned += 1
+                writer.write(calls.answer(head, status="503 Full", more="Millfront-Not-Executed: 1\r\n"))
+            elif fault == "foreign":
+                writer.write(foreign())
+
+        if point == "asked":
+            await does(fault)
+        body = await body_of(head, reader)
+        if point == "asked":  # answered already
+            return late
+        if fault == "leaves":
+            await self.left[name].wait()
+        if point == "office":
+            self.service.carrier.server.send_away(True)
+        if point == "run" and fault in ("turned", "misdirected"):
+            said.turned += 1
+            how = (
+                {"status": "421 Not me"}
+                if fault == "misdirected"
+                else {"status": "503 Full", "more": "Millfront-Not-Executed: 1\r\n"}
+            )
+            writer.write(late + calls.answer(head, **how))  # type: ignore[arg-type]
+            return b""
+        said.ran.append(body)
+        size = 100_000 if point == "long" else 40
+        page = (b"page %d of %s " % (len(said.ran), name)) * size
+        page = page[:size]
+        whole = calls.answer(head, page, more=calls.SEAL)
+        ahead = whole.index(b"\r\n\r\n") + 4
+        if point == "interim":
+            writer.write(late + b"HTTP/1.1 103 Early Hints\r\n\r\n")
+            await does(fault)
+        if point in ("answer", "body", "long"):
+            writer.write(
+                late + whole[: {"answer": ahead // 2, "body": ahead + 7}.get(point, len(whole) // 2)]
+            )
+            await writer.drain()
+            await does(fault)
+            return b""
+        if point == "run":
+            await does(fault)
+            other = {
+                "nameless": whole.replace(b"Millfront-Attempt-Id", b"X-Nothing"),
+                "unsealed": calls.answer(head, page),
+                "busy": calls.answer(head, status="503 Not now"),
+                "error": calls.answer(head, status="500 Oh"),
+            }
+            writer.write(late + other.get(fault, b""))
+            return b""
+        said.answers.append(page)
+        writer.write(late + whole)
+        if point == "after":
+            if fault == "second":
+                writer.write(foreign())
+            await writer.drain()
+            await does(fault)
+            return foreign() if fault == "late" else b""
+        return b""
+
+    # ---- clients -------------------------------------------------------------------------------
+
+    def open(self, kind: str, plan: tuple[str, str] | None = None) -> bytes:
+        self.number += 1
+        name = b"%08x" % self.number
+        self.said[name] = Said(kind)
+        if plan is not None:
+            if plan[0] == "accepted":
+                self.dead.append(plan[1])
+            self.plans[name] = plan
+        return name
+
+    async def client(self, names: list[bytes], random: random.Random) -> None:
+        """One client: these requests one after another, on one connection as far as it lasts."""
+        host, _, port = self.plain.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        asked_on = False
+        for name in names:
+            if writer.is_closing() or reader.at_eof():
+                if asked_on:  # with the one before, and not answered
+                    return
+                reader, writer = await asyncio.open_connection(host, int(port))
+            said, data = self.said[name], self.request(name, random)
+            _, fault = self.plans.get(name, ("", ""))
+            try:
+                async with asyncio.timeout(6):
+                    if fault.startswith("leaves"):
+                        writer.write(data if fault == "leaves" else data[: len(data) // 2])
+                        if fault == "leaves" or len(data) > 150_000:
+                            await self.reached[name].wait()
+                        writer.transport.abort()
+                        self.left[name].set()
+                        continue
+                    if fault == "stalls midway":
+                        data = data[: len(data) // 2]
+                    if fault == "asks on":
+                        asked_on = True
+                        data += b"".join(self.request(other, random) for other in names[1:])
+                    if name == names[0] or not asked_on:
+                        writer.write(data)
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    said.told = int(head.split()[1]), head, await body_of(head, reader)
+                    if calls.field(head, "Connection") == b"close":
+                        writer.close()
+            except (asyncio.IncompleteReadError, ConnectionError):
+                writer.close()
+        writer.close()
+
+    def request(self, name: bytes, random: random.Random) -> bytes:
+        kind = self.said[name].kind
+        fields = f"Host: a.example\r\nMillfront-Attempt-Id: {name.decode()}\r\n{calls.KEY}"
+        fields += "Millfront-Deadline-Ms: 400\r\n"
+        body = KINDS[kind]
+        if kind.endswith("-long") or (body and random.random() < 0.5):
+            fields += "Transfer-Encoding: chunked\r\n"
+            body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+        elif body:
+            fields += f"Content-Length: {len(body)}\r\n"
+        return f"{'POST' if body else 'GET'} /{kind}/x HTTP/1.1\r\n{fields}\r\n".encode() + body
+
+    # ---- the judge -----------------------------------------------------------------------------
+
+    def faults(self) -> set[str]:
+        found = set()
+        for name, said in self.said.items():
+            once = not said.kind.startswith("idempotent")
+            if once and (len(said.ran) > 1 or len(set(said.written)) - said.turned > 1):
+                found.add("sent twice")
+            if any(body != KINDS[said.kind] for body in said.ran):
+                found.add("changed on its way")
+            if said.told is None:
+                continue
+            status, head, body = said.told
+            if 200 <= status < 300 and (
+                body not in said.answers or calls.field(head, "Millfront-Attempt-Id") != name
+            ):
+                found.add("another's answer")
+            if once and status in PROMISES and (said.ran or len(set(said.written)) > said.turned):
+                found.add("a promise that does not hold")
+        return found
+
+
+async def body_of(head: bytes, reader: asyncio.StreamReader) -> bytes:
+    if not calls.field(head, "Transfer-Encoding"):
+        return await reader.readexactly(int(calls.field(head, "Content-Length") or 0))
+    body = b""
+    while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
+        body += (await reader.readexactly(size + 2))[:-2]
+    await reader.readexactly(2)
+    return body
+
+
+@pytest.fixture(autouse=True)
+def quick(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Short times of what else takes seconds."""
+    for name in ("FOUNDING_S", "SETTLED_S"):
+        monkeypatch.setattr(postings, name, 0.0)
+    monkeypatch.setattr(sorting, "REST_S", 0.0)
+    monkeypatch.setattr(send, "LOOK_S", 0.05)
+    monkeypatch.setattr(send, "STALL_US", 100_000)
+    monkeypatch.setattr(send, "BEGIN_S", 0.01)
+
+
+class Pays:
+    """A purse that has enough: what is looked at here is not the budget."""
+
+    def request(self, *_: Any) -> None: ...
+    def spend(self, *_: Any) -> bool:
+        return True
+
+
+def prepared(made: History, monkeypatch: pytest.MonkeyPatch) -> Carrier:
+    carrier = made.service.carrier
+    carrier.send.rest_s, carrier.server.partial_us = 0.1, 100_000
+    monkeypatch.setattr(carrier, "purse", lambda _: Pays())
+    for word in ("failed", "misdirected"):  # servers stay in, whatever they do
+        monkeypatch.setattr(carrier.sorting, word, lambda *_: None)
+    asked = MemberConnection.request
+    whole = Link.send
+    doomed: set[int] = set()
+
+    def request(self: MemberConnection, start: Any, fields: Any, *more: Any) -> None:
+        name = next(value for key, value in fields if key == b"Millfront-Attempt-Id")
+        point, fault = made.plans.get(name, ("", ""))
+        made.covered.add((point, fault, made.said[name].kind, self.idle_us > 0))
+        asked(self, start, fields, *more)
+
+    def sending(self: Link, data: bytes | bytearray) -> int:
+        if not isinstance(self.owner, MemberConnection):
+            return whole(self, data)
+        if id(self) in doomed:
+            raise ConnectionResetError
+        found = re.search(rb"\r\nMillfront-Attempt-Id: ([0-9a-f]+)\r\n", data[:2000])
+        said = made.said.get(found[1]) if found is not None else None
+        if found is None or said is None:
+            return whole(self, data)
+        if made.plans.get(found[1], ("",))[0] == "kernel":
+            _, fault = made.plans.pop(found[1])
+            doomed.add(id(self))
+            if fault == "none":
+                raise ConnectionResetError
+            data = data[: len(data) // 2 if fault == "part" else len(data) - 1]
+        sent = whole(self, data)
+        said.written.append(id(self))
+        keep.append(self)
+        return sent
+
+    keep: list[Link] = []  # so that no id comes twice
+    monkeypatch.setattr(MemberConnection, "request", request)
+    monkeypatch.setattr(Link, "send", sending)
+    return carrier
+
+
+def rested(carrier: Carrier) -> None:
+    """Servers that are well thought of again."""
+    carrier.sorting.work["shop"] = 0.004
+    carrier.members.wear = Wear()
+    for seen in carrier.sorting.seen.values():
+        seen.fails, seen.state, seen.rests_until, seen.slowness, seen.slots = 0, State.SOUND, 0.0, 1.0, 50
+        seen.server.cold_until = 0.0
+
+
+def routes() -> str:
+    told = json.loads(document(2, {"t": ["key-1"]}))
+    route = told["resources"].pop(0)
+    for kind in KINDS:
+        variant = kind.partition("-")[0]
+        spec = route["spec"] | {"path_prefix": f"/{kind}/", "variant_tag": variant, "target_time": "20ms"}
+        told["resources"].append(
+            {"variant": "routes", "meta": {"name": kind}, "spec": spec | {"max_tries": 3}}
+        )
+    told["resources"][0]["spec"]["max_conns"] = 500
+    return json.dumps(told)
+
+
+async def story(
+    tmp_path: Path, patch: pytest.MonkeyPatch, seed: int, cases: list[tuple[str, str]]
+) -> History:
+    """All kinds and both sorts of connections for these cases; six clients at once, each with two requests,
+    of which the first meets the fault."""
+    chance = random.Random(seed)
+    made = History()
+    async with calls.stage(tmp_path, [], servers=3, made=made):
+        assert await made.put(routes()) == 200
+        carrier = prepared(made, patch)
+        todo = list(product(cases, KINDS, (False, True)))
+        chance.shuffle(todo)
+        todo.sort(key=lambda each: (each[2], each[0][0] == "accepted"))
+        while todo:
+            batch = [todo.pop() for _ in range(min(6, len(todo)))]
+            rested(carrier)
+            if batch[0][2]:
+                warm = [made.open("idempotent") for _ in batch]
+                await asyncio.gather(*(made.client([name], chance) for name in warm))
+                rested(carrier)
+            else:
+                for member in list(carrier.members._by_id.values()):
+                    carrier.members.close_idle(member)
+            pairs = [
+                [made.open(kind, case), made.open(chance.choice(list(KINDS)))] for case, kind, _ in batch
+            ]
+            await asyncio.gather(*(made.client(names, chance) for names in pairs))
+            made.dead.clear()
+            carrier.server.send_away(False)
+    return made
+
+
+def played(tmp_path: Path, patch: pytest.MonkeyPatch, seed: int, cases: list[tuple[str, str]]) -> History:
+    return asyncio.run(story(tmp_path, patch, seed, cases))
+
+
+@pytest.mark.parametrize("point", POINTS)
+def test_a_call_goes_out_once_and_its_answer_to_whoever_asked(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, point: str
+) -> None:
+    cases = [case for case in CASES if case[0] == point]
+    made = played(tmp_path, monkeypatch, 7, cases)
+    assert made.faults() == set()
+    kinds = {(fault, kind) for _, fault, kind, _ in made.covered if fault}
+    short = set(product(("leaves midway", "stalls midway"), ("idempotent", "effectful")))  # never sent
+    assert kinds | short == set(product(POINTS[point], KINDS)) | short  # each was met
+    assert point == "accepted" or {kept for _, fault, _, kept in made.covered if fault} == {False, True}
+
+
+# ---- the checker finds what is planted -----------------------------------------------------------------
+
+
+def sent_again(patch: pytest.MonkeyPatch) -> None:
+    """Another connection is tried though bytes of the request were with the kernel."""
+    whole = send.ServerSideFlow.broken
+
+    def broken(self: send.ServerSideFlow, ended: Any) -> None:
+        ended.part = False
+        whole(self, ended)
+
+    patch.setattr(send.ServerSideFlow, "broken", broken)
+
+
+def run_again(patch: pytest.MonkeyPatch) -> None:
+    """What may have run goes to another server."""
+    patch.setattr(Course, "may_go_on", lambda self: self.arrivals + self.out < self.max_tries)
+
+
+def ids_not_compared(patch: pytest.MonkeyPatch) -> None:
+    whole = Carrier.judge
+
+    def judge(self: Carrier, flow: Any, answer: Message) -> Ending:
+        fields = [(b"millfront-attempt-id", flow.opened.attempt)]
+        fields += [(name, value) for name, value in answer.fields if name != b"millfront-attempt-id"]
+        return whole(self, flow, Message(answer.start, fields, answer.raw, answer.body))
+
+    patch.setattr(Carrier, "judge", judge)
+
+
+def always_promised(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Course, "promises", lambda self: True)
+
+
+def promises_passed_on(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr("millfront.post.carrier.promise", lambda answer: False)
+
+
+def long_ones_copied(patch: pytest.MonkeyPatch) -> None:
+    whole = Carrier._copy
+
+    def copy(self: Carrier, letter: Letter) -> None:
+        if letter.arrival.message.upload is not None and not letter.over and letter.course.out == 1:
+            letter.timer = None
+            self.go(letter)
+        else:
+            whole(self, letter)
+
+    patch.setattr(Carrier, "_copy", copy)
+
+
+def streams_mixed(patch: pytest.MonkeyPatch) -> None:
+    """An answer under way to the client keeps no other from it."""
+    whole = Carrier.book
+
+    def book(self: Carrier, flow: Any, ending: Ending, answer: Message | None) -> None:
+        if ending is Ending.SERVED and flow.opened.streams >= 0:
+            flow.opened.streams = flow.number
+        whole(self, flow, ending, answer)
+
+    patch.setattr(Carrier, "book", book)
+
+
+@pytest.mark.parametrize(
+    ("plant", "case", "found"),
+    [
+        (sent_again, ("kernel", "part"), "sent twice"),
+        (run_again, ("run", "reset"), "sent twice"),
+        (ids_not_compared, ("run", "foreign"), "another's answer"),
+        (always_promised, ("answer", "close"), "a promise that does not hold"),
+        (always_promised, ("client", "stalls midway"), "a promise that does not hold"),
+        (promises_passed_on, ("run", "busy"), "a promise that does not hold"),
+        (long_ones_copied, ("run", "silence"), "changed on its way"),
+    ],
+)
+def test_a_planted_fault_is_found(
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    plant: Callable[[pytest.MonkeyPatch], None],
+    case: tuple[str, str],
+    found: str,
+) -> None:
+    plant(monkeypatch)
+    assert found in played(tmp_path, monkeypatch, 3, [case]).faults()
+
+
+def raced(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> bool:
+    """Of two servers that have one request, the first begins a long answer that reaches the client, then the
+    second answers too: whether the client gets the first's, and the next request its own."""
+
+    async def story() -> bool:
+        begun, over = asyncio.Event(), asyncio.Event()
+        page = bytes(range(256)) * 800
+
+        async def first(head: bytes, writer: asyncio.StreamWriter, _: int) -> None:
+            whole = calls.answer(head, page, more=calls.SEAL)
+            await made.until(lambda: len(made.seen) == 2)
+            writer.write(whole[:-50_000])
+            await over.wait()
+            writer.write(whole[-50_000:])
+
+        async def second(head: bytes, writer: asyncio.StreamWriter, _: int) -> None:
+            await begun.wait()
+            writer.write(calls.answer(head, b"short", more=calls.SEAL))
+
+        made = calls.Stage()
+        async with calls.stage(tmp_path, [first, second, calls.well], made=made):
+            assert await made.put(routes()) == 200
+            carrier = made.service.carrier
+            monkeypatch.setattr(carrier, "purse", lambda _: Pays())
+            carrier.sorting.work["shop"] = 0.004
+            host, _, port = made.plain.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            ask = f"GET /idempotent/x HTTP/1.1\r\nHost: a.example\r\n{calls.KEY}Millfront-Attempt-Id: "
+            writer.write(f"{ask}1\r\n\r\n".encode())
+            async with asyncio.timeout(5):
+                head = await reader.readuntil(b"\r\n\r\n")
+                got = await reader.readexactly(1000)
+                begun.set()
+                seen = carrier.sorting.seen.values()
+                await made.until(lambda: sum(len(server.out) for server in seen) == 1)
+                writer.write(f"{ask}2\r\n\r\n".encode())
+                for _ in range(3):  # another's, so that the second had its time
+                    assert (await made.ask("GET", "/idempotent/b7", more=calls.KEY))[0] == 200
+                over.set()
+                got += await reader.readexactly(len(page) - 1000)
+                if got != page:
+                    return False
+                head = await reader.readuntil(b"\r\n\r\n")
+                return calls.field(head, "Millfront-Attempt-Id") == b"2"
+
+    return asyncio.run(story())
+
+
+def test_a_second_answer_does_not_end_one_under_way(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    assert raced(tmp_path, monkeypatch)
+
+
+def test_answers_that_mix_are_found(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    streams_mixed(monkeypatch)
+    assert not raced(tmp_path, monkeypatch)
--- a/tests/test_post_calls.py
+++ b/tests/test_post_calls.py
@@ -130,8 +130,10 @@
 
 
 @asynccontextmanager
-async def stage(tmp_path: Path, scripts: list[Script], servers: int = 2) -> AsyncIterator[Stage]:
-    made = Stage()
+async def stage(
+    tmp_path: Path, scripts: list[Script], servers: int = 2, made: Stage | None = None
+) -> AsyncIterator[Stage]:
+    made = made or Stage()
     made.scripts = scripts
     for number in range(servers):
         made.instances[f"i-{number}"] = {"target": "shop", "address": await made.serve(number), "zone": "aa",
