An answer under way is not ended by another attempt's

Where the platform does not let attempts be withdrawn (allowed.cancel off), a second attempt that ended well while the first one's answer was going to the client took that for ended, and the connection's next answer would have stood inside of it. The attempt whose answer is under way alone ends the request now, as in the carrier. tests/test_bodies.py has the case and fails on the code before. Seen by reading; no run of the program in service has shown it.

--- a/millfront/node/host.py
+++ b/millfront/node/host.py
@@ -386,7 +386,7 @@
         opened.flows.pop(number, None)
         opened.ran = opened.ran or outcome not in NEVER_RAN
         opened.units = opened.units or units
-        if outcome is api.Outcome.OK and self._finish(opened.id):
+        if outcome is api.Outcome.OK and opened.streams in (-1, number) and self._finish(opened.id):
             opened.caller.served(answer)
         elif opened.streams == number and self._finish(opened.id):
             opened.caller.cut()
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -12,6 +12,7 @@
 from millfront.node import clients
 from millfront.node.bodies import EACH, Upload, Ways
 from millfront.node.endings import Ended, Ending
+from millfront.node.host import Host
 from millfront.node.http import MOST_BODY, MOST_STREAMED
 from millfront.node.stages.send import ServerSideFlow
 from tests.peers import PAST, Peer, answer, read_message, request, says, stage, status
@@ -304,6 +305,16 @@
     broken.passes.assert_not_called()
 
 
+async def test_an_answer_under_way_is_not_ended_by_another_attempt_s() -> None:
+    """Where attempts may not be withdrawn, a second one ends well while the first one's answer goes on."""
+    host, send = MagicMock(), api.Send(1, 1, 0)
+    opened = MagicMock(streams=0, units=0.0)
+    for number, served in ((1, False), (0, True)):
+        Host.flow_ended(host, opened, number, send, api.Outcome.OK, 1, MagicMock())
+        assert opened.caller.served.called is served
+    opened.caller.cut.assert_not_called()
+
+
 async def test_ways_are_taken_in_turn_and_given_back() -> None:
     ways, started = Ways(2), list[int]()
     for number in range(4):
