Control answers count for the call of their own life, round, phase, epoch and member

A clerk's calls name their phase as well, so that a late word on a promise is none on an acceptance, and a read's none on its write-back. A follower's questions and fetches, a recovering keeper's calls and a founder's name this life of the process (with its random part): they named an epoch and a time of a clock that may begin anew, or nothing ("f", "found"), so that an answer to the life before could have moved a lease into the future or begun a disk's life twice; between real processes the connection that a call went out on stood before that. Answers of who is no member are dropped.

--- a/millfront/post/office.py
+++ b/millfront/post/office.py
@@ -89,7 +89,7 @@
         self.neighbours = Neighbours(settings.name, still, seeds, incarnation, seed)
         self.keeper = Keeper(kept, settings.fresh) if kept is not None and still["core"] else None
         self.clerk = Clerk(f"{settings.name}.{incarnation}.{seed:x}")
-        self.follower = Follower(settings.name, LEASE_SHARE * settings.bounds.revoke_within)
+        self.follower = Follower(self.clerk.name, LEASE_SHARE * settings.bounds.revoke_within)
         self.addresses = Addresses()
         self.franking = Franking(settings.bounds, now)
         self.orders: standing.Orders | None = None
@@ -556,12 +556,12 @@
         if kind == "no":
             self._fenced(now, sender, message)
         if kind == "agreed":
-            self.postings.agreed(now, sender)
+            self.postings.agreed(now, sender, message["r"])
         elif kind == "found" and message["r"].startswith(("lives ", "heir ")):
             self.postings.recovered(sender, message["r"], message["v"])
-        elif kind == "found" and message["r"] == "f":
-            self._hold({key: Value.of(value) for key, value in message["v"].items()})
-        elif kind in ("found", "stored", "promised", "accepted") or message.get("r") in self.clerk.rounds:
+        elif kind == "found" and message["r"].startswith("f "):
+            self._hold(self.follower.fetched(sender, message))
+        elif kind in ("found", "stored", "promised", "accepted") or self.clerk.round_of(message.get("r")):
             if (round := self.clerk.take(now, sender, message)) is not None:
                 self._drive(now, round)
         else:
--- a/millfront/post/postmaster/clerk.py
+++ b/millfront/post/postmaster/clerk.py
@@ -58,6 +58,7 @@
     """Writes to and reads from a majority. Each call is a round that ends once, with DONE or FAILED."""
 
     def __init__(self, name: str) -> None:
+        """:param name: of this life of the process: references of calls begin with it"""
         self.name = name
         self.rounds: dict[str, Round] = {}
         self._next = 0
@@ -106,7 +107,7 @@
         if now >= round.until:
             self._turn(round, Phase.FAILED)
             return []
-        message: Message = {"r": round.ref, "e": round.core.epoch}
+        message: Message = {"r": f"{round.ref}/{round.phase.value}", "e": round.core.epoch}
         match round.phase:
             case Phase.READING:
                 message |= {"t": "fetch", "k": round.keys}
@@ -125,9 +126,15 @@
                 out.append((name, message))
         return out
 
+    def round_of(self, ref: Any) -> Round | None:
+        """The open round that a call's reference is of, if it still is in the phase that the call was for."""
+        name, _, phase = str(ref).rpartition("/")
+        round = self.rounds.get(name)
+        return round if round is not None and round.phase.value == phase else None
+
     def take(self, now: float, sender: str, message: Message) -> Round | None:
         """A keeper's answer; the round it belongs to, which may have turned."""
-        round = self.rounds.get(message.get("r", ""))
+        round = self.round_of(message.get("r"))
         if round is None or sender not in round.core.all:
             return None
         kind = message["t"]
--- a/millfront/post/postmaster/postings.py
+++ b/millfront/post/postmaster/postings.py
@@ -251,10 +251,9 @@
                 return
             for name, address in core.all.items():
                 if name != office.name and office.beats % 3 == 0:
-                    message: Message = {"t": "fetch", "r": f"lives {core.epoch}"}
+                    message: Message = {"t": "fetch", "r": self._ref(core)}
                     if self._life:
-                        ref = f"heir {core.epoch} {self._life}"
-                        message = {"t": "recover", "r": ref, "n": office.name, "l": self._life}
+                        message = {"t": "recover", "r": self._ref(core), "n": office.name, "l": self._life}
                     office.to_keeper(now, name, address, message | {"e": core.epoch})
 
     def _found(self, now: float) -> None:
@@ -286,13 +285,13 @@
         founding.sent = now
         for name, address in founding.members.items():
             if name not in founding.agreed:
-                message = {"t": "found?", "r": "found", "v": founding.core.wire()}
+                message = {"t": "found?", "r": f"found {office.clerk.name}", "v": founding.core.wire()}
                 office.to_keeper(now, name, address, message)
 
-    def agreed(self, now: float, sender: str) -> None:
+    def agreed(self, now: float, sender: str, ref: str) -> None:
         """A process agrees to the core that this one founds."""
         founding, office = self.founding, self.office
-        if founding is None:
+        if founding is None or ref != f"found {office.clerk.name}":
             return
         founding.agreed.add(sender)
         if founding.agreed >= set(founding.members) and office.follower.core is None:
@@ -304,6 +303,10 @@
         if round.phase is Phase.DONE:
             self._spread(round.values[CORE])
 
+    def _ref(self, core: Core) -> str:
+        """Of a recovering keeper's calls: of this core, this step and this life of the process alone."""
+        return f"{'heir' if self._life else 'lives'} {core.epoch} {self._life} {self.office.clerk.name}"
+
     def recovered(self, sender: str, ref: str, wire: dict[str, Any]) -> None:
         """A voting keeper has told a recovering one all that it has: first to learn which lives there were,
         then, with the new one made known, to take all over."""
@@ -311,7 +314,7 @@
         keeper, core = office.keeper, office.follower.core
         if keeper is None or core is None or keeper.state is not Voting.RECOVERING:
             return
-        if ref != (f"heir {core.epoch} {self._life}" if self._life else f"lives {core.epoch}"):
+        if ref != self._ref(core) or sender not in core.all:
             return
         self._recovering[sender] = {key: Value.of(value) for key, value in wire.items()}
         if not core.covers(self._recovering):
--- a/millfront/post/postmaster/rounds.py
+++ b/millfront/post/postmaster/rounds.py
@@ -40,6 +40,7 @@
     """Holds the newest values known here, and how sure that is."""
 
     def __init__(self, name: str, lease_s: float) -> None:
+        """:param name: of this life of the process: no other's answers are taken"""
         self.name = name
         self.lease_s = lease_s
         self.values: dict[str, Value] = {}
@@ -57,6 +58,7 @@
             self.values[key] = found[key]
             self._fetching.pop(key, None)
         if CORE in changed:
+            self._fetching.clear()  # an answer that was meant for the core before is dropped
             self._floor = self.lease_until()  # nothing newer was acknowledged by then, whoever keeps it since
             self.core = Core.of(self.values[CORE])
             self.keepers = {name: Confirmed() for name in self.core.all}  # what counted there doesn't here
@@ -101,7 +103,7 @@
             said = self.keepers[name]
             if now - said.out >= ASK_S * 0.95 or now - said.failed < 0.2:
                 said.out = said.waiting = now
-                out.append((name, {"t": "ask", "r": f"{core.epoch} {now!r}", "e": core.epoch}))
+                out.append((name, {"t": "ask", "r": f"{core.epoch} {now!r} {self.name}", "e": core.epoch}))
         return out
 
     def take(self, now: float, sender: str, message: Message) -> list[tuple[str, Message]]:
@@ -112,15 +114,25 @@
         if message["t"] == "news":
             said.news = message["n"]
             return [(sender, {"t": "had", "n": message["n"]}), *self._lacking(now, sender, message["s"])]
+        epoch, asked, life, *_ = [*str(message["r"]).split(" ", 2), "", ""]
+        if life != self.name or self.core is None or epoch != str(self.core.epoch):
+            return []
         said.waiting = 0.0
-        epoch, _, asked = str(message["r"]).partition(" ")
-        if message["t"] != "newest" or self.core is None or epoch != str(self.core.epoch):
+        if message["t"] != "newest":
             return []
         said.failed = -1e9
         said.stamps, said.as_of = message["s"], float(asked)
         self._confirm(said)
         return self._lacking(now, sender, message["s"])
 
+    def fetched(self, sender: str, message: Message) -> dict[str, Value]:
+        """What a keeper of the core was asked for; nothing of an answer to a call for another one, or of
+        another life of this process."""
+        core = self.core
+        if core is None or sender not in core.all or message["r"] != f"f {core.epoch} {self.name}":
+            return {}
+        return {key: Value.of(value) for key, value in message["v"].items()}
+
     def _confirm(self, said: Confirmed) -> None:
         if said.stamps is not None and not self._newer(said.stamps):
             said.asked = max(said.asked, said.as_of)
@@ -139,4 +151,5 @@
             return []
         for key in keys:
             self._fetching[key] = now
-        return [(sender, {"t": "fetch", "r": "f", "e": self.core.epoch, "k": keys})]
+        ref = f"f {self.core.epoch} {self.name}"
+        return [(sender, {"t": "fetch", "r": ref, "e": self.core.epoch, "k": keys})]
