Recovery of a lost disk is a module of its own, with its stages named

It stood in postings.py between the founding and the changes of the core, with its state in two fields. recovery.py has the stages (learning lives, the new life made known, syncing) with one function of change; postings.py and office.py call it.

--- a/millfront/post/office.py
+++ b/millfront/post/office.py
@@ -19,7 +19,8 @@
 from millfront.post.postmaster import snapshot
 from millfront.post.postmaster.clerk import Clerk, Phase, Round
 from millfront.post.postmaster.keeper import Keeper, Persist
-from millfront.post.postmaster.postings import SELF, Postings
+from millfront.post.postmaster.postings import Postings
+from millfront.post.postmaster.recovery import SELF
 from millfront.post.postmaster.restante import Restante
 from millfront.post.postmaster.rounds import LEASE_SHARE, Follower
 from millfront.post.postmaster.values import CORE, FOUNDED, OWN, Core, Value
@@ -500,7 +501,7 @@
         if kind == "agreed":
             self.postings.agreed(now, sender)
         elif kind == "found" and message["r"].startswith(("lives ", "heir ")):
-            self.postings.recovered(sender, message["r"], message["v"])
+            self.postings.recovery.take(sender, message)
         elif kind == "found" and message["r"] == "f":
             self._hold({key: Value.of(value) for key, value in message["v"].items()})
         elif kind in ("found", "stored", "promised", "accepted") or message.get("r") in self.clerk.rounds:
--- a/millfront/post/postmaster/postings.py
+++ b/millfront/post/postmaster/postings.py
@@ -10,8 +10,7 @@
 whoever finds the one may bring about the other. Between them all that is held is read from, and written back
 to, majorities of both. The derivation is in docs/design/registered-mail.md.
 
-A keeper that lost its disk *recovers*: it learns from others which of its lives there were, makes a new one
-known, and takes over what they hold. Times are seconds on the caller's clock.
+A keeper that lost its disk *recovers* (recovery.py). Times are seconds on the caller's clock.
 """
 
 from collections.abc import Callable
@@ -22,8 +21,9 @@
 from millfront.post.neighbours import Neighbours, Standing, holders
 from millfront.post.postmaster.clerk import Clerk, Phase, Round
 from millfront.post.postmaster.keeper import Keeper, Persist, Voting
+from millfront.post.postmaster.recovery import SELF, Recovery
 from millfront.post.postmaster.rounds import Follower
-from millfront.post.postmaster.values import CORE, FOUNDED, LIFE, Core, Value
+from millfront.post.postmaster.values import CORE, FOUNDED, Core, Value
 
 SETTLED_S = 1.2  # the roster unchanged for so long, the core is founded
 FOUNDING_S = 1.6  # the least time from the start: all start together, each in its own time
@@ -33,7 +33,6 @@
 RELIEVED_S = 120.0  # a member that was not heard of for so long is lost for good
 BETWEEN_S = 3.0  # two tries of a change
 DECIDE_S, CARRY_S = 3.0, 6.0
-SELF = "self"
 Message = dict[str, Any]
 
 
@@ -114,8 +113,7 @@
         self._missed: dict[str, float] = {}  # members, and since when they are not
         self._roster: frozenset[str] = frozenset()
         self._roster_since = office.born
-        self._recovering: dict[str, dict[str, Value]] = {}
-        self._life = 0  # of a keeper that recovers: the new one, once others have told of those before
+        self.recovery = Recovery(office)
 
     def beat(self, now: float) -> None:
         """Every beat of the office."""
@@ -142,7 +140,7 @@
     def core_changed(self) -> None:
         """Another core is in force here: what was gathered for the one before is not for this one."""
         self.founding = None
-        self._recovering, self._life = {}, 0
+        self.recovery.core_changed()
 
     # ---- changes -----------------------------------------------------------------------------------
 
@@ -249,13 +247,7 @@
                 value = office.follower.values[CORE]
                 office.doors.persist(Persist({CORE: value}, (SELF, {"t": "stored", "r": ""})))
                 return
-            for name, address in core.all.items():
-                if name != office.name and office.beats % 3 == 0:
-                    message: Message = {"t": "fetch", "r": f"lives {core.epoch}"}
-                    if self._life:
-                        ref = f"heir {core.epoch} {self._life}"
-                        message = {"t": "recover", "r": ref, "n": office.name, "l": self._life}
-                    office.to_keeper(now, name, address, message | {"e": core.epoch})
+            self.recovery.beat(now, core)
 
     def _found(self, now: float) -> None:
         office = self.office
@@ -303,28 +295,3 @@
     def _founded(self, round: Round) -> None:
         if round.phase is Phase.DONE:
             self._spread(round.values[CORE])
-
-    def recovered(self, sender: str, ref: str, wire: dict[str, Any]) -> None:
-        """A voting keeper has told a recovering one all that it has: first to learn which lives there were,
-        then, with the new one made known, to take all over."""
-        office = self.office
-        keeper, core = office.keeper, office.follower.core
-        if keeper is None or core is None or keeper.state is not Voting.RECOVERING:
-            return
-        if ref != (f"heir {core.epoch} {self._life}" if self._life else f"lives {core.epoch}"):
-            return
-        self._recovering[sender] = {key: Value.of(value) for key, value in wire.items()}
-        if not core.covers(self._recovering):
-            return
-        best: dict[str, Value] = {}
-        for values in self._recovering.values():
-            for key, value in values.items():
-                if key not in best or value > best[key]:
-                    best[key] = value
-        self._recovering = {}
-        if not self._life:
-            before = best.get(LIFE + office.name)
-            self._life = (before.version if before else 0) + 1
-            return
-        office.note("registry", f"recovers {len(best)} values", life=self._life)
-        office.doors.persist(Persist(best, (SELF, {"t": "recovered", "r": ""})))
