The registry's disk packs long values, and its map is derived from them

Cause: a value lay on the disk as one JSON list, its text escaped and unpacked, and each store read the whole of the one before; lmdb needs room for three to four versions of the longest value.

Change: format 2 has the stamp, then the text, packed from 4,096 characters on; a store reads stamps only; format 1 is still read. A full map is refused by its name, and nothing kept is lost. A line holds 16 MB unpacked (a document of 12 MB), one message to many is packed once, and a line that is too long says so.

A text that doesn't pack at all fits up to 5 MB.

--- a/millfront/post/disk.py
+++ b/millfront/post/disk.py
@@ -1,18 +1,24 @@
 """The registry's disk: one lmdb environment, synced before anything is acknowledged. Thin I/O.
 
-Layout: key ``format`` holds the format's number; each other key a value as JSON. What can't be read is set
-aside, never deleted, and the keeper recovers from the others.
+Layout: key ``format`` holds the format's number; each other key a value: its stamp as JSON, a line's end,
+``t`` and the text or ``z`` and the text packed (zlib), in UTF-8. Format 1 had a value as one JSON list, which
+is still read. What can't be read is set aside, never deleted, and the keeper recovers from the others.
+
+The map: lmdb writes a changed value beside the old one and uses the old one's pages again two syncs later, so
+three versions of the longest value must fit (docs/design/catching-up.md).
 """
 
 import json
 import os
+import zlib
 from pathlib import Path
 
 import lmdb
 
 from millfront.post.postmaster.values import Value
 
-FORMAT = 1
+FORMAT = 2
+PACKED_FROM = 4096  # characters
 MAP_BYTES = 24 * 1024 * 1024
 FOLDER = "registry"
 
@@ -35,7 +41,7 @@
         if self.folder.exists():
             try:
                 return self._read(), ""
-            except (lmdb.Error, ValueError, OSError) as wrong:
+            except (lmdb.Error, ValueError, OSError, zlib.error) as wrong:
                 why = f"{wrong}"
                 self._set_aside()
         try:
@@ -68,7 +74,7 @@
                 raise ValueError(f"format {int(bytes(told))} is newer than {FORMAT}")
             for key, value in reading.cursor():
                 if bytes(key) != b"format":
-                    found[bytes(key).decode()] = Value.of(json.loads(bytes(value)))
+                    found[bytes(key).decode()] = _value(bytes(value))
         return found
 
     def _set_aside(self) -> None:
@@ -88,7 +94,30 @@
                 writing.put(b"format", b"%d" % FORMAT)
                 for key, value in values.items():
                     held = writing.get(key.encode())
-                    if held is None or Value.of(json.loads(bytes(held))) < value:
-                        writing.put(key.encode(), json.dumps(value.wire()).encode())
+                    if held is None or _stamp(bytes(held)) < (value.version, value.tie):
+                        writing.put(key.encode(), _packed(value))
+        except lmdb.MapFullError:
+            raise DiskFault(f"the map of {MAP_BYTES} bytes is full: nothing was changed") from None
         except (lmdb.Error, OSError, ValueError) as wrong:
             raise DiskFault(str(wrong)) from None
+
+
+def _packed(value: Value) -> bytes:
+    data, mark = value.data.encode(), b"t"
+    if len(value.data) >= PACKED_FROM:
+        data, mark = zlib.compress(data, 1), b"z"
+    return json.dumps(value.stamp).encode() + b"\n" + mark + data
+
+
+def _value(kept: bytes) -> Value:
+    """:raises ValueError, zlib.error: it can't be read"""
+    head, end, data = kept.partition(b"\n")
+    if not end:
+        return Value.of(json.loads(kept))  # format 1
+    text = zlib.decompress(data[1:]) if data[:1] == b"z" else data[1:]
+    return Value.of([*json.loads(head), text.decode()])
+
+
+def _stamp(kept: bytes) -> tuple[int, str]:
+    told = json.loads(kept.partition(b"\n")[0])
+    return told[0], told[1]
--- a/millfront/post/wire.py
+++ b/millfront/post/wire.py
@@ -1,6 +1,7 @@
 """Between the system's own processes: JSON lines on held connections, and JSON datagrams. Thin I/O.
 
 A long line is packed: ``{"z": base64 of zlib}``. What can't be read is dropped, and its connection with it.
+Sizes are derived in docs/design/catching-up.md.
 """
 
 import asyncio
@@ -14,7 +15,8 @@
 from loguru import logger
 
 PACKED_FROM = 600
-MOST_LINE = 8 * 1024 * 1024
+MOST_LINE = 16 * 1024 * 1024  # unpacked: a document of 12 MB in a JSON string
+MOST_BUFFERED = 8 * 1024 * 1024  # packed, for one peer that takes nothing
 MOST_WAITING = 256  # messages for a connection that is coming up
 DIAL_S = 0.9
 SILENT_MS = 2000  # a peer that takes nothing for so long is given up: a cut link says nothing
@@ -27,6 +29,8 @@
 
 def encoded(message: Message) -> bytes:
     data = json.dumps(message, separators=(",", ":")).encode()
+    if len(data) > MOST_LINE:
+        logger.warning("wire: a message of {} bytes is longer than any peer reads", len(data))
     if len(data) >= PACKED_FROM:
         data = b'{"z":"%s"}' % base64.b64encode(zlib.compress(data, 6))
     return data
@@ -38,7 +42,10 @@
         message = json.loads(data)
         if isinstance(message, dict) and "z" in message:
             unpacking = zlib.decompressobj()
-            message = json.loads(unpacking.decompress(base64.b64decode(message["z"]), MOST_LINE))
+            data = unpacking.decompress(base64.b64decode(message["z"]), MOST_LINE)
+            if unpacking.unconsumed_tail:
+                raise WireFault(f"a line of more than {MOST_LINE} bytes")
+            message = json.loads(data)
         if isinstance(message, dict) and isinstance(message.get("t"), str):
             return message
     except (ValueError, TypeError, zlib.error) as wrong:
@@ -69,9 +76,9 @@
             self.waiting.clear()
 
     def send(self, message: Message) -> None:
-        data = encoded(message) + b"\n"
+        data = self.wire.packed(message) + b"\n"
         if self.transport is not None:
-            if not self.closed and self.transport.get_write_buffer_size() < MOST_LINE:
+            if not self.closed and self.transport.get_write_buffer_size() < MOST_BUFFERED:
                 self.transport.write(data)
         elif len(self.waiting) < MOST_WAITING:
             self.waiting.append(data)
@@ -143,10 +150,14 @@
 
     def datagram(self, address: str, message: Message) -> None:
         if self._datagrams is not None:
-            if message is not self._last[0]:  # one letter goes to many, one after the other
-                self._last = (message, encoded(message))
             host, _, port = address.rpartition(":")
-            self._datagrams.sendto(self._last[1], (host, int(port)))
+            self._datagrams.sendto(self.packed(message), (host, int(port)))
+
+    def packed(self, message: Message) -> bytes:
+        """One message goes to many, one after the other: it is packed once."""
+        if message is not self._last[0]:
+            self._last = (message, encoded(message))
+        return self._last[1]
 
     def line(self, address: str, message: Message) -> None:
         """On the held connection to that address, set up where there is none."""
