Members catch up by differences and pieces, and neither vote nor lead before

Cause: a keeper that recovers, and each follower, was sent whole texts in one message, whatever their size; a member that was away while the document changed got it on its disk only with the next change; the duty of the core's changes went to whoever was up, whether its keeper voted and had the newest or not.

A fetch says which versions are held. A recovering keeper learns lives and stamps, its process fetches, and only what is whole by its digest is synced (recovery.py). A voting keeper syncs what its process has learnt after 1 s. A card's flag says that a keeper votes, has a lease and lacks nothing; only such hold the core's duty. What poste restante hands over is short values and stamps of long ones, which are asked for. Who doesn't say what it holds (an office of the version before) is answered whole.

--- a/millfront/post/neighbours.py
+++ b/millfront/post/neighbours.py
@@ -27,7 +27,7 @@
 CARRIERS = 2  # of a region that tell another one: one may be gone without being missed yet
 RELAYS = 2  # of another region that get a single card and pass it on there
 CARRIED = 9  # a larger region is not carried whole by a few: each process sends its own card to relays
-READY, LEAVING, PART = 1, 2, 4  # flags of a card
+READY, LEAVING, PART, KEEPS = 1, 2, 4, 8  # flags of a card
 SHUFFLE_TICKS = 5
 
 Message = dict[str, Any]
@@ -51,6 +51,7 @@
     number: int = 0
     ready: bool = False
     leaving: bool = False
+    keeps: bool = False  # its keeper votes and has caught up
     version: int = 0  # of the configuration in force there
     totals: dict[str, list[float]] = field(default_factory=dict)
     age: float = 0.0  # seconds that its process had run when it was written
@@ -67,6 +68,7 @@
     def wire(self, moved: dict[str, list[float]] | None = None) -> list[Any]:
         """:param moved: of its totals these alone"""
         flags = READY * self.ready | LEAVING * self.leaving | PART * (self.part or moved is not None)
+        flags |= KEEPS * self.keeps
         totals, age = self.totals if moved is None else moved, round(self.age, 3)
         return [self.name, self.incarnation, self.number, flags, age, totals, self.version]
 
@@ -337,7 +339,7 @@
         if incarnation != card.incarnation:
             card.told, card.part, card.totals = -1, True, {}
         card.incarnation, card.number, card.age = incarnation, number, age
-        card.ready, card.leaving = bool(flags & READY), bool(flags & LEAVING)
+        card.ready, card.leaving, card.keeps = bool(flags & READY), bool(flags & LEAVING), bool(flags & KEEPS)
         card.part = card.part and bool(flags & PART)
         card.totals = card.totals | totals if flags & PART else totals
         card.version = more[0] if more else 0
--- a/millfront/post/office.py
+++ b/millfront/post/office.py
@@ -22,12 +22,13 @@
 from millfront.post.postmaster.postings import Postings
 from millfront.post.postmaster.recovery import SELF
 from millfront.post.postmaster.restante import Restante
-from millfront.post.postmaster.rounds import LEASE_SHARE, Follower
+from millfront.post.postmaster.rounds import FETCHED, LEASE_SHARE, Follower
 from millfront.post.postmaster.values import CORE, FOUNDED, OWN, Core, Value
 from millfront.post.settings import Settings
 
 CONFIG = "config"
 EVACUATION = "evacuation/"
+REST = "rest"  # the reference of what a neighbour that is back asks for
 READ_S, WRITE_S = 2.0, 4.0
 FOLLOWERS_S = 4.0  # a line on which nobody asked for so long is pushed nothing
 FRESH_S = 1.7  # a card of the own region is due each second: clients are told of nobody whose card is later
@@ -397,7 +398,7 @@
             names = [card.name for card in plain or near or others]
             if not values or holders(f"rest {name}", names) != [self.name]:
                 continue
-            self.doors.line(still["post"], {"t": "rest", "v": {k: v.wire() for k, v in values.items()}})
+            self.doors.line(still["post"], self.follower.rest(values))
             if self.addresses.known():
                 self.doors.line(still["post"], self.addresses.whole(self.now))
 
@@ -476,7 +477,13 @@
         """Something came on a held connection; answers go back on it."""
         self.now = now
         match message["t"]:
-            case "store" | "fetch" | "ask" | "found?" | "recover" | "promise?" | "accept?":
+            case "fetch" | "piece?" if message["r"] == REST:
+                self.doors.back(via, self.follower.handed(message) | {"r": REST})
+            case "found" | "piece" if message["r"] == REST:
+                values, further = self.follower.found(now, "", message)
+                self._hold(values)
+                self._ask_neighbour(via, further)
+            case "store" | "fetch" | "piece?" | "ask" | "found?" | "recover" | "promise?" | "accept?":
                 self._keep(now, via, message)
             case "had" if message["n"] == self.pushed:
                 self.had.add(via)
@@ -488,6 +495,7 @@
                     self._stand(now)
             case "rest":
                 self._hold({key: Value.of(value) for key, value in message["v"].items()})
+                self._ask_neighbour(via, self.follower.lacking(now, message))
             case "list?":
                 if self.addresses.known():
                     self.doors.back(via, self.addresses.whole(now))
@@ -501,16 +509,25 @@
         if kind == "agreed":
             self.postings.agreed(now, sender)
         elif kind == "found" and message["r"].startswith(("lives ", "heir ")):
-            self.postings.recovery.take(sender, message)
-        elif kind == "found" and message["r"] == "f":
-            self._hold({key: Value.of(value) for key, value in message["v"].items()})
+            self.postings.recovery.take(now, sender, message)
+        elif kind in ("found", "piece") and message["r"] == FETCHED:
+            values, further = self.follower.found(now, sender, message)
+            self._hold(values)
+            self._ask_keepers(now, further)
         elif kind in ("found", "stored", "promised", "accepted") or message.get("r") in self.clerk.rounds:
             if (round := self.clerk.take(now, sender, message)) is not None:
                 self._drive(now, round)
         else:
-            for name, out in self.follower.take(now, sender, message):
-                if self.follower.core is not None:
-                    self.to_keeper(now, name, self.follower.core.all[name], out)
+            self._ask_keepers(now, self.follower.take(now, sender, message))
+
+    def _ask_neighbour(self, via: Any, asked: list[tuple[str, Message]]) -> None:
+        for _, out in asked:
+            self.doors.back(via, out | {"r": REST})
+
+    def _ask_keepers(self, now: float, asked: list[tuple[str, Message]]) -> None:
+        for name, out in asked:
+            if self.follower.core is not None and name in self.follower.core.all:
+                self.to_keeper(now, name, self.follower.core.all[name], out)
 
     def _fenced(self, now: float, sender: str, message: Message) -> None:
         """A keeper is of another core than the call was for: one of the two has missed a change."""
--- /dev/null
+++ b/millfront/post/postmaster/differences.py
@@ -0,0 +1,147 @@
+"""Differences (delta encoding) between two versions of a text. No I/O, no clock.
+
+A difference is a list of steps: ``[start, length]`` copies characters of the earlier text, a string stands
+for itself. Both texts are walked side by side; where they part, the walk goes on at the next end of an entry
+(``},`` or a line's end) of the later text whose continuation the earlier one has near. So a changed, added or
+removed entry costs little more than itself, and of what is equal nothing is copied or kept. The later text
+comes back character for character, or a fault: who applies a difference checks the digest of what came out.
+"""
+
+import re
+from typing import Any
+
+from result import Err, Ok, Result
+
+from millfront.post.orders import digest_of
+
+Steps = list[Any]
+END = re.compile(r"\},|\n")
+ANCHOR = 96  # characters that must be equal for the walk to go on there: an entry's begin with its name
+WINDOWS = (4096, 65536)  # how far is looked for it: a few entries, then a few hundred
+TRIED = 64  # ends of entries in a window
+LEAST = 24  # characters: a shorter copy costs as much as the text
+
+
+class DifferenceFault(Exception):
+    """A difference that does not fit the text, or does not give what it should."""
+
+
+def difference(old: str, new: str, most: int) -> Steps | None:
+    """The steps from `old` to `new`; None: it would take more than `most` characters on a line.
+
+    >>> old = "".join(f'{{"route": {n}, "target": "somewhere"}},' for n in range(100))
+    >>> difference(old, old.replace('"route": 50,', '"route": 50, "public": true,'), 1000)
+    [[0, 1855], 'public": true, "target": "somewhere"},', [1877, 1813]]
+    >>> difference("", "new", 20), difference("old", "old", 20), difference("old", "n" * 20, 20)
+    (['new'], [[0, 3]], None)
+    """
+    steps: Steps = []
+    i = j = taken = 0
+    while j < len(new):
+        same = _same(old, i, new, j)
+        if same:
+            steps.append([i, same])
+            i, j = i + same, j + same
+        if j == len(new):
+            break
+        to_i, to_j = _meet(old, i, new, j)
+        steps.append(new[j:to_j])
+        taken += to_j - j
+        if taken > most:
+            return None
+        i, j = to_i, to_j
+    made = _joined(steps, old)
+    return made if size(made) <= most else None
+
+
+def applied(old: str, steps: Steps, most: int) -> Result[str, DifferenceFault]:
+    """:param most: characters that may come out
+
+    >>> applied("one two", [[0, 4], "three"], 100).unwrap()
+    'one three'
+    >>> str(applied("one", [[2, 5]], 100).unwrap_err()), str(applied("one", [None], 100).unwrap_err())
+    ('the step [2, 5] does not fit a text of 3', 'the step None does not fit a text of 3')
+    """
+    parts, came = [], 0
+    for step in steps:
+        match step:
+            case str():
+                part = step
+            case [int() as start, int() as length] if start >= 0 and 0 <= length <= len(old) - start:
+                part = old[start : start + length]
+            case _:
+                return Err(DifferenceFault(f"the step {str(step)[:40]} does not fit a text of {len(old)}"))
+        came += len(part)
+        if came > most:
+            return Err(DifferenceFault(f"more than {most} characters come out"))
+        parts.append(part)
+    return Ok("".join(parts))
+
+
+def followed(old: str, chain: list[Steps], length: int, digest: str) -> Result[str, DifferenceFault]:
+    """One difference after the other; what comes out has this length and this digest.
+
+    >>> followed("a", [["b"], [[0, 1], "c"]], 2, digest_of("bc")).unwrap()
+    'bc'
+    >>> str(followed("a", [["b"]], 1, digest_of("c")).unwrap_err())
+    'the digest is not that of the text that was meant'
+    """
+    text = old
+    for steps in chain:
+        match applied(text, steps, 2 * max(length, len(old)) + 4096):
+            case Ok(made):
+                text = made
+            case Err(fault):
+                return Err(fault)
+    if len(text) != length or digest_of(text) != digest:
+        return Err(DifferenceFault("the digest is not that of the text that was meant"))
+    return Ok(text)
+
+
+def size(steps: Steps) -> int:
+    """Characters that it takes on a line, about.
+
+    >>> size([[0, 4], "three"])
+    29
+    """
+    return sum(len(step) + 8 if isinstance(step, str) else 16 for step in steps)
+
+
+def _same(old: str, i: int, new: str, j: int) -> int:
+    """How many characters from there on are equal: looked at in parts that double, then halve."""
+    same, part = 0, 64
+    while (one := old[i + same : i + same + part]) and one == new[j + same : j + same + part]:
+        same += len(one)
+        part = min(2 * part, 65536)
+    while part:
+        if (one := old[i + same : i + same + part]) and one == new[j + same : j + same + part]:
+            same += len(one)
+        part //= 2
+    return same
+
+
+def _meet(old: str, i: int, new: str, j: int) -> tuple[int, int]:
+    """Where both go on alike; else behind the largest window of both."""
+    for window in WINDOWS:
+        for tried, end in enumerate(END.finditer(new, j, j + window)):
+            if tried >= TRIED:
+                break
+            at = old.find(new[end.end() : end.end() + ANCHOR], i, i + window + ANCHOR)
+            if at >= 0:
+                return at, end.end()
+    return min(i + window, len(old)), min(j + window, len(new))
+
+
+def _joined(steps: Steps, old: str) -> Steps:
+    """Copies that are shorter than their own step become text; texts side by side become one."""
+    made: Steps = []
+    for step in steps:
+        if (isinstance(step, list) and step[1] >= LEAST) or (not made and len(steps) == 1):
+            made.append(step)
+            continue
+        text = step if isinstance(step, str) else old[step[0] : step[0] + step[1]]
+        if made and isinstance(made[-1], str):
+            made[-1] += text
+        else:
+            made.append(text)
+    return made
--- a/millfront/post/postmaster/keeper.py
+++ b/millfront/post/postmaster/keeper.py
@@ -13,6 +13,7 @@
 from enum import Enum
 from typing import Any
 
+from millfront.post.postmaster.pieces import Archive
 from millfront.post.postmaster.values import (
     ACCEPTED,
     BALLOTS,
@@ -50,6 +51,7 @@
     def __init__(self, kept: dict[str, Value], fresh: bool) -> None:
         """:param kept: what the disk has; nothing, and not fresh: the disk was lost"""
         self.values = dict(kept)
+        self.archive = Archive()  # of long texts: differences from earlier ones, and pieces
         held = kept.get(CORE)
         founded = held is not None and held.version >= FOUNDED
         begun = held is not None or fresh  # a founding that was cut off goes on
@@ -87,12 +89,14 @@
             case "store":
                 return self._store(back, ref, message["v"], epoch)
             case "recover":
-                return self._heir(back, ref, message["n"], message["l"])
+                return self._heir(back, ref, message["n"], message["l"], message.get("h"))
             case "promise?" | "accept?":
                 return self._ballot(back, ref, epoch, message)
             case "fetch":
-                keys = message.get("k")
-                return [(back, self._told(ref, keys))], []
+                return [(back, self._told(ref, message.get("k"), message.get("h")))], []
+            case "piece?" if (value := self.values.get(message["k"])) is not None:
+                piece = self.archive.piece(message["k"], value, message["s"], message["o"])
+                return [(back, {"t": "piece", "r": ref} | piece)], []
             case "ask":
                 return [(back, {"t": "newest", "r": ref, "s": self.stamps()})], []
         return [(back, self._no(ref))], []
@@ -126,18 +130,27 @@
             return [], [Persist({PROMISED: mine, ACCEPTED: taken}, (back, {"t": "accepted", "r": ref}))]
         return [], [Persist({PROMISED: mine}, (back, {"t": "promised", "r": ref}))]
 
-    def _told(self, ref: Any, keys: list[str] | None = None) -> Message:
-        found = {k: v.wire() for k, v in self.values.items() if keys is None or k in keys}
-        return {"t": "found", "r": ref, "v": found, "l": self.lives()}
+    def _told(
+        self, ref: Any, keys: list[str] | None, held: dict[str, Any] | None, stamps_only: bool = False
+    ) -> Message:
+        """:param held: stamps of what the other end holds of them: long texts go by differences from there,
+        or by pieces; None: all go whole
+        """
+        values = {k: v for k, v in self.values.items() if keys is None or k in keys}
+        answer: Message = {"t": "found", "r": ref, "l": self.lives()}
+        if held is None:
+            return answer | {"v": {key: value.wire() for key, value in values.items()}}
+        found, offers = self.archive.parted(values, held, stamps_only)
+        return answer | {"v": found, "d": offers}
 
     def _heir(
-        self, back: Any, ref: Any, name: str, life: int
+        self, back: Any, ref: Any, name: str, life: int, held: dict[str, Any] | None
     ) -> tuple[list[tuple[Any, Message]], list[Persist]]:
         """A keeper begins a new life: whoever asks here from now on learns that what it answered in an
         earlier one is worth nothing; then it is told all that is held here."""
         if self.lives().get(name, 0) >= life:
-            return [(back, self._told(ref))], []
-        return [], [Persist({LIFE + name: Value(life, "", "")}, (back, {"t": "heir", "r": ref}))]
+            return [(back, self._told(ref, None, held, True))], []
+        return [], [Persist({LIFE + name: Value(life, "", "")}, (back, {"t": "heir", "r": ref, "h": held}))]
 
     def _store(
         self, back: Any, ref: Any, wire: dict[str, Any], epoch: int = 0
@@ -159,7 +172,7 @@
         if self.state is Voting.NEW and held is not None and held.version >= FOUNDED:
             self.become(Voting.VOTING)
         if answer["t"] == "heir":
-            return [(back, self._told(answer["r"]))]
+            return [(back, self._told(answer["r"], None, answer["h"], True))]
         if answer["t"] in ("promised", "accepted"):
             if not self._still(persist.values[PROMISED]):
                 return [(back, {"t": "no", "r": answer["r"]})]
@@ -188,5 +201,8 @@
 
     def _keep(self, values: dict[str, Value]) -> None:
         for key, value in values.items():
-            if key not in self.values or value > self.values[key]:
+            held = self.values.get(key)
+            if held is None or value > held:
                 self.values[key] = value
+                if held is not None:
+                    self.archive.replaced(key, held, value)
--- a/millfront/post/postmaster/postings.py
+++ b/millfront/post/postmaster/postings.py
@@ -118,8 +118,11 @@
     def beat(self, now: float) -> None:
         """Every beat of the office."""
         keeper = self.office.keeper
-        if keeper is not None and not keeper.votes:
+        if keeper is not None and keeper.votes:
+            self.recovery.keep_up()
+        elif keeper is not None:
             self._grow_up(now, keeper)
+        self.office.neighbours.me.keeps = self.recovery.caught_up(now)
 
     def tick(self, now: float) -> None:
         """Every tick of the office: look at who there is; change the core where that is this one's duty."""
@@ -164,8 +167,10 @@
         }
 
     def holder(self, core: Core) -> str:
-        """Whose duty the core's changes are: cut by key over the members that are up."""
-        return "".join(holders("core", [name for name in core.all if name in self._known]))
+        """Whose duty the core's changes are: cut by key over the members that are up and say that their
+        keepers have caught up; nobody's where there is none."""
+        keep = {card.name for card in self.office.neighbours.live() if card.keeps}
+        return "".join(holders("core", [name for name in core.all if name in self._known and name in keep]))
 
     def _due(self, now: float, core: Core) -> bool:
         mine = self.holder(core) == self.office.name
--- a/millfront/post/postmaster/recovery.py
+++ b/millfront/post/postmaster/recovery.py
@@ -1,18 +1,27 @@
-"""Recovery: how a keeper that lost its disk comes to vote again. No I/O, no clock.
+"""Recovery: how a keeper that lost its disk comes to vote again, and how one that was away catches up.
+No I/O, no clock.
 
-It learns from R others which of its lives there were, makes a new one known to R others, and takes over what
-these held when they learnt of it. Why that is enough: docs/design/system.md, "Lives". Times are seconds.
+A *recovering* keeper learns from R others which of its lives there were, makes a new one known to R others,
+and takes over what these held when they learnt of it, or newer. These tell short values whole and long ones
+by their stamps; the long ones come as to any follower, by differences or pieces, and each is whole by its
+digest before anything is synced. Until then the keeper answers nobody and holds no duty. A keeper that votes
+and was away lacks what was written meanwhile: it syncs what its process, which follows, has learnt.
+
+Proofs: docs/design/system.md, "Lives", and docs/design/catching-up.md. Times are seconds.
 """
 
 from enum import Enum
 from typing import Any, Protocol
 
 from millfront.post.postmaster.keeper import Keeper, Persist, Voting
+from millfront.post.postmaster.pieces import Offer, Stamp
 from millfront.post.postmaster.rounds import Follower
-from millfront.post.postmaster.values import LIFE, Core, Value
+from millfront.post.postmaster.values import CORE, LIFE, Core, Value
 
 SELF = "self"
 AGAIN_BEATS = 3  # between two times that the others are asked
+SYNC_BEATS = 16  # a disk that has not taken it by then, 4 s, is asked again
+LAG_BEATS = 4  # what was learnt so long ago, 1 s, no clerk is about to store here
 Message = dict[str, Any]
 
 
@@ -24,7 +33,6 @@
     """What a recovery asks of the process that it belongs to."""
 
     name: str
-    beats: int
     keeper: Keeper | None
     follower: Follower
 
@@ -39,6 +47,7 @@
 
     LIVES = "learning which lives there were"
     HEIR = "making the new life known"
+    FETCHING = "fetching long values"
     KEEPING = "syncing what others held"
 
 
@@ -47,52 +56,122 @@
 
     def __init__(self, office: Desk) -> None:
         self.office = office
+        self._behind = 0  # beats for which a voting keeper lacked what its process has
         self._turn(Stage.LIVES)
 
-    def _turn(self, stage: Stage, life: int = 0) -> None:
+    def _turn(self, stage: Stage, life: int = 0, found: dict[str, Value] | None = None) -> None:
         """The one change of state."""
         self.stage, self.life = stage, life
-        self._told: dict[str, dict[str, Value]] = {}  # by whom
+        self._beats = 0  # of this stage
+        self._told: dict[str, tuple[dict[str, Value], dict[str, Offer]]] = {}  # by whom
+        self._found = found or {}  # the highest that R have told whole
+        self._long: dict[str, Stamp] = {}  # the highest that they have told by its stamp
+        self._tellers: list[str] = []
 
     def core_changed(self) -> None:
         """What others of another core have said does not count in this one."""
         self._turn(Stage.LIVES)
 
+    # ---- a keeper that recovers --------------------------------------------------------------------
+
     def beat(self, now: float, core: Core) -> None:
-        """Every beat while the keeper recovers: ask those who vote."""
-        office = self.office
-        if office.beats % AGAIN_BEATS:
-            return
-        for name, address in core.all.items():
-            if name != office.name:
-                message: Message = {"t": "fetch", "r": self._ref(core)}
-                if self.stage is not Stage.LIVES:
-                    message = {"t": "recover", "r": self._ref(core), "n": office.name, "l": self.life}
-                office.to_keeper(now, name, address, message | {"e": core.epoch})
+        """Every beat while the keeper recovers."""
+        office, passed = self.office, self._beats
+        self._beats += 1
+        match self.stage:
+            case Stage.LIVES | Stage.HEIR if passed % AGAIN_BEATS == 0:
+                for name, address in core.all.items():
+                    if name != office.name:
+                        office.to_keeper(now, name, address, self._question(core))
+            case Stage.FETCHING:
+                lacking = self._lacking()
+                if not lacking:
+                    self._sync()
+                elif passed % AGAIN_BEATS == 0:  # one after the other; what is on its way is not asked for
+                    teller = self._tellers[passed // AGAIN_BEATS % len(self._tellers)]
+                    for name, message in office.follower.fetch(now, teller, lacking):
+                        if name in core.all:
+                            office.to_keeper(now, name, core.all[name], message)
+            case Stage.KEEPING if passed >= SYNC_BEATS:
+                self._sync()
+
+    def _question(self, core: Core) -> Message:
+        name = self.office.name
+        if self.stage is Stage.LIVES:
+            return {"t": "fetch", "r": self._ref(core), "e": core.epoch, "k": [LIFE + name]}
+        return {"t": "recover", "r": self._ref(core), "e": core.epoch, "n": name, "l": self.life, "h": {}}
 
     def _ref(self, core: Core) -> str:
         return f"lives {core.epoch}" if self.stage is Stage.LIVES else f"heir {core.epoch} {self.life}"
 
-    def take(self, sender: str, message: Message) -> None:
-        """A voting keeper has told what it has."""
+    def take(self, now: float, sender: str, message: Message) -> None:
+        """A voting keeper has told which lives there were, or, the new one synced, what it has."""
         office = self.office
         keeper, core = office.keeper, office.follower.core
         if keeper is None or core is None or keeper.state is not Voting.RECOVERING:
             return
-        if message["r"] != self._ref(core):
+        if self.stage not in (Stage.LIVES, Stage.HEIR) or message["r"] != self._ref(core):
             return
-        self._told[sender] = {key: Value.of(value) for key, value in message["v"].items()}
+        whole = {key: Value.of(value) for key, value in message["v"].items()}
+        self._told[sender] = whole, {key: Offer.of(offer) for key, offer in message.get("d", {}).items()}
         if not core.covers(self._told):
             return
         best: dict[str, Value] = {}
-        for values in self._told.values():
+        long: dict[str, Stamp] = {}
+        for values, offers in self._told.values():
             for key, value in values.items():
-                if key not in best or value > best[key]:
-                    best[key] = value
+                best[key] = max(best.get(key, value), value)
+            for key, offer in offers.items():
+                long[key] = max(long.get(key, offer.stamp), offer.stamp)
         if self.stage is Stage.LIVES:
             before = best.get(LIFE + office.name)
             self._turn(Stage.HEIR, (before.version if before else 0) + 1)
             return
-        self._turn(Stage.KEEPING, self.life)
-        office.note("registry", f"recovers {len(best)} values", life=self.life)
-        office.doors.persist(Persist(best, (SELF, {"t": "recovered", "r": ""})))
+        tellers = sorted(self._told)
+        self._turn(Stage.FETCHING, self.life, best)
+        self._long, self._tellers = long, tellers
+        office.note("registry", f"recovers {len(best | long)} values", life=self.life, long=len(long))
+        self.beat(now, core)
+
+    def _lacking(self) -> list[str]:
+        """Long values that are not here yet, as told or newer."""
+        held = self.office.follower.values
+        return [k for k, told in self._long.items() if k not in held or (held[k].version, held[k].tie) < told]
+
+    def _sync(self) -> None:
+        """All that was told is here: keep it, and then vote (`Office.synced`)."""
+        held = self.office.follower.values
+        found = dict(self._found)
+        for key in self._long:
+            found[key] = max(found.get(key, held[key]), held[key])
+        if self.stage is Stage.FETCHING:
+            long = self._long
+            self._turn(Stage.KEEPING, self.life, found)
+            self._long = long
+        self._beats = 0
+        self.office.doors.persist(Persist(found, (SELF, {"t": "recovered", "r": ""})))
+
+    # ---- a keeper that votes -----------------------------------------------------------------------
+
+    def keep_up(self) -> None:
+        """Every beat while the keeper votes: what it missed while it was away, its process has learnt. A copy
+        more takes nothing away from what was acknowledged; the core has a way of its own (the fence)."""
+        missed = self.missed()
+        self._behind = self._behind + 1 if missed else 0
+        if missed and self._behind % LAG_BEATS == 0:
+            self.office.note("registry", f"catches up with {len(missed)} values")
+            self.office.doors.persist(Persist(missed, (SELF, {"t": "stored", "r": ""})))
+
+    def missed(self) -> dict[str, Value]:
+        keeper = self.office.keeper
+        if keeper is None:
+            return {}
+        held = keeper.values
+        followed = self.office.follower.values.items()
+        return {k: v for k, v in followed if k != CORE and (k not in held or held[k] < v)}
+
+    def caught_up(self, now: float) -> bool:
+        """Whether this keeper may hold duties: it votes, its process has a lease (nothing newer was
+        acknowledged a moment ago), and its disk has all of that."""
+        keeper, follower = self.office.keeper, self.office.follower
+        return keeper is not None and keeper.votes and now < follower.lease_until() and not self.missed()
--- a/millfront/post/postmaster/rounds.py
+++ b/millfront/post/postmaster/rounds.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from millfront.post.postmaster.pieces import SHORT, Archive, Arrivals, Offer
 from millfront.post.postmaster.values import CORE, Core, Value
 
 LEASE_SHARE = (
@@ -20,6 +21,7 @@
 )
 ASK_S = 1.0
 AGAIN_S = 0.45  # a keeper that is silent for so long is passed over for another one
+FETCHED = "f"  # the reference of a follower's fetches and of what answers them
 Message = dict[str, Any]
 
 
@@ -45,7 +47,9 @@
         self.values: dict[str, Value] = {}
         self.core: Core | None = None
         self.keepers: dict[str, Confirmed] = {}
-        self._fetching: dict[str, float] = {}  # key -> since
+        self._fetching: dict[str, float] = {}  # key -> when it was last asked for, or a piece came
+        self._arrivals = Arrivals()
+        self._archive = Archive()  # for neighbours that are back and reach no keeper yet
         self._floor = -1e9  # a lease that an earlier core has given
 
     # ---- what is held ----------------------------------------------------------------------------
@@ -54,8 +58,11 @@
         """Take what is newer; returns the keys that changed."""
         changed = [k for k, v in found.items() if k not in self.values or v > self.values[k]]
         for key in changed:
+            if key in self.values:
+                self._archive.replaced(key, self.values[key], found[key])
             self.values[key] = found[key]
             self._fetching.pop(key, None)
+            self._arrivals.held(key, found[key])
         if CORE in changed:
             self._floor = self.lease_until()  # nothing newer was acknowledged by then, whoever keeps it since
             self.core = Core.of(self.values[CORE])
@@ -133,10 +140,60 @@
                 lacking.append(key)
         return lacking
 
+    # ---- neighbours that are back ------------------------------------------------------------------
+
+    @staticmethod
+    def rest(values: dict[str, Value]) -> Message:
+        """What one that is back is handed: short values, and the stamps of long ones."""
+        short = {key: value.wire() for key, value in values.items() if len(value.data) <= SHORT}
+        return {"t": "rest", "v": short, "s": {k: v.stamp for k, v in values.items() if k not in short}}
+
+    def handed(self, message: Message) -> Message:
+        """The answer to one that asks for what it was told of so: as a keeper's, but it confirms nothing."""
+        if message["t"] == "piece?":
+            value = self.values.get(message["k"], Value(0, "", ""))
+            return {"t": "piece"} | self._archive.piece(message["k"], value, message["s"], message["o"])
+        values = {key: self.values[key] for key in message["k"] if key in self.values}
+        found, offers = self._archive.parted(values, message["h"])
+        return {"t": "found", "v": found, "d": offers}
+
+    def lacking(self, now: float, message: Message) -> list[tuple[str, Message]]:
+        """What is to be asked of a neighbour that has handed this over."""
+        return self.fetch(now, "", self._newer(message.get("s", {})))
+
+    # ---- fetching ----------------------------------------------------------------------------------
+
     def _lacking(self, now: float, sender: str, stamps: dict[str, list[Any]]) -> list[tuple[str, Message]]:
-        keys = [k for k in self._newer(stamps) if now - self._fetching.get(k, -1e9) > AGAIN_S]
+        return self.fetch(now, sender, self._newer(stamps))
+
+    def fetch(self, now: float, sender: str, keys: list[str]) -> list[tuple[str, Message]]:
+        """Ask that keeper for what is not on its way already, and say which versions are here."""
+        keys = [key for key in keys if now - self._fetching.get(key, -1e9) > AGAIN_S]
         if not keys or self.core is None:
             return []
         for key in keys:
             self._fetching[key] = now
-        return [(sender, {"t": "fetch", "r": "f", "e": self.core.epoch, "k": keys})]
+        held = {key: self.values[key].stamp for key in keys if key in self.values}
+        return [(sender, {"t": "fetch", "r": FETCHED, "e": self.core.epoch, "k": keys, "h": held})]
+
+    def found(
+        self, now: float, sender: str, message: Message
+    ) -> tuple[dict[str, Value], list[tuple[str, Message]]]:
+        """A keeper's answer to a fetch, or a piece. Returns the values that are whole here now, which are to
+        be held, and the questions for the next pieces."""
+        told = {key: Value.of(wire) for key, wire in message.get("v", {}).items()}
+        came: list[tuple[str, Value | Message | None]] = []
+        if message["t"] == "piece":
+            came.append((message["k"], self._arrivals.piece(message)))
+        for key, wire in message.get("d", {}).items():
+            offer, held = Offer.of(wire), self.values.get(key)
+            if held is None or (held.version, held.tie) < offer.stamp:
+                came.append((key, self._arrivals.offered(key, offer, held)))
+        out: list[tuple[str, Message]] = []
+        for key, got in came:
+            if isinstance(got, Value):
+                told[key] = got
+            elif got is not None and self.core is not None:
+                self._fetching[key] = now
+                out.append((sender, got | {"r": FETCHED, "e": self.core.epoch}))
+        return told, out
--- a/tests/test_post_docs.py
+++ b/tests/test_post_docs.py
@@ -11,6 +11,8 @@
     [
         "daybook",
         "orders",
+        "postmaster.differences",
+        "postmaster.pieces",
         "postmaster.postings",
         "postmaster.restante",
         "postmaster.snapshot",
