--- a/millfront/post/postmaster/pieces.py
+++ b/millfront/post/postmaster/pieces.py
@@ -21,8 +21,9 @@
 PIECE = 128 * 1024  # of one message
 CHAIN = 64 * 1024  # of the differences kept for a key, as they go on a line
 COPIED = 64 * 1024 * 1024  # that following all differences of a key copies at most
+PAYS = 4  # differences that are longer than this part of the text save little: texts pack better
 PINNED = 2  # texts that are handed out by pieces and may be older than what is held
-PIN_CHANGES = 16  # a pinned text is let go after so many newer ones
+PIN_CHANGES = 64  # a pinned text is let go after so many newer ones: eight a second for 8 s
 MOST_TEXT = 12 * 1024 * 1024  # what is longer can't be on a line whole (wire.MOST_LINE), so is in no register
 Stamp = tuple[int, str]
 
@@ -105,7 +106,7 @@
             earlier = self._chains.get(key, deque())
             at = next((n for n, one in enumerate(earlier) if list(one.stamp) == held), None)
             found = list(earlier)[at:] if at is not None else []
-            if found and sum(one.size for one in found) < len(value.data):
+            if found and sum(one.size for one in found) < len(value.data) // PAYS:
                 chain = [one.steps for one in found]
         return Offer(*stamp, len(value.data), self._digests[key][1], chain)
 
--- a/millfront/post/postmaster/postings.py
+++ b/millfront/post/postmaster/postings.py
@@ -119,10 +119,10 @@
         """Every beat of the office."""
         keeper = self.office.keeper
         if keeper is not None and keeper.votes:
-            self.recovery.keep_up()
+            self.recovery.keep_up(now)
         elif keeper is not None:
             self._grow_up(now, keeper)
-        self.office.neighbours.me.keeps = self.recovery.caught_up(now)
+        self.office.neighbours.me.keeps = self.recovery.caught_up()
 
     def tick(self, now: float) -> None:
         """Every tick of the office: look at who there is; change the core where that is this one's duty."""
--- a/millfront/post/postmaster/recovery.py
+++ b/millfront/post/postmaster/recovery.py
@@ -57,6 +57,7 @@
     def __init__(self, office: Desk) -> None:
         self.office = office
         self._behind = 0  # beats for which a voting keeper lacked what its process has
+        self._whole = False
         self._turn(Stage.LIVES)
 
     def _turn(self, stage: Stage, life: int = 0, found: dict[str, Value] | None = None) -> None:
@@ -153,14 +154,20 @@
 
     # ---- a keeper that votes -----------------------------------------------------------------------
 
-    def keep_up(self) -> None:
+    def keep_up(self, now: float) -> None:
         """Every beat while the keeper votes: what it missed while it was away, its process has learnt. A copy
         more takes nothing away from what was acknowledged; the core has a way of its own (the fence)."""
         missed = self.missed()
         self._behind = self._behind + 1 if missed else 0
-        if missed and self._behind % LAG_BEATS == 0:
+        late = self._behind - LAG_BEATS
+        if late == 0:
             self.office.note("registry", f"catches up with {len(missed)} values")
+        if late >= 0 and late % SYNC_BEATS == 0:
             self.office.doors.persist(Persist(missed, (SELF, {"t": "stored", "r": ""})))
+        if now >= self.office.follower.lease_until() or late >= 0:
+            self._whole = False
+        elif not missed:
+            self._whole = True
 
     def missed(self) -> dict[str, Value]:
         keeper = self.office.keeper
@@ -170,8 +177,8 @@
         followed = self.office.follower.values.items()
         return {k: v for k, v in followed if k != CORE and (k not in held or held[k] < v)}
 
-    def caught_up(self, now: float) -> bool:
+    def caught_up(self) -> bool:
         """Whether this keeper may hold duties: it votes, its process has a lease (nothing newer was
-        acknowledged a moment ago), and its disk has all of that."""
-        keeper, follower = self.office.keeper, self.office.follower
-        return keeper is not None and keeper.votes and now < follower.lease_until() and not self.missed()
+        acknowledged a moment ago), and since then the disk has had all, and is no second late now."""
+        keeper = self.office.keeper
+        return keeper is not None and keeper.votes and self._whole
