--- a/tests/test_post_control_calls.py
+++ b/tests/test_post_control_calls.py
@@ -292,15 +292,15 @@
     stale = mine[-1].replace(f"lives {office.follower.core.epoch} ", "lives 1 ", 1)
     for sender, ref in (("ab-01", before[-1]), ("ba-02", before[-1]), ("ab-01", stale), ("bb-03", mine[-1])):
         hear(node, sender, {"t": "found", "r": ref, "v": held, "l": {}})
-        assert office.postings._recovering == {}
+        assert office.postings.recovery._told == {}
     for sender in ("ab-01", "ba-02"):
         hear(node, sender, {"t": "found", "r": mine[-1], "v": held, "l": {}})
-    assert office.postings._life == 1
+    assert office.postings.recovery.life == 1
     ear.said = []
     world.run(2.0)
     heirs = ear.refs("recover", "heir ")
     hear(node, "ab-01", {"t": "found", "r": mine[-1], "v": held, "l": {}})  # to the step before
-    assert office.postings._recovering == {} and not set(heirs) & set(mine)
+    assert office.postings.recovery._told == {} and not set(heirs) & set(mine)
 
 
 def test_a_core_is_founded_by_those_who_agreed_to_it() -> None:
