A process may listen and dial at another address than others reach it at (listen_ip)

Where a machine has not the address that others know (NAT), or a relay stands before it, ip_addr could not be bound. listen_ip in [network] is listened at and dialled from; left out, everything is as it was: ip_addr is bound, and outgoing connections are not.

--- a/millfront/post/service.py
+++ b/millfront/post/service.py
@@ -44,6 +44,7 @@
         self.wire = Wire(
             lambda line, message: self.office.message(self.now(), line, message),
             lambda back, message: self.office.datagram(self.now(), back, message),
+            settings.listen_ip,
         )
         self.threads, self.readers = ThreadPoolExecutor(1), ThreadPoolExecutor(1)
         self.counters: list[counter.Counter] = []
@@ -119,7 +120,7 @@
 
     async def run(self) -> None:
         settings = self.settings
-        await self.wire.listen(settings.ip, settings.port)
+        await self.wire.listen(settings.listen_ip or settings.ip, settings.port)
         self.counters = counter.of(self.office, self.now, settings.bindings, self.check)
         if "plain" in settings.bindings:
             self.carrier.server.listen(Address.parse(settings.bindings["plain"], "plain"))
--- a/millfront/post/settings.py
+++ b/millfront/post/settings.py
@@ -81,6 +81,7 @@
     bounds: Bounds = field(default_factory=Bounds)
     log_level: str = "INFO"
     log_json: bool = False
+    listen_ip: str = ""  # where this machine has not the address that others reach it at
 
     @property
     def post_address(self) -> str:
@@ -111,6 +112,7 @@
         },
         "network": {
             "port_range": And([int], lambda p: len(p) == 2 and 0 <= p[0] <= p[1] < 65536),
+            Optional("listen_ip", default=""): str,
             "seed_nodes": [address],
             Optional("bindings", default={}): {Optional(str): address},
             "zones": {str: str},
@@ -196,6 +198,7 @@
             bounds=Bounds(**told["terms"]["bounds"]),
             log_level=told["log"].get("level", "INFO"),
             log_json=told["log"].get("format") == "json",
+            listen_ip=network["listen_ip"],
         )
     )
 
--- a/millfront/post/wire.py
+++ b/millfront/post/wire.py
@@ -125,9 +125,14 @@
     """All connections of one process to others of the system."""
 
     def __init__(
-        self, on_line: Callable[[Line, Message], None], on_datagram: Callable[[str, Message], None]
+        self,
+        on_line: Callable[[Line, Message], None],
+        on_datagram: Callable[[str, Message], None],
+        dial_from: str = "",
     ) -> None:
+        """:param dial_from: the local address of connections opened here; empty: the machine's choice"""
         self.on_line, self.on_datagram = on_line, on_datagram
+        self.dial_from = (dial_from, 0) if dial_from else None
         self.lines: dict[str, Line] = {}
         self._datagrams: asyncio.DatagramTransport | None = None
         self._last: tuple[Message, bytes] = ({}, b"")
@@ -162,7 +167,8 @@
         host, _, port = line.address.rpartition(":")
         try:
             loop = asyncio.get_running_loop()
-            await asyncio.wait_for(loop.create_connection(lambda: line, host, int(port)), DIAL_S)
+            dialled = loop.create_connection(lambda: line, host, int(port), local_addr=self.dial_from)
+            await asyncio.wait_for(dialled, DIAL_S)
         except (OSError, TimeoutError):
             line.closed = True
             self.lost(line)
