--- /dev/null
+++ b/millfront/rehearsal/links.py
@@ -0,0 +1,327 @@
+"""Doors on the links between the system's own processes: a relay before each, in a thread of its own.
+
+Others reach process N at its *front*, 127.P.0.N+1, where the relay listens (TCP and UDP, the system's port);
+N itself listens and dials *behind* it, at 127.P.1.N+1 (`listen_ip` of its settings). So the relay knows by
+the source who sends, and hands a datagram on from the sender's front, where the answer comes back to it.
+Each ordered pair of processes is a link of its own:
+
+| effect | connections | datagrams |
+| --- | --- | --- |
+| blackhole | what is sent is held, nothing is said; the sender's end is cut after GIVEN_UP_S | lost |
+| blackhole, `keeps` | the same, and never cut: all of it arrives late, at the heal | lost |
+| reset | cut at once, new ones as they come | lost |
+| delay | in order, `delay_ms` and up to `jitter_ms` later | the same, in any order |
+| heal | pass, after what the link takes at rest (`lengthen`) | the same |
+
+GIVEN_UP_S is what TCP_USER_TIMEOUT does at the sender where the network is really gone.
+A new connection wants both directions. The end of a connection travels as its bytes do.
+"""
+
+import asyncio
+import contextlib
+import os
+import random
+import socket
+import struct
+import threading
+from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+from millfront.rehearsal.scenario import Effect
+
+GIVEN_UP_S = 2.0  # as millfront/post/wire.py has it
+MOST_HELD = 1024  # pieces of a connection that wait in the relay, one way
+PIECE = 65536
+LINGER_RESET = struct.pack("ii", 1, 0)  # close with RST
+T = TypeVar("T")
+
+
+class Cut(Exception):
+    """A link ends the connection."""
+
+
+@dataclass(eq=False)
+class Link:
+    """One direction between two processes."""
+
+    effect: Effect = "heal"
+    delay_ms: float = 0.0
+    jitter_ms: float = 0.0
+    keeps: bool = False
+    rest_ms: tuple[float, float] = (0.0, 0.0)  # delay and jitter where nothing is wrong
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    passed: int = 0  # pieces and datagrams
+    lost: int = 0  # datagrams, and connections cut
+
+    def become(self, effect: Effect, delay_ms: float, jitter_ms: float, keeps: bool) -> None:
+        """The one change of what a link does."""
+        if effect == "heal" and any(self.rest_ms):
+            effect, (delay_ms, jitter_ms) = "delay", self.rest_ms
+        self.effect, self.delay_ms, self.jitter_ms, self.keeps = effect, delay_ms, jitter_ms, keeps
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class End:
+    """One end of a connection, as the relay holds it."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+        writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def cut(self) -> None:
+        with contextlib.suppress(OSError, AttributeError):
+            self.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        self.writer.close()
+
+
+class Front(asyncio.DatagramProtocol):
+    """Before one process: where others reach it, and where what it sends to them comes from."""
+
+    def __init__(self, links: "Links", number: int) -> None:
+        self.links, self.number = links, number
+        self.datagrams: asyncio.DatagramTransport | None = None
+        self.server: asyncio.Server | None = None
+
+    async def open(self) -> None:
+        loop, host, port = asyncio.get_running_loop(), self.links.front(self.number), self.links.port
+        self.datagrams, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
+        self.server = await asyncio.start_server(self._came, host, port, limit=PIECE)
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        sender = self.links.sender(addr[0])
+        if sender is None:
+            return
+        link, delay = self.links.between[sender, self.number], 0.0
+        if link.effect in ("blackhole", "reset"):
+            link.lost += 1
+            return
+        link.passed += 1
+        if link.effect == "delay":
+            delay = self.links.delay(link)
+        source = self.links.fronts[sender].datagrams
+        to = (self.links.behind(self.number), self.links.port)
+        if source is not None and delay:
+            asyncio.get_running_loop().call_later(delay, source.sendto, data, to)
+        elif source is not None:
+            source.sendto(data, to)
+
+    def error_received(self, exc: Exception) -> None:
+        pass  # nobody listens behind it
+
+    async def _came(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self.links.serving.add(task)
+        near = End(reader, writer)
+        try:
+            sender = self.links.sender(writer.get_extra_info("peername")[0])
+            if sender is not None:
+                await self._serve(sender, near)
+        except (Cut, OSError, asyncio.CancelledError):
+            pass  # the link was cut, nobody listens behind it, or the relay closes
+        finally:
+            self.links.serving.discard(task)
+            near.cut()
+
+    async def _serve(self, sender: int, near: End) -> None:
+        there, back = self.links.between[sender, self.number], self.links.between[self.number, sender]
+        for link in (there, back):
+            await _pass(link, near, 0.0)
+        far = End(*await asyncio.open_connection(self.links.behind(self.number), self.links.port))
+        ways = [
+            asyncio.create_task(self._carry(there, near, far)),
+            asyncio.create_task(self._carry(back, far, near)),
+        ]
+        try:
+            await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            far.cut()
+            for way in ways:
+                way.cancel()
+            await asyncio.gather(*ways, return_exceptions=True)
+
+    async def _carry(self, link: Link, source: End, sink: End) -> None:
+        """One direction of one connection, until it ends."""
+        held: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(MOST_HELD)
+        taking = asyncio.create_task(self._take(link, source, held))
+        try:
+            while True:
+                due, data = await _first(held, link)
+                await _pass(link, source, due)
+                if not data:
+                    return
+                link.passed += 1
+                sink.writer.write(data)
+                await sink.writer.drain()
+        finally:
+            taking.cancel()
+
+    async def _take(self, link: Link, source: End, held: "asyncio.Queue[tuple[float, bytes]]") -> None:
+        """Empty: it has ended."""
+        data = b"more"
+        while data:
+            try:
+                data = await source.reader.read(PIECE)
+            except OSError:
+                data = b""
+            delay = self.links.delay(link) if link.effect == "delay" else 0.0
+            await held.put((asyncio.get_running_loop().time() + delay, data))
+
+
+async def _first(held: "asyncio.Queue[tuple[float, bytes]]", link: Link) -> tuple[float, bytes]:
+    """What is next; also a reset of a link on which nothing is sent.
+
+    :raises Cut: the link is reset
+    """
+    getting = asyncio.create_task(held.get())
+    try:
+        while not getting.done():
+            changed = asyncio.create_task(link.changed.wait())
+            try:
+                await asyncio.wait([getting, changed], return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                changed.cancel()
+            if link.effect == "reset":
+                link.lost += 1
+                raise Cut
+        return getting.result()
+    finally:
+        getting.cancel()
+
+
+async def _pass(link: Link, source: End, due: float) -> None:
+    """Wait until what came from `source` may go on.
+
+    :raises Cut: it may not any more
+    """
+    loop = asyncio.get_running_loop()
+    since = loop.time()
+    while True:
+        changed = link.changed.wait()
+        if link.effect == "reset":
+            changed.close()
+            link.lost += 1
+            raise Cut
+        if link.effect == "blackhole":
+            left = None if link.keeps else since + GIVEN_UP_S - loop.time()
+        elif loop.time() < due:
+            left = due - loop.time()
+        else:
+            changed.close()
+            return
+        try:
+            await asyncio.wait_for(changed, left)
+        except TimeoutError:
+            if (
+                link.effect == "blackhole"
+            ):  # the other end is not told: it finds out by itself, or at the heal
+                link.lost += 1
+                source.cut()
+                while link.effect == "blackhole":
+                    await link.changed.wait()
+                raise Cut from None
+
+
+class Links:
+    """All links of one system. Its methods may be called from any thread but its own."""
+
+    def __init__(self, count: int, port: int, rng: random.Random, part: int = 0) -> None:
+        """:param part: P of the addresses, 2 to 254; 0: by this process's id, so that two runs don't meet"""
+        self.count, self.port, self.rng = count, port, rng
+        self.part = part or 2 + os.getpid() % 250
+        self.fronts: list[Front] = []
+        self.between: dict[tuple[int, int], Link] = {}
+        self.serving: set[asyncio.Task[Any]] = set()
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+
+    def front(self, number: int) -> str:
+        """Where others reach it."""
+        return f"127.{self.part}.0.{number + 1}"
+
+    def behind(self, number: int) -> str:
+        """Where it listens and dials from."""
+        return f"127.{self.part}.1.{number + 1}"
+
+    def sender(self, address: str) -> int | None:
+        number = int(address.rpartition(".")[2]) - 1
+        return number if 0 <= number < self.count and address == self.behind(number) else None
+
+    def delay(self, link: Link) -> float:
+        return (link.delay_ms + self.rng.random() * link.jitter_ms) / 1000
+
+    def open(self) -> None:
+        """:raises OSError: the port is taken"""
+        self._thread.start()
+        self._run(self._open())
+
+    async def _open(self) -> None:
+        numbers = range(self.count)
+        self.between = {(one, other): Link() for one in numbers for other in numbers if one != other}
+        for number in numbers:
+            self.fronts.append(Front(self, number))
+            await self.fronts[-1].open()
+
+    def _run(self, work: Coroutine[Any, Any, T]) -> T:
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result(10)
+
+    def set(
+        self,
+        senders: Iterable[int],
+        others: Iterable[int],
+        effect: Effect,
+        *,
+        way: str = "both",
+        delay_ms: float = 0.0,
+        jitter_ms: float = 0.0,
+        keeps: bool = False,
+    ) -> None:
+        """What the links from `senders` to `others` do from now on (`way`: out, in or both)."""
+        pairs = [(one, other) for one in senders for other in others if one != other]
+        chosen = [pair for pair in pairs if way in ("out", "both")]
+        chosen += [(other, one) for one, other in pairs if way in ("in", "both")]
+
+        async def become() -> None:
+            for pair in chosen:
+                self.between[pair].become(effect, delay_ms, jitter_ms, keeps)
+
+        self._run(become())
+
+    def lengthen(self, some: Iterable[int], others: Iterable[int], delay_ms: float, jitter_ms: float) -> None:
+        """What the links between them take at rest, each way, from now on."""
+
+        async def become() -> None:
+            for one, other in [(one, other) for one in some for other in others]:
+                for link in (self.between[one, other], self.between[other, one]):
+                    link.rest_ms = (delay_ms, jitter_ms)
+                    link.become("heal", 0.0, 0.0, False)
+
+        self._run(become())
+
+    def cut(self, one: int, way: str = "both", keeps: bool = False) -> None:
+        """One process from all others, silently."""
+        self.set([one], range(self.count), "blackhole", way=way, keeps=keeps)
+
+    def heal(self) -> None:
+        """All links."""
+        self.set(range(self.count), range(self.count), "heal", way="out")
+
+    def close(self) -> None:
+        async def end() -> None:
+            for front in self.fronts:
+                if front.server is not None:
+                    front.server.close()
+                if front.datagrams is not None:
+                    front.datagrams.close()
+            for task in list(self.serving):
+                task.cancel()
+            await asyncio.gather(*self.serving, return_exceptions=True)
+
+        if self._thread.is_alive():
+            self._run(end())
+            stop: Callable[[], None] = self._loop.stop
+            self._loop.call_soon_threadsafe(stop)
+            self._thread.join(10)
+            self._loop.close()
