--- a/tests/test_post_catching_up.py
+++ b/tests/test_post_catching_up.py
@@ -14,7 +14,7 @@
 
 from millfront.post import disk, orders
 from millfront.post.orders import digest_of
-from millfront.post.postmaster import differences, pieces, postings
+from millfront.post.postmaster import differences, pieces, postings, recovery
 from millfront.post.postmaster.keeper import Keeper
 from millfront.post.postmaster.pieces import Archive, Arrivals, Offer
 from millfront.post.postmaster.postings import Change
@@ -204,6 +204,19 @@
     raise AssertionError(world.fallen or "no pieces come")
 
 
+def a_disk_that_takes_nothing_meanwhile() -> None:
+    """What was fetched can't be synced at first: the keeper stays silent, and tries again."""
+    world = founded()
+    node = world.nodes[4]
+    world.wipe(4)
+    node.refuses = True
+    world.returns(4)
+    world.run(5.0)
+    assert node.office is not None and node.office.keeper is not None and not node.office.keeper.votes
+    node.refuses = False
+    world.caught_up(within=6.0)
+
+
 def changes_among_the_pieces() -> None:
     """The document changes faster than its pieces come."""
     world = founded(n=5, disks=4)
@@ -258,7 +271,13 @@
 
 
 @pytest.mark.parametrize(
-    "story", [killed_among_the_pieces, changes_among_the_pieces, a_core_change_among_the_pieces]
+    "story",
+    [
+        killed_among_the_pieces,
+        a_disk_that_takes_nothing_meanwhile,
+        changes_among_the_pieces,
+        a_core_change_among_the_pieces,
+    ],
 )
 @pytest.mark.usefixtures("in_pieces")
 def test_among_the_pieces(story: Callable[[], None], monkeypatch: pytest.MonkeyPatch) -> None:
@@ -304,6 +323,11 @@
     monkeypatch.setattr(Recovery, "core_changed", lambda self: None)
 
 
+def resigned(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What a disk did not take at once is not tried again."""
+    monkeypatch.setattr(recovery, "SYNC_BEATS", 10**9)
+
+
 @pytest.mark.parametrize(
     ("fault", "story", "said"),
     [
@@ -312,6 +336,7 @@
         (idle, hundreds_of_changes, "not caught up"),
         (forgetful, changes_among_the_pieces, "never catches up"),
         (wholesale, a_difference_is_enough, "bytes a change"),
+        (resigned, a_disk_that_takes_nothing_meanwhile, "not caught up"),
         (unchanged, a_core_change_among_the_pieces, "of another core"),
     ],
 )
