A checker of linearizability for what the register answers

Histories of puts and gets were only checked for versions that fall or are lost: two documents confirmed under one number, or a refusal without a reason, went unseen.

tests/linear.py searches as Wing and Gong do, with Lowe's memoisation. A put is two steps, a claim of its number and a store, since another operator may be refused before the document is in force; a call without a clear answer may take effect at any later moment or never.

--- /dev/null
+++ b/tests/linear.py
@@ -0,0 +1,150 @@
+"""Whether a history of calls is linearizable: whether each call can be given one moment between its beginning
+and its answer so that, in the order of these moments, the object does what the callers were told.
+
+The algorithm is Wing and Gong's search with Lowe's memoisation: of the steps that nothing unplaced has to
+come before, each is tried as the next one, and a set of placed steps with the state that it led to is tried
+once. A call without a clear answer may take effect at any later moment or never. Steps that change nothing
+are placed as soon as they may be: where they can stand, nothing is lost by it.
+
+`Register` is the object that operators see: revision numbers with one document each, of which the highest
+stored one holds. To put a document is two steps, since another operator may be refused for it before it is in
+force: its number is claimed, then it is stored.
+"""
+
+import math
+from collections.abc import Callable, Hashable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+State = Hashable
+NEVER = math.inf  # when a call without a clear answer ends
+MOST = 400_000  # sets tried; beyond, the search gives up rather than say yes
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """`does` gives the state after it, or None where the caller can't have been told what it was told."""
+
+    begun: float
+    ended: float
+    does: Callable[[Any], State | None]
+    name: str
+    owed: bool = True  # it took place; else it may have
+    after: int = -1  # the step before it of the same call
+
+
+class TooLong(Exception):
+    """The search was given up."""
+
+
+def linearizable(steps: Sequence[Step], first: State) -> list[str] | None:
+    """None: it is. Else the names of the longest order that was found, and what could not follow it.
+
+    :raises TooLong: neither was found in MOST sets
+    """
+    owed = sum(1 << i for i, step in enumerate(steps) if step.owed)
+    by_end = sorted((i for i, step in enumerate(steps) if step.owed), key=lambda i: steps[i].ended)
+    by_begin = sorted(range(len(steps)), key=lambda i: steps[i].begun)
+    seen: set[tuple[int, State]] = set()
+    best: list[int] = []
+    stack: list[tuple[int, State, list[int]]] = [(0, first, [])]
+    while stack:
+        placed, state, order = stack.pop()
+        nexts: list[tuple[int, State]] = []
+        moved = True
+        while moved:  # what changes nothing is placed at once
+            moved, nexts = False, []
+            limit = next((steps[i].ended for i in by_end if not placed >> i & 1), NEVER)
+            for i in by_begin:
+                step = steps[i]
+                if step.begun > limit:
+                    break
+                if placed >> i & 1 or (step.after >= 0 and not placed >> step.after & 1):
+                    continue
+                then = step.does(state)
+                if then is None:
+                    continue
+                if then == state:
+                    placed, order, moved = placed | 1 << i, [*order, i], True
+                    break
+                nexts.append((i, then))
+        if placed & owed == owed:
+            return None
+        if len(order) > len(best):
+            best = order
+        if (placed, state) in seen:
+            continue
+        seen.add((placed, state))
+        if len(seen) > MOST:
+            raise TooLong(f"{len(steps)} steps")
+        stack += [(placed | 1 << i, then, [*order, i]) for i, then in reversed(nexts)]
+    left = [step.name for i, step in enumerate(steps) if step.owed and i not in best]
+    return [steps[i].name for i in best] + ["-- and then none of --", *left]
+
+
+@dataclass(slots=True)
+class Call:
+    """One call of an operator: `put` of a document under a number, or `get`. `status` 0: no clear answer."""
+
+    kind: str
+    begun: float
+    number: int = 0
+    document: str = ""
+    ended: float = NEVER
+    status: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Register:
+    """Which document each number was claimed for, and the highest number that is stored."""
+
+    claimed: frozenset[tuple[int, str]] = frozenset()
+    held: int = 0
+
+    def of(self, number: int) -> str | None:
+        return next((document for n, document in self.claimed if n == number), None)
+
+    def claim(self, number: int, document: str) -> "Register | None":
+        has = self.of(number)
+        if has is None:
+            return Register(self.claimed | {(number, document)}, self.held)
+        return self if has == document else None
+
+    def store(self, number: int, document: str) -> "Register | None":
+        if self.of(number) != document:
+            return None
+        return self if self.held >= number else Register(self.claimed, number)
+
+    def refused(self, number: int, document: str) -> "Register | None":
+        return self if self.of(number) not in (None, document) else None
+
+    def got(self, number: int, document: str) -> "Register | None":
+        return self if self.held == number and (not number or self.of(number) == document) else None
+
+
+def fault(calls: Sequence[Call]) -> list[str] | None:
+    """None: the history is one of a register. A put without a clear answer counts where anybody saw of it."""
+    told = {(c.number, c.document) for c in calls if c.kind == "get" and c.status == 200}
+    refused = {c.number for c in calls if c.status == 409}
+    steps: list[Step] = []
+    for call in sorted(calls, key=lambda c: c.begun):
+        what = (call.number, call.document)
+        name = f"{call.kind} {what} -> {call.status or 'unknown'} ({call.begun:.2f} to {call.ended:.2f})"
+        span = (call.begun, call.ended)
+        if call.kind == "get":
+            if call.status in (200, 404):
+                steps.append(Step(*span, _does(Register.got, what), name))
+        elif call.status == 409:
+            steps.append(Step(*span, _does(Register.refused, what), name))
+        elif call.status == 200 or what in told or call.number in refused:
+            owed = call.status == 200
+            steps.append(Step(*span, _does(Register.claim, what), f"claim of {name}", owed))
+            claim = len(steps) - 1
+            steps.append(Step(*span, _does(Register.store, what), f"store of {name}", owed, claim))
+    return linearizable(steps, Register())
+
+
+def _does(
+    step: Callable[[Register, int, str], Register | None], what: tuple[int, str]
+) -> Callable[[Any], State | None]:
+    return lambda register: step(register, *what)
