Evacuations on both sides while a core machine is cut off, frozen or slowed

What its own operators order there is confirmed to nobody and does not come up when it is back; the last that was confirmed at the others stands everywhere.

--- a/tests/test_post_sealed.py
+++ b/tests/test_post_sealed.py
@@ -147,9 +147,11 @@
 
 
 def cut_off_for_twenty_seconds(how: str) -> tuple[World, Operators, list[str]]:
-    """Both sides get orders and reads; what was cut off comes back."""
+    """Both sides get orders, reads and evacuations; what was cut off comes back."""
     world, operators = founded()
     faults = watch(world, operators)
+    there: list[list[Any]] = []  # what operators of evacuations are told at the machine, and at the others
+    elsewhere: list[list[Any]] = []
     with away(world, how) as node:
         for second in range(20):
             operators.put(1 + second % 5, 10 + 2 * second)  # the operators that reach the others
@@ -158,6 +160,9 @@
             if second % 4 == 1:  # one that reaches the machine: an order of its own, and one that is old
                 operators.put(OFF, 10 + 2 * second + 1)
                 operators.put(OFF, 10)
+                until = world.env.now + 1.0  # then its operator goes elsewhere
+                there.append(evacuate(world, OFF, second % 8 == 1, lambda until=until: world.env.now < until))  # type: ignore[misc]
+                elsewhere.append(evacuate(world, 1 + second % 5, second % 8 == 5))
             world.run(1.0)
             if second == 8 and how not in ("frozen", "slowed"):
                 now = node.now()
@@ -172,6 +177,10 @@
     operators.get(OFF)
     world.run(3.0)
     assert operators.calls[-1].status == 200
+    if any(answers[0][0] != 200 for answers in elsewhere) or evacuated(world):  # the last took it back
+        faults.append(f"evacuated: {evacuated(world)}, {elsewhere}")
+    if any(answers and answers[0][0] != 503 for answers in there):
+        faults.append(f"confirmed an evacuation: {there}")
     return world, operators, faults
 
 
