The register's search also recovers long values, by their stamps

Cause: a recovery takes long values by their stamps and fetches them afterwards; the search had short ones only.

Change: the search runs once more with every value taken as long; what is fetched comes from any keeper, late or of an older version. Differences and pieces are not in it.

A recovery that takes any version that comes (planted) is found on three and on four keepers.

--- a/tests/post_register.py
+++ b/tests/post_register.py
@@ -14,8 +14,10 @@
 from millfront.post.postmaster.clerk import Clerk, Phase, Round
 from millfront.post.postmaster.keeper import Keeper, Persist
 from millfront.post.postmaster.recovery import Recovery as Part
+from millfront.post.postmaster.recovery import Stage
 from millfront.post.postmaster.values import CONFIG, CORE, Core, Message, Value, claim_key
 
+FETCHED = "fetched"
 WIPED = "a"  # the keeper that may lose its disk
 T = TypeVar("T")
 
@@ -111,7 +113,8 @@
         self.calls: list[tuple[str, Message]] = []
         self.persists: list[Persist] = []
         office: Any = SimpleNamespace(name=name, keeper=Keeper({}, False))
-        office.follower = SimpleNamespace(core=core, values={CORE: core.value()})
+        office.follower = SimpleNamespace(core=core, values={CORE: core.value()}, fetch=self._fetch)
+        self.follower = office.follower
         office.clerk = SimpleNamespace(name=f"{name}.{life}")
         office.note = _nothing
         office.to_keeper = self._call
@@ -121,13 +124,18 @@
     def _call(self, now: float, name: str, address: str, message: Message) -> None:
         self.calls.append((name, message))
 
+    def _fetch(self, now: float, teller: str, keys: list[str]) -> list[tuple[str, Message]]:
+        """What a follower asks for long values, without differences and pieces."""
+        return [(teller, {"t": "fetch", "r": FETCHED, "e": self.core.epoch, "k": keys})]
+
     def _persist(self, persist: Persist) -> None:
         self.persists.append(persist)
 
     def state(self) -> Hashable:
-        return frozen(
-            {key: value for key, value in vars(self.part).items() if key not in ("office", "_beats")}
-        )
+        """Without whom it asks for long values: any keeper may be asked."""
+        left_out = ("office", "_beats", "_tellers")
+        part = {key: value for key, value in vars(self.part).items() if key not in left_out}
+        return frozen((part, self.follower.values))
 
     def beat(self) -> list[tuple[str, Message]]:
         """Whom it calls now: that it is not time yet is left out."""
@@ -140,7 +148,14 @@
         """An answer; what is to be synced before its keeper votes."""
         self.persists.clear()
         if message["t"] == "found":  # as `Office._reply` has it
-            self.part.take(0.0, sender, message)
+            if message["r"] != FETCHED:
+                self.part.take(0.0, sender, message)
+                return list(self.persists)
+            if self.part.stage is Stage.FETCHING:
+                for key, wire in message["v"].items():  # as `Follower.hold` has it
+                    value = Value.of(wire)
+                    self.follower.values[key] = max(value, self.follower.values.get(key, value))
+                self.beat()
         return list(self.persists)
 
 
@@ -187,7 +202,7 @@
 
 
 def _write(version: int, clerk: Clerk, core: Core, height: int) -> Round:
-    return clerk.write(0.0, core, {CONFIG: Value(version, "", "")}, 9.0)
+    return clerk.write(0.0, core, {CONFIG: Value(version, "", "x")}, 9.0)
 
 
 def _claim(digest: str, clerk: Clerk, core: Core, height: int) -> Round:
--- a/tests/test_post_register_search.py
+++ b/tests/test_post_register_search.py
@@ -20,6 +20,7 @@
 
 import pytest
 
+from millfront.post.postmaster import pieces, recovery
 from millfront.post.postmaster.clerk import Clerk, Round
 from millfront.post.postmaster.keeper import Keeper, Persist, Voting
 from millfront.post.postmaster.values import CLAIM, OWN, Core, Message
@@ -335,6 +336,15 @@
     assert len(search.seen) >= at_least
 
 
+def test_nor_where_a_recovery_takes_long_values_by_their_stamps(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(pieces, "SHORT", 0)
+    for size, wipes, at_least in (3, 1, 550), (3, 2, 6_500), (4, 1, 7_000):
+        search = writing(size, wipes)
+        assert search.run(loses) is None
+        print(f"{len(search.seen)} states")
+        assert len(search.seen) >= at_least
+
+
 def forgotten(monkeypatch: pytest.MonkeyPatch) -> None:
     """Answers of a life that has ended are counted."""
 
@@ -373,8 +383,18 @@
     monkeypatch.setattr(Keeper, "_store", store)
 
 
+def older(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Of a long value a recovery takes any version that comes."""
+
+    def lacking(self: recovery.Recovery) -> list[str]:
+        return [key for key in self._long if key not in self.office.follower.values]
+
+    monkeypatch.setattr(pieces, "SHORT", 0)
+    monkeypatch.setattr(recovery.Recovery, "_lacking", lacking)
+
+
 @pytest.mark.parametrize("size", [3, 4])
-@pytest.mark.parametrize("fault", [fewer, forgotten, rash, unasked, early, hasty])
+@pytest.mark.parametrize("fault", [fewer, forgotten, rash, unasked, early, hasty, older])
 def test_a_planted_fault_loses(
     fault: Callable[[pytest.MonkeyPatch], None], size: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
