--- a/millfront/post/orders.py
+++ b/millfront/post/orders.py
@@ -159,7 +159,7 @@
                 str, lambda p: p.startswith("/"), error="path_prefix: {!r} starts with no slash"
             ),
             "variant_tag": Or(*KINDS, error="variant_tag: {!r} is not known"),
-            "deadline": _time,
+            "deadline": And(_time, lambda told: seconds(told) > 0.0, error="deadline: {!r} leaves no time"),
             "target_time": _time,
             Optional("rank"): count,
             Optional("target"): str,
--- a/tests/test_post_parts.py
+++ b/tests/test_post_parts.py
@@ -39,6 +39,7 @@
         (changed("routes", variant_tag="other"), "variant_tag"),
         (changed("routes", deadline="soon"), "routes r: "),
         (changed("routes", deadline="soon"), "deadline"),
+        (changed("routes", deadline="0ms"), "routes r: deadline: '0ms' leaves no time"),
         (changed("tenants", api_keys=["same"]), "shares a key"),
         (json.dumps({"revision": "7", "resources": []}), "revision"),
     ],
