A leaving core machine hands its seat over; who keeps the register is chosen in seats.py

Change: postmaster/seats.py chooses the next core (fewest members from terms.tolerance.hosts_lost, nobody new counts, sound copies first, successors at 1 s where that gains a vote); a card tells whether its keeper is a whole copy; a leaver votes until its seat is given up, bounded by the grace, and says in why what it waits for; each second a process stores to its own keeper what that missed. A failed change is tried again after 1 s, not 3.

--- a/millfront/post/neighbours.py
+++ b/millfront/post/neighbours.py
@@ -27,7 +27,7 @@
 CARRIERS = 2  # of a region that tell another one: one may be gone without being missed yet
 RELAYS = 2  # of another region that get a single card and pass it on there
 CARRIED = 9  # a larger region is not carried whole by a few: each process sends its own card to relays
-READY, LEAVING, PART = 1, 2, 4  # flags of a card
+READY, LEAVING, PART, SYNCED = 1, 2, 4, 8  # flags of a card
 SHUFFLE_TICKS = 5
 
 Message = dict[str, Any]
@@ -51,6 +51,7 @@
     number: int = 0
     ready: bool = False
     leaving: bool = False
+    synced: bool = False  # its keeper votes and lacks nothing that was acknowledged
     version: int = 0  # of the configuration in force there
     totals: dict[str, list[float]] = field(default_factory=dict)
     age: float = 0.0  # seconds that its process had run when it was written
@@ -67,6 +68,7 @@
     def wire(self, moved: dict[str, list[float]] | None = None) -> list[Any]:
         """:param moved: of its totals these alone"""
         flags = READY * self.ready | LEAVING * self.leaving | PART * (self.part or moved is not None)
+        flags |= SYNCED * self.synced
         totals, age = self.totals if moved is None else moved, round(self.age, 3)
         return [self.name, self.incarnation, self.number, flags, age, totals, self.version]
 
@@ -255,6 +257,10 @@
         n = len(self.live(self._region))
         return 0.0 if n <= MESH else math.ceil(math.log(n) / math.log(VIEW)) + 1.0
 
+    def silent(self, now: float, card: Card) -> float:
+        """Ticks since another's card was due."""
+        return (now - card.heard) / TICK_S - self._hops()
+
     def _judge(self, now: float) -> None:
         hops = self._hops()
         for card in self.others():
@@ -338,6 +344,7 @@
             card.told, card.part, card.totals = -1, True, {}
         card.incarnation, card.number, card.age = incarnation, number, age
         card.ready, card.leaving = bool(flags & READY), bool(flags & LEAVING)
+        card.synced = bool(flags & SYNCED)
         card.part = card.part and bool(flags & PART)
         card.totals = card.totals | totals if flags & PART else totals
         card.version = more[0] if more else 0
--- a/millfront/post/office.py
+++ b/millfront/post/office.py
@@ -187,9 +187,11 @@
                 self.waiting[round.ref] = (round, then)
 
     def _stand(self, now: float) -> None:
-        """Ready or not: the neighbours, who tell clients where to go, learn of a change at once."""
-        if self.ready(now) != self.neighbours.me.ready and self.neighbours.ticks:
-            self.neighbours.me.ready = self.ready(now)
+        """Ready, a whole copy or not: neighbours, who send clients or change the core, learn it at once."""
+        me = self.neighbours.me
+        ready, synced = self.ready(now), self.postings.synced(now)
+        if (ready, synced) != (me.ready, me.synced) and self.neighbours.ticks:
+            me.ready, me.synced = ready, synced
             self.hurry(now)
 
     # ---- operators' calls ------------------------------------------------------------------------
--- a/millfront/post/postmaster/postings.py
+++ b/millfront/post/postmaster/postings.py
@@ -11,7 +11,8 @@
 to, majorities of both. The derivation is in docs/design/registered-mail.md.
 
 A keeper that lost its disk *recovers*: it learns from others which of its lives there were, makes a new one
-known, and takes over what they hold. Times are seconds on the caller's clock.
+known, and takes over what they hold. Who the next core is to have is chosen in `seats`. Times are seconds on
+the caller's clock.
 """
 
 from collections.abc import Callable
@@ -19,19 +20,23 @@
 from enum import Enum
 from typing import Any, Protocol
 
-from millfront.post.neighbours import Neighbours, Standing, holders
+from millfront.post.neighbours import SUSPECT_TICKS, Neighbours, Standing, holders
 from millfront.post.postmaster.clerk import Clerk, Phase, Round
 from millfront.post.postmaster.keeper import Keeper, Persist, Voting
 from millfront.post.postmaster.rounds import Follower
-from millfront.post.postmaster.values import CORE, FOUNDED, LIFE, Core, Value
+from millfront.post.postmaster.seats import Choice, Seat, chosen
+from millfront.post.postmaster.values import APART, CORE, FOUNDED, LIFE, Core, Value
+from millfront.post.settings import Settings
 
 SETTLED_S = 1.2  # the roster unchanged for so long, the core is founded
 FOUNDING_S = 1.6  # the least time from the start: all start together, each in its own time
 PATIENT_S = 4.0  # the same while a seed is missing
 AGAIN_S = 0.7
-JOINED_S = 5.0  # a machine with a disk that was heard of for so long is posted
+JOINED_S = 1.0  # a machine with a disk that was heard of for so long is posted where that gains a vote
+SETTLED_IN_S = 5.0  # and after so long where it does not
 RELIEVED_S = 120.0  # a member that was not heard of for so long is lost for good
-BETWEEN_S = 3.0  # two tries of a change
+BETWEEN_S = 1.0  # a change that failed, or one of somebody's that is not whole, and the next try
+WAITS_S = 1.5  # a seat that was not given up for so long waits for something
 DECIDE_S, CARRY_S = 3.0, 6.0
 SELF = "self"
 Message = dict[str, Any]
@@ -48,6 +53,7 @@
     """What postings ask of the process that they belong to."""
 
     name: str
+    settings: Settings
     born: float
     now: float
     beats: int
@@ -85,22 +91,6 @@
     sent: float = -1e9
 
 
-def wanted(members: dict[str, str], joined: dict[str, str], lost: set[str]) -> dict[str, str] | None:
-    """Who is to keep the registry, or None where nothing is to change. Lost ones are relieved only as far as
-    a majority of the present core stays: without one nothing could be decided.
-
-    >>> wanted({"a": "1", "b": "2", "c": "3"}, {"d": "4"}, {"a"})
-    {'b': '2', 'c': '3', 'd': '4'}
-    >>> wanted({"a": "1", "b": "2"}, {}, {"a"}), wanted({"a": "1"}, {"a": "1"}, set())
-    (None, None)
-    """
-    stay = {name: address for name, address in members.items() if name not in lost}
-    if not Core(0, members).majority(stay):
-        return None
-    found = stay | {name: address for name, address in joined.items() if name not in lost}
-    return found if found.keys() != members.keys() else None
-
-
 class Postings:
     """One process's part in who keeps the registry."""
 
@@ -108,7 +98,11 @@
         self.office = office
         self.change = Change.NONE
         self.founding: Founding | None = None
-        self._tried = -1e9
+        self._tried = -1e9  # when a change failed
+        self._since = office.born  # when the core in force came into force here
+        self._left: set[str] = set()  # members that were heard to end in order
+        self._left_at: float | None = None  # since when this process ends in order
+        self._waits: tuple[str, ...] = ()  # whose seats can't be given up, as last noted
         self._number = 0  # of the highest ballot seen
         self._known: dict[str, float] = {}  # processes with a disk, and since when they are heard of
         self._missed: dict[str, float] = {}  # members, and since when they are not
@@ -122,6 +116,12 @@
         keeper = self.office.keeper
         if keeper is not None and not keeper.votes:
             self._grow_up(now, keeper)
+        if keeper is not None and (core := self.office.follower.core) is not None:
+            self._look(now, core)
+            if self._due(now, core):
+                self._begin(now, core)
+            if not self.may_go(now):
+                self._say_waits(now, core)
 
     def tick(self, now: float) -> None:
         """Every tick of the office: look at who there is; change the core where that is this one's duty."""
@@ -134,44 +134,125 @@
                 if seed != office.post_address:
                     office.doors.datagram(seed, {"t": "core?"})
         if (core := office.follower.core) is not None:
-            self._look(now, core)
-            if self._due(now, core):
-                self._tried = now
-                self._begin(now, core)
+            if office.keeper is None:
+                self._look(now, core)
+            elif lacks := self.lacks():
+                message = {"t": "store", "r": "", "e": core.epoch}
+                wires = {key: value.wire() for key, value in lacks.items()}
+                office.to_keeper(now, office.name, office.post_address, message | {"v": wires})
 
     def core_changed(self) -> None:
         """Another core is in force here: what was gathered for the one before is not for this one."""
         self.founding = None
+        self._since = self.office.now
         self._recovering, self._life = {}, 0
 
+    # ---- copies, and an end in order ----------------------------------------------------------------
+
+    def lacks(self) -> dict[str, Value]:
+        """Anti-entropy: what this process has and its own keeper, which votes, missed. Stored there late it
+        changes nothing that was answered: any reader may write back what any keeper has told."""
+        keeper, known = self.office.keeper, self.office.follower.values
+        if keeper is None or not keeper.votes:
+            return {}
+        held = keeper.values
+        return {
+            key: value
+            for key, value in known.items()
+            if key != CORE and not key.startswith(APART) and (key not in held or value > held[key])
+        }
+
+    def synced(self, now: float) -> bool:
+        """Whether this process's disk has a copy of all that was acknowledged, a lease ago or earlier: its
+        keeper votes, in the core in force, and R keepers confirmed that nothing newer is known."""
+        office, keeper = self.office, self.office.keeper
+        core = office.follower.core
+        if keeper is None or core is None or not keeper.votes or office.name not in core.members:
+            return False
+        same = keeper.values[CORE] == office.follower.values[CORE]
+        return same and now < office.follower.lease_until() and not self.lacks()
+
+    def leave(self, now: float) -> None:
+        """This process ends in order: its card tells all, and one of those who stay changes the core."""
+        office = self.office
+        office.now = self._left_at = now
+        self._waits = ()
+        for address, message in office.neighbours.bye():
+            office.doors.datagram(address, message)
+
+    def may_go(self, now: float) -> bool:
+        """Whether it keeps no seat that somebody who stays might still take from it."""
+        office, core = self.office, self.office.follower.core
+        if self._left_at is None or core is None or office.keeper is None or office.name not in core.all:
+            return True
+        cards = office.neighbours.cards  # nobody tells one that leaves its card any more
+        return not any(name in cards and not cards[name].leaving for name in core.all)  # nobody stays
+
+    def _say_waits(self, now: float, core: Core) -> None:
+        """Once, of one that leaves."""
+        if self._left_at is None or now - self._left_at < WAITS_S or self._waits:
+            return
+        self._waits = (self.office.name,)
+        seats = {name: seat.name.lower() for name, seat in self._seats(now, core).items()}
+        text = "its seat waits for a successor before it ends"
+        self.office.note("registry", text, seats=seats, hosts_lost=self.office.settings.hosts_lost)
+
     # ---- changes -----------------------------------------------------------------------------------
 
     def _turn(self, change: Change) -> None:
         """The one change of state of a change."""
         self.change = change
 
+    def _failed(self) -> None:
+        self._turn(Change.NONE)
+        self._tried = self.office.now
+
     def _look(self, now: float, core: Core) -> None:
-        """Who with a disk is heard of since when, and which members are not."""
-        cards = self.office.neighbours.cards
-        up = {
-            card.name: card.still["post"]
+        """Who with a disk is heard of since when and stays, and which members are not, or have left."""
+        cards, me = self.office.neighbours.cards, self.office.neighbours.me
+        stay = {
+            card.name
             for card in self.office.neighbours.live()
             if card.still is not None and card.still["core"] and card.standing is Standing.UP
+            if not (card is me and me.leaving)
         }
-        self._known = {name: self._known.get(name, now) for name in up}
+        self._known = {name: self._known.get(name, now) for name in stay}
         self._missed = {
             name: self._missed.get(name, now)
             for name in core.members
-            if name not in up and (name not in cards or cards[name].standing is Standing.LOST)
+            if name not in stay and (name not in cards or cards[name].standing is Standing.LOST)
         }
+        ending = {name for name in core.members if name in cards and cards[name].leaving}
+        self._left = (self._left | ending) & (core.members.keys() - stay)
+
+    def _seats(self, now: float, core: Core) -> dict[str, Seat]:
+        """How the members stand, as far as this process knows."""
+        others, me = self.office.neighbours, self.office.neighbours.me
+        cards = others.cards
+
+        def seat(name: str) -> Seat:
+            if name in self._left:
+                there = name in cards and cards[name].standing is not Standing.LOST
+                return Seat.LEAVING if there else Seat.LEFT
+            if name == me.name:
+                return Seat.SOUND if self.synced(now) else Seat.BEHIND
+            if name in self._known and others.silent(now, cards[name]) <= SUSPECT_TICKS:
+                return Seat.SOUND if cards[name].synced else Seat.BEHIND
+            lost = name in self._missed and now - self._missed[name] >= RELIEVED_S
+            return Seat.LOST if lost else Seat.DARK
+
+        return {name: seat(name) for name in sorted(core.members)}
 
     def holder(self, core: Core) -> str:
-        """Whose duty the core's changes are: cut by key over the members that are up."""
+        """Whose duty the core's changes are: cut by key over the members that are up and stay."""
         return "".join(holders("core", [name for name in core.all if name in self._known]))
 
     def _due(self, now: float, core: Core) -> bool:
-        mine = self.holder(core) == self.office.name
-        return mine and self.change is Change.NONE and now - self._tried >= BETWEEN_S
+        if self.change is not Change.NONE or now - self._tried < BETWEEN_S:
+            return False
+        if core.old and now - self._since < BETWEEN_S:
+            return False  # whoever brought it about goes on with it
+        return self.holder(core) == self.office.name
 
     def _begin(self, now: float, core: Core) -> None:
         if core.old:  # somebody's, perhaps this one's, that is not whole yet
@@ -183,21 +264,33 @@
             for name, since in self._known.items()
             if name not in core.members and now - since >= JOINED_S
         }
-        lost = {name for name, since in self._missed.items() if now - since >= RELIEVED_S}
-        if (to := wanted(core.members, joined, lost)) is None:
+        seats = self._seats(now, core)
+        young = {name for name in joined if now - self._known[name] < SETTLED_IN_S}
+        choice = chosen(core.members, seats, joined, young, self.office.settings.hosts_lost)
+        told = {name: seat.name.lower() for name, seat in seats.items()}
+        self._note_waits(choice, told)
+        to = choice.members
+        if to.keys() == core.members.keys():
             return
         self._turn(Change.DECIDING)
         self._number += 1
-        facts = {"epoch": core.epoch, "joined": sorted(joined), "lost": sorted(lost), "ballot": self._number}
+        facts = {"epoch": core.epoch, "joined": sorted(joined), "seats": told, "ballot": self._number}
         self.office.note("registry", f"proposes a core of {' '.join(sorted(to))}", **facts)
         proposal = Core(core.epoch + 1, to, core.members).value().data
         round = self.office.clerk.decide(now, core, self._number, proposal, DECIDE_S)
         self.office.start(now, round, self._decided)
 
+    def _note_waits(self, choice: Choice, seats: dict[str, str]) -> None:
+        if choice.waits != self._waits:
+            self._waits = choice.waits
+            if choice.waits:
+                text = f"the seats of {' '.join(choice.waits)} wait for successors"
+                self.office.note("registry", text, seats=seats, hosts_lost=self.office.settings.hosts_lost)
+
     def _decided(self, round: Round) -> None:
         if round.phase is not Phase.DONE:
             self._number = max(self._number, round.highest)
-            self._turn(Change.NONE)
+            self._failed()
             return
         value = Value(round.core.epoch + 1, "", round.proposal)
         self._turn(Change.OPENING)
@@ -211,7 +304,7 @@
         if round.phase is Phase.DONE:
             self._carry(round.core)
         else:
-            self._turn(Change.NONE)
+            self._failed()
 
     def _carry(self, core: Core) -> None:
         """Read all from majorities of both sets, and write back what they lack."""
@@ -222,15 +315,17 @@
     def _carried(self, round: Round) -> None:
         core = round.core
         if round.phase is not Phase.DONE or not core.old:
-            self._turn(Change.NONE)
+            self._failed()
             return
         self._turn(Change.CLOSING)
         self._write(core, Core(core.epoch + 1, core.members).value(), self._closed)
 
     def _closed(self, round: Round) -> None:
-        self._turn(Change.NONE)
         if round.phase is Phase.DONE:
+            self._turn(Change.NONE)
             self._spread(round.values[CORE])
+        else:
+            self._failed()
 
     def _spread(self, core: Value) -> None:
         for card in self.office.neighbours.others():
--- a/millfront/post/postmaster/values.py
+++ b/millfront/post/postmaster/values.py
@@ -17,6 +17,8 @@
 # What this keeper has promised and accepted of the next core, by epoch and ballot: each keeper's own
 PROMISED, ACCEPTED = "own/promised", "own/accepted"
 OWN = "own/"
+CLAIM = "claim/"
+APART = (OWN, LIFE, CLAIM)  # what calls of their own bring to a keeper
 BALLOTS = 1_000_000  # of one epoch
 
 
--- a/millfront/post/service.py
+++ b/millfront/post/service.py
@@ -169,18 +169,21 @@
                 logger.info("settings: read anew")
 
     async def _end(self) -> None:
-        """Say so to all, go on while clients come, send them away, finish what is open."""
+        """Say so to all, go on while clients come, send them away, finish what is open; keep the seat in the
+        core, and vote, until it is given up."""
         grace = self.settings.bounds.grace_period
         end = self.now() + grace - LAST_S
         logger.info("service: ends")
-        for address, message in self.office.neighbours.bye():
-            self.wire.datagram(address, message)
+        self.office.postings.leave(self.now())
         server = self.carrier.server
         await asyncio.sleep(LEAVE_S * grace * 0.5)
         server.send_away(True)
         await asyncio.sleep(LEAVE_S * grace * 0.3)
         server.stop_accepting()
-        while self.now() < end and (self.carrier.open > 0 or server.unanswered()):
+        seat = self.office.postings
+        while self.now() < end and (
+            self.carrier.open > 0 or server.unanswered() or not seat.may_go(self.now())
+        ):
             server.close_at_rest()
             await asyncio.sleep(0.02)
         server.close_at_rest()
--- a/millfront/post/settings.py
+++ b/millfront/post/settings.py
@@ -79,6 +79,7 @@
     cloud_rate: float
     cloud_lag: float
     bounds: Bounds = field(default_factory=Bounds)
+    hosts_lost: int = 1  # machines with a disk that may be lost at once with all rules kept
     log_level: str = "INFO"
     log_json: bool = False
 
@@ -131,6 +132,9 @@
             ),
         },
         "terms": {
+            Optional("tolerance", default={}): {
+                Optional("hosts_lost", default=1): And(int, lambda n: not isinstance(n, bool) and n >= 0),
+            },
             "bounds": {
                 **{
                     Optional(name): duration
@@ -194,6 +198,7 @@
             cloud_rate=float(platform["cloud_api"]["rate_per_s"]),
             cloud_lag=platform["cloud_api"]["max_lag"],
             bounds=Bounds(**told["terms"]["bounds"]),
+            hosts_lost=told["terms"]["tolerance"].get("hosts_lost", 1),
             log_level=told["log"].get("level", "INFO"),
             log_json=told["log"].get("format") == "json",
         )
--- a/tests/post_world.py
+++ b/tests/post_world.py
@@ -17,6 +17,7 @@
 ZONES = {"aa": "a", "ab": "a", "ba": "b", "bb": "b"}
 PORT = 7000
 SYNC_S = 0.002
+LEAVE_S = 2.9  # what a process that ends does for its clients
 
 
 def document(version: int, keys: dict[str, list[str]] | None = None, rate: float = 0.0) -> str:
@@ -132,6 +133,24 @@
             self.office.beat(self.now())
             yield self.world.env.timeout(BEAT_S * (0.97 + 0.06 * self.world.random.random()))
 
+    def leave(self, end: float = 5.7) -> None:
+        """SIGTERM: it ends in order, after what the daemon waits for at least, and at most until `end`."""
+        office, life = self.office, self.life
+        assert office is not None
+        office.postings.leave(self.now())
+
+        def ending() -> Generator[Any, Any, None]:
+            began = self.world.env.now
+            yield self.world.env.timeout(LEAVE_S)
+            while self.life == life and self.world.env.now < began + end and self.office is not None:
+                if self.office.postings.may_go(self.now()):
+                    break
+                yield self.world.env.timeout(0.05)
+            if self.life == life:
+                self.kill()
+
+        self.world.env.process(ending())
+
     def kill(self) -> None:
         self.office, self.life = None, self.life + 1
 
--- a/tests/test_post_docs.py
+++ b/tests/test_post_docs.py
@@ -11,8 +11,8 @@
     [
         "daybook",
         "orders",
-        "postmaster.postings",
         "postmaster.restante",
+        "postmaster.seats",
         "postmaster.snapshot",
         "postmaster.values",
         "settings",
