--- a/millfront/post/neighbours.py
+++ b/millfront/post/neighbours.py
@@ -257,6 +257,10 @@
         n = len(self.live(self._region))
         return 0.0 if n <= MESH else math.ceil(math.log(n) / math.log(VIEW)) + 1.0
 
+    def silent(self, now: float, card: Card) -> float:
+        """Ticks since another's card was due."""
+        return (now - card.heard) / TICK_S - self._hops()
+
     def _judge(self, now: float) -> None:
         hops = self._hops()
         for card in self.others():
--- a/millfront/post/office.py
+++ b/millfront/post/office.py
@@ -203,9 +203,11 @@
                 self.waiting[round.ref] = (round, then)
 
     def _stand(self, now: float) -> None:
-        """Ready or not: the neighbours, who tell clients where to go, learn of a change at once."""
-        if self.ready(now) != self.neighbours.me.ready and self.neighbours.ticks:
-            self.neighbours.me.ready = self.ready(now)
+        """Ready, a whole copy or not: neighbours, who send clients or change the core, learn it at once."""
+        me = self.neighbours.me
+        ready, keeps = self.ready(now), self.postings.keeps()
+        if (ready, keeps) != (me.ready, me.keeps) and self.neighbours.ticks:
+            me.ready, me.keeps = ready, keeps
             self.hurry(now)
 
     # ---- operators' calls ------------------------------------------------------------------------
