Who asks for a number that is stored is told whose it is, without a ballot

A no that came after the sync named no ballot, so that its round stood until it was sent again at 0.7 s. A read whose earlier answers had all been dropped skipped its write-back. Change: a keeper that holds the configuration of a number says whose the number is (nothing is stored whose claim was not chosen), every no names the ballot in its way, and a read compares with what it has found, whoever of those still counts. The test of eight now plays 12 seeds and wants 3 s; the dropped read fails before. The fault planted in claims takes the new answer away as well.

--- a/millfront/post/postmaster/clerk.py
+++ b/millfront/post/postmaster/clerk.py
@@ -154,7 +154,10 @@
     def _decided(self, round: Round, sender: str, message: Message) -> None:
         """A keeper's word on a ballot."""
         kind = message["t"]
-        if kind == "no" and message.get("old"):
+        if kind == "no" and "won" in message:
+            round.proposal = message["won"]
+            self._turn(round, Phase.DONE)
+        elif kind == "no" and message.get("old"):
             round.old = True
             self._turn(round, Phase.FAILED)
         elif kind == "no" and "b" in message:
@@ -193,7 +196,7 @@
         found = {key: Value.of(value) for key, value in wire.items()}
         if round.keys is None:
             found = {k: value for k, value in found.items() if k != CORE and not k.startswith(OWN)}
-        if round.answered and found != round.values:
+        if (round.answered or round.values) and found != round.values:
             round.stale = True
         for key, value in found.items():
             if key not in round.values or value > round.values[key]:
--- a/millfront/post/postmaster/keeper.py
+++ b/millfront/post/postmaster/keeper.py
@@ -135,6 +135,8 @@
             return [(back, self._no(ref))], []
         if key != CORE and claimed_number(key) < self._floor():
             return [(back, {"t": "no", "r": ref, "old": True})], []
+        if (won := self._won(key)) is not None:
+            return [(back, {"t": "no", "r": ref, "won": won})], []
         promise, acceptance = (PROMISED, ACCEPTED) if key == CORE else (OWN + key, key)
         number, whose = message["b"]
         mine = Value(ballot_version(epoch, number), whose, "")
@@ -152,11 +154,13 @@
         if key == CORE:
             found = self.values.get(ACCEPTED)
             return found if found and found.version // BALLOTS == self.values[CORE].version else None
-        held = self.values.get(CONFIG)
-        if key not in self.values and held is not None and claim_key(held.version) == key:
-            return Value(0, "", held.tie)  # a snapshot put back, or of before numbers were claimed
         return self.values.get(key)
 
+    def _won(self, key: str) -> str | None:
+        """Whose a number is beyond doubt: nothing is stored whose claim was not chosen before."""
+        held = self.values.get(CONFIG)
+        return held.tie if held is not None and claim_key(held.version) == key else None
+
     def _claims(self) -> list[int]:
         return sorted(claimed_number(key) for key in self.values if key.startswith(CLAIM))
 
@@ -223,8 +227,11 @@
             return [(back, self._told(answer["r"], None, answer["h"], True))]
         if persist.ballot is not None:
             key, ballot = persist.ballot
+            if (won := self._won(key)) is not None:
+                return [(back, {"t": "no", "r": answer["r"], "won": won})]
             if not self._still(key, ballot):
-                return [(back, {"t": "no", "r": answer["r"]})]
+                promised = self.values.get(PROMISED if key == CORE else OWN + key, ballot)
+                return [(back, {"t": "no", "r": answer["r"], "b": promised.version % BALLOTS})]
             if (accepted := self._accepted(key)) is not None:
                 answer = answer | {"a": accepted.wire()}
         if (
--- a/tests/test_post_claims.py
+++ b/tests/test_post_claims.py
@@ -52,14 +52,14 @@
 
 
 def test_eight_orders_at_once_under_one_number_come_to_an_end_in_time() -> None:
-    for seed in range(4):
+    for seed in range(12):
         world = founded(seed)
         texts = [document(9, {"t": [f"key-{number}"]}) for number in range(8)]
         calls = [world.put(number % 7, text) for number, text in enumerate(texts)]
         began = world.env.now
         world.run(6.0)
         assert Counter(answers[0][0] for answers in calls) == {200: 1, 409: 7}
-        assert max(answers[0][2] for answers in calls) - began < 6.0  # ack_within
+        assert max(answers[0][2] for answers in calls) - began < 3.0  # half of ack_within
 
 
 def test_a_number_stays_given_through_losses_a_change_of_the_core_and_later_numbers() -> None:
@@ -110,6 +110,7 @@
 
     monkeypatch.setattr(Keeper, "_ballot", faithless)
     monkeypatch.setattr(Keeper, "_accepted", lambda self, key: None)
+    monkeypatch.setattr(Keeper, "_won", lambda self, key: None)
     with pytest.raises(AssertionError):
         test_of_two_operators_under_one_number_one_is_confirmed_and_the_other_is_told_who_won()
 
--- a/tests/test_post_sealed.py
+++ b/tests/test_post_sealed.py
@@ -14,9 +14,10 @@
 
 from millfront.post.office import EVACUATION, Office
 from millfront.post.postmaster import snapshot
+from millfront.post.postmaster.clerk import Clerk, Phase
 from millfront.post.postmaster.keeper import Voting
 from millfront.post.postmaster.rounds import Follower
-from millfront.post.postmaster.values import CONFIG
+from millfront.post.postmaster.values import CONFIG, Core, Value
 from tests import linear
 from tests.post_world import Node, World, document
 
@@ -336,7 +337,7 @@
 
 @pytest.mark.parametrize("numbers", [(20,) * 8, tuple(range(20, 28)), (20, 21, 22, 23) * 2])
 def test_eight_orders_under_way_at_once_are_each_answered_within_ack_within(numbers: tuple[int, ...]) -> None:
-    for seed in range(3):
+    for seed in (0, 1, 2, 13, 15):
         world, operators = founded(seed=seed)
         at = world.env.now
         calls = [operators.put(i % 6, number, "abcdefgh"[i]) for i, number in enumerate(numbers)]
@@ -350,6 +351,22 @@
         settled(operators, confirmed[max(numbers)][0])
 
 
+def test_a_read_that_dropped_all_answers_still_writes_back_what_it_found_in_them() -> None:
+    """Two lives end meanwhile: of three that count in the end two have the value, and one has not."""
+    clerk = Clerk("x")
+    round = clerk.read(0.0, Core(2, {name: name for name in "abcde"}), ["k"], 2.0)
+    has: dict[str, Any] = {"k": Value(5, "", "v").wire()}
+    for sender, values, lives in (
+        ("a", has, {"b": 1}),
+        ("b", has, {"a": 1}),
+        ("c", {}, {}),
+        ("d", has, {}),
+        ("e", has, {}),
+    ):
+        clerk.take(0.0, sender, {"t": "found", "r": f"{round.ref}/reading", "v": values, "l": lives})
+    assert round.phase is Phase.WRITING
+
+
 def test_a_register_that_confirms_both_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
     """A planted fault of point 2: documents are stored without their number being claimed."""
     if hasattr(Office, "_claim"):
