--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,7 +1,7 @@
 """What control costs by size, for docs/CAPACITY.md: slopes of hollow offices (benchmarks/hollow.py).
 
     python -m benchmarks.capacity roster 11x2 82x2 300x3        # processes x regions
-    python -m benchmarks.capacity followers|changes|restarts|tenants [SIZES]
+    python -m benchmarks.capacity followers|changes|restarts|apart|tenants [SIZES]
     python -m benchmarks.capacity alone|document|delivery|accounts|servers|platform|disk [SIZES]
 
 The parts of the second line play fleets, those of the third one (benchmarks/capacity_state.py) look at one
@@ -18,6 +18,7 @@
 from benchmarks.capacity_state import document
 from benchmarks.hollow import Fleet, Meter, settled
 from millfront.post.neighbours import Standing
+from millfront.post.office import FRESH_S
 from millfront.post.orders import Tenant
 
 REST_S, MEASURED_S = 6.0, 8.0
@@ -101,7 +102,9 @@
     """Membership, with what else goes on at rest."""
     print("    n regions |  a plain one: letters/s out  in  cards/s in  KB/s out  in  ms/s  of it roster")
     print("              duties | a seed: KB/s out  ms/s | a core member: asks/s  KB/s out  ms/s")
-    print("              all know a new one, s | a dead one | longest datagram", flush=True)
+    print(
+        "              all know a new one, s | a dead one | longest datagram | % of its region's cards fresh"
+    )
     rows: list[tuple[int, int, float, float, float, float]] = []
     for n, regions in sized(words, "11 30 82 200 300x3 300x4"):
         made = fleet(n, regions)
@@ -112,13 +115,12 @@
         total, part = cpu(plain), cpu(plain, "roster", "wire", "office")
         row = (a_second(plain, "out")[1], total, a_second(seeds, "out")[1], cpu(seeds))
         rows.append((n, regions, *row))
+        longest, fresh = max(m.most for m in plain + seeds), 100.0 * _fresh(made)
         told = f"{n:5} {regions:4} | {out[0]:7.1f} {came[0]:7.1f} {cards:8.0f} {row[0]:7.2f} "
         told += f"{a_second(plain, 'in')[1]:7.2f} {total:6.2f} {part:6.2f} {cpu(plain, 'duties'):6.2f} | "
         told += f"{row[2]:8.1f} {row[3]:7.1f} | {a_second(core, 'in', ASKS)[0]:6.1f} "
         told += f"{a_second(core, 'out')[1]:7.1f} {cpu(core):6.1f} | "
-        print(
-            told + f"{_join(made):.1f} {_loss(made):.1f} | {max(m.most for m in plain + seeds)}", flush=True
-        )
+        print(told + f"{_join(made):.1f} {_loss(made):.1f} | {longest} | {fresh:.0f}", flush=True)
     for name, at in (("KB/s out", 2), ("ms/s", 3), ("a seed's KB/s out", 4), ("a seed's ms/s", 5)):
         fitted(name, [row[0] for row in rows], [row[at] for row in rows], 1200)
 
@@ -135,6 +137,16 @@
     return made.until(known, 20.0)
 
 
+def _fresh(made: Fleet) -> float:
+    """Of the cards of its own region the share that a directory would name, the mean of all."""
+    shares = []
+    for office in made.offices():
+        region = office.settings.region
+        cards = [c for c in office.neighbours.live(region) if c is not office.neighbours.me]
+        shares.append(sum(made.now - c.heard < FRESH_S for c in cards) / len(cards))
+    return sum(shares) / len(shares)
+
+
 def _loss(made: Fleet) -> float:
     """Until all take a dead one for lost."""
     node = made.nodes[-2]
@@ -247,6 +259,33 @@
     ]
 
 
+def apart(words: list[str]) -> None:
+    """One region cut off for so long that the others are forgotten, and joined again."""
+    print("    n regions | s until all know all | then a seed's KB/s out, ms/s (at rest) | ready while apart")
+    for n, regions in sized(words, "30x3 82x2 82x4"):
+        made = fleet(n, regions)
+        seeds = roles(made)[0]
+        made.run(MEASURED_S)
+        rest, cost = a_second(seeds, "out")[1], cpu(seeds)
+        made.cut = lambda a, b: (a.region == "r0") != (b.region == "r0")
+        made.run(70.0)
+        ready = [
+            [o.ready(made.now) for o in made.offices() if (o.settings.region == "r0") is own]
+            for own in (True, False)
+        ]
+        for meter in seeds:
+            meter.clear()
+        made.cut = lambda a, b: False
+        took = made.until(made.whole, 60.0)
+        share = MEASURED_S / max(took, 0.1)
+        print(
+            f"{n:5} {regions:4} | {took:5.1f} | {a_second(seeds, 'out')[1] * share:8.1f} "
+            f"{cpu(seeds) * share:7.1f} ({rest:.1f} {cost:.1f}) | of it {sum(ready[0])} of {len(ready[0])}, "
+            f"of the rest {sum(ready[1])} of {len(ready[1])}",
+            flush=True,
+        )
+
+
 def tenants(words: list[str]) -> None:
     """Cards with totals: each process lets in 20 requests a second of so many tenants, drawn evenly."""
     print("    n tenants | a plain one: KB/s out  in  ms/s  of it tenants | longest datagram")
@@ -276,6 +315,7 @@
     "followers": followers,
     "changes": changes,
     "restarts": restarts,
+    "apart": apart,
     "tenants": tenants,
     **capacity_state.PARTS,
 }
--- a/benchmarks/capacity_state.py
+++ b/benchmarks/capacity_state.py
@@ -25,7 +25,7 @@
 from millfront.post.disk import MAP_BYTES, Disk, DiskFault
 from millfront.post.franking import Franking
 from millfront.post.neighbours import PER_LETTER, Card
-from millfront.post.office import Office
+from millfront.post.office import BEAT_S, TICK_BEATS, Office
 from millfront.post.orders import Orders, Service, Tenant
 from millfront.post.postmaster.values import Value
 from millfront.post.settings import Bounds
@@ -250,8 +250,11 @@
 def alone(words: list[str]) -> None:
     """One office that hears of so many others: what it holds, what a beat and a letter of 10 cards cost it,
     and what it sends."""
-    print("    n regions | MB held for the others | ms/s: beats and ticks, sending with them")
-    print("              | a letter of 10 cards: µs new  µs known already | letters/s, KB/s out by its ticks")
+    print("    n regions | MB held for the others | ms/s: a tick, 4 beats, their sending")
+    print(
+        "              | a letter of 10 cards: µs new  µs known already | a tick: letters  KB out"
+        " | ms the loop stands still for a tick | µs a resolve"
+    )
     for word in words or ["82x2", "300x4", "600x7", "1200x13"]:
         print(apart("alone-one", word), flush=True)
 
@@ -273,11 +276,11 @@
         for data in first:
             office.datagram(fleet.now, "10.1.0.9:7000", decoded(data))
         meter = node.measure()
-        spent_new = spent_known = 0.0
+        spent_new = spent_known = longest = resolve = 0.0
         for number, letters in enumerate(rounds):
             if number == 4:
                 meter.clear()
-                spent_new = spent_known = 0.0
+                spent_new = spent_known = longest = 0.0
             for known in (False, True):
                 began = time.process_time()
                 for data in letters:
@@ -287,7 +290,14 @@
                 else:
                     spent_new += time.process_time() - began
             office.addresses.heard = fleet.now + 1.0  # no poll of its own
-            fleet.run(1.0)
+            for _ in range(TICK_BEATS):
+                fleet.now += BEAT_S
+                meter.enter("office")
+                began = time.process_time()
+                office.beat(fleet.now)
+                longest = max(longest, time.process_time() - began)
+                meter.leave()
+            resolve = timed(partial(office.resolve, fleet.now, "r0"), 3)[1]
         if weighed:
             gc.collect()
             held = tracemalloc.get_traced_memory()[0] / 2**20
@@ -298,7 +308,7 @@
     print(
         f"{n:5} {regions:4} | {held:6.2f} | {sum(meter.cpu.values()) / 8 * 1e3:7.2f} | "
         f"{spent_new / count * 1e6:6.0f} {spent_known / count * 1e6:6.0f} | "
-        f"{letters_out / 8:7.1f} {size / 8 / 1000:8.2f} | "
+        f"{letters_out / 8:7.1f} {size / 8 / 1000:8.2f} | {longest * 1e3:6.1f} {resolve * 1e6:6.0f} | "
         + ", ".join(f"{part} {took / 8 * 1e3:.1f}" for part, took in most)
     )
 
--- a/benchmarks/hollow.py
+++ b/benchmarks/hollow.py
@@ -93,6 +93,7 @@
     def __init__(self, fleet: "Fleet", number: int) -> None:
         self.fleet, self.number = fleet, number
         self.zone = f"z{number % fleet.zones}"
+        self.region = fleet.regions[self.zone]
         self.ip = f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}"
         self.address = f"{self.ip}:{PORT}"
         self.name = f"{self.zone}-{number:04d}"
@@ -107,7 +108,7 @@
         fleet = self.fleet
         self.life += 1
         settings = Settings(
-            name=self.name, ip=self.ip, zone=self.zone, region=fleet.regions[self.zone], fresh=fresh,
+            name=self.name, ip=self.ip, zone=self.zone, region=self.region, fresh=fresh,
             counts_loss=self.disk is not None, state_dir=None, serves=("edge", "control", "directory"),
             ram_mb=128, fd_limit=4096, port=PORT, seeds=fleet.seeds,
             bindings={"plain": f"{self.ip}:80", "ctl": f"{self.ip}:81"}, zones=fleet.regions,
@@ -237,6 +238,7 @@
         self.tenants: list[Tenant] = []
         self.rate = 0.0  # requests a second that each lets in
         self.polls = 0
+        self.cut: Callable[[Hollow, Hollow], bool] = lambda a, b: False
         self.nodes: list[Hollow] = []
         self.nodes = [Hollow(self, number) for number in range(n)]
         self.seeds = tuple(f"{node.ip}:81" for node in self.nodes[:3])
@@ -251,9 +253,9 @@
 
     def carry(self, sender: Hollow, address: str, message: Message) -> None:
         to = self.by_address.get(address)
-        if to is None:
+        if to is None or self.cut(sender, to):
             return
-        near = self.regions[sender.zone] == self.regions[to.zone]
+        near = sender.region == to.region
         delay = (0.001 if near else 0.02) * (1.0 + self.random.random())
         self.after(delay, to, lambda: to.take(sender.address, message))
 
@@ -286,6 +288,11 @@
         office.put(self.now, text, lambda status, text: answers.append(status))
         return answers
 
+    def whole(self) -> bool:
+        """Whether all know all, and hear of them."""
+        live = len(self.offices())
+        return all(len(office.neighbours.live()) == live for office in self.offices())
+
     def ready(self) -> bool:
         return all(office.ready(self.now) for office in self.offices())
 
