--- /dev/null
+++ b/benchmarks/added_latency.py
@@ -0,0 +1,66 @@
+"""What an office adds to a request's time: a real process on loopback, asked in turns with the server itself.
+
+    python -m benchmarks.added_latency [--requests 4000] [--rate 167]
+
+One office, alone, one route; requests come one after the other on a kept connection, at a rate. Part of
+docs/CAPACITY.md.
+"""
+
+import argparse
+import asyncio
+import signal
+import tempfile
+import time
+from pathlib import Path
+
+from benchmarks.office_cost import Platform, Shop, request, started
+
+
+async def asked(streams: tuple[asyncio.StreamReader, asyncio.StreamWriter], number: int) -> float:
+    reader, writer = streams
+    began = time.perf_counter()
+    writer.write(request(number))
+    head = await reader.readuntil(b"\r\n\r\n")
+    await reader.readexactly(2)
+    assert b" 200 " in head[:20], head
+    return time.perf_counter() - began
+
+
+async def play(folder: Path, requests: int, rate: float) -> None:
+    loop = asyncio.get_running_loop()
+    shop = await loop.create_server(Shop, "127.0.0.1", 0)
+    Platform.shop = f"127.0.0.1:{shop.sockets[0].getsockname()[1]}"
+    cloud = await loop.create_server(Platform, "127.0.0.1", 0)
+    office, address, _ = await started(folder, f"127.0.0.1:{cloud.sockets[0].getsockname()[1]}")
+    times: dict[str, list[float]] = {Platform.shop: [], address: []}
+    streams = {}
+    for where in times:
+        host, _, port = where.rpartition(":")
+        streams[where] = await asyncio.open_connection(host, int(port))
+    due = loop.time()
+    for number in range(1, requests + 1):
+        for where, took in times.items():
+            took.append(await asked(streams[where], number))
+        due += 1.0 / rate
+        await asyncio.sleep(max(0.0, due - loop.time()))
+    for name, where in (("the server itself", Platform.shop), ("by the office", address)):
+        took = sorted(times[where][requests // 10 :])
+        shown = [took[int(len(took) * part)] * 1e3 for part in (0.5, 0.99, 0.999)]
+        print(f"{name:18} p50 {shown[0]:.2f}  p99 {shown[1]:.2f}  p99.9 {shown[2]:.2f} ms, of {len(took)}")
+    office.send_signal(signal.SIGTERM)
+    await asyncio.to_thread(office.wait)
+    for server in (shop, cloud):
+        server.close()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--requests", type=int, default=4000)
+    parser.add_argument("--rate", type=float, default=167.0)
+    told = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        asyncio.run(play(Path(folder), told.requests, told.rate))
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/capacity_state.py
+++ b/benchmarks/capacity_state.py
@@ -30,7 +30,7 @@
 from millfront.post.postmaster.values import Value
 from millfront.post.settings import Bounds
 from millfront.post.sorting import Sorting
-from millfront.post.wire import MOST_LINE, WireFault, decoded, encoded
+from millfront.post.wire import MOST_LINE, Wire, WireFault, decoded, encoded
 
 ROUTES, TENANTS, SERVICES, SERVERS = 5300, 30_000, 290, 6600  # the target's
 PROCESSES, REGIONS = 1200, 13
@@ -252,8 +252,8 @@
     and what it sends."""
     print("    n regions | MB held for the others | ms/s: a tick, 4 beats, their sending")
     print(
-        "              | a letter of 10 cards: µs new  µs known already | a tick: letters  KB out"
-        " | ms the loop stands still for a tick | µs a resolve"
+        "              | a letter of 10 cards: µs new  µs known already | a hello's answer: letters  KB  ms"
+        " | a tick: letters  KB out | ms the loop stands still for it | µs a resolve"
     )
     for word in words or ["82x2", "300x4", "600x7", "1200x13"]:
         print(apart("alone-one", word), flush=True)
@@ -305,9 +305,16 @@
     letters_out, size = meter.total("out", frozenset(("cards", "hello")))
     count = len(rounds[0]) * 8
     most = sorted(meter.cpu.items(), key=lambda item: -item[1])[:6]
+    spent = sum(meter.cpu.values()) / 8 * 1e3
+    assert office is not None
+    hello = {"t": "hello", "c": [], "x": {}}
+    before = meter.total("out")
+    _, answered = timed(partial(office.datagram, fleet.now, "10.1.0.9:7000", hello))
+    after = meter.total("out")
     print(
-        f"{n:5} {regions:4} | {held:6.2f} | {sum(meter.cpu.values()) / 8 * 1e3:7.2f} | "
+        f"{n:5} {regions:4} | {held:6.2f} | {spent:7.2f} | "
         f"{spent_new / count * 1e6:6.0f} {spent_known / count * 1e6:6.0f} | "
+        f"{after[0] - before[0]:4} {(after[1] - before[1]) / 1000:7.1f} {answered * 1e3:6.1f} | "
         f"{letters_out / 8:7.1f} {size / 8 / 1000:8.2f} | {longest * 1e3:6.1f} {resolve * 1e6:6.0f} | "
         + ", ".join(f"{part} {took / 8 * 1e3:.1f}" for part, took in most)
     )
@@ -343,6 +350,7 @@
             f"{took / pairs * 1e6:6.2f} | {one / 1000:.1f} ({ten / 1000:.1f})",
             flush=True,
         )
+    asyncio.run(sent(range(50, 101, 10)))
     for count in (1, 10):
         least = next(t for t in range(100, 40_000, 100) if _too_long(t, count))
         print(f"{count} cards in a datagram pass {DATAGRAM} bytes from {least} tenants each")
@@ -359,6 +367,19 @@
     ]
 
 
+async def sent(sizes: range) -> None:
+    """Letters so many KB long, over loopback by the very wire."""
+    arrived: list[int] = []
+    address = "127.0.0.1:47311"
+    wire = Wire(lambda line, message: None, lambda back, message: arrived.append(message["kb"]))
+    await wire.listen("127.0.0.1", 47311)
+    chance = random.Random(3)
+    for kb in sizes:  # as long when packed
+        wire.datagram(address, {"t": "cards", "kb": kb, "c": chance.randbytes(kb * 643).hex()})
+        await asyncio.sleep(0.05)
+    print(f"letters of {list(sizes)} KB sent, arrived: {arrived}")
+
+
 def _too_long(tenants: int, count: int) -> bool:
     return len(encoded({"t": "cards", "c": _cards(tenants, count)})) > DATAGRAM
 
@@ -367,9 +388,16 @@
     book.polled(2.0, book.begin(), entries)
 
 
+def looked_through(sorting: Sorting) -> int:
+    """As Carrier.share_cold does with each beat."""
+    return sum(sorting.cold(2.0, seen) for seen in sorting.seen.values())
+
+
 def servers(words: list[str]) -> None:
     """The list of servers: a poll, what the others are told, and a choice."""
-    print("servers | whole list KB  packed | a poll ms  a line from it taken, ms  sorted anew ms  MB held")
+    print(
+        "servers | whole list KB  packed | a poll ms  a line from it taken, ms  sorted anew  cold ms  MB held"
+    )
     for word in words or ["66", "660", "2000", "6600"]:
         count = int(word)
         entries = [
@@ -401,9 +429,10 @@
         changed = {"t": "list", "f": other.number + 1, "p": other.number, "e": entries[:10], "g": []}
         take = timed(partial(other.take, 3.0, changed))[1]
         listed = timed(partial(sorting.listed, book.servers.values()), 5)[1]
+        cold = timed(partial(looked_through, sorting), 5)[1]
         print(
             f"{count:6} | {raw / 1000:8.0f} {len(encoded(whole)) / 1000:7.0f} | "
-            f"{poll * 1e3:7.2f} {take * 1e3:7.3f} {listed * 1e3:7.2f} {held:6.1f}",
+            f"{poll * 1e3:7.2f} {take * 1e3:7.3f} {listed * 1e3:7.2f} {cold * 1e3:6.2f} {held:6.1f}",
             flush=True,
         )
     print("servers of a service | µs a choice")
