--- a/millfront/post/office.py
+++ b/millfront/post/office.py
@@ -5,34 +5,28 @@
 """
 
 import math
-import random
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
 from pyrsistent import PSet, pset
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from millfront.post import orders as standing
 from millfront.post.addresses import Addresses
 from millfront.post.daybook import Daybook
 from millfront.post.franking import Franking
 from millfront.post.neighbours import PART, Neighbours, Standing, holders
-from millfront.post.postmaster import snapshot
-from millfront.post.postmaster.clerk import Clerk, Phase, Round
+from millfront.post.postmaster.clerk import Clerk
 from millfront.post.postmaster.keeper import Keeper, Persist
 from millfront.post.postmaster.postings import Postings
 from millfront.post.postmaster.recovery import SELF
 from millfront.post.postmaster.restante import Restante
 from millfront.post.postmaster.rounds import FETCHED, LEASE_SHARE, Follower
-from millfront.post.postmaster.values import CONFIG, CORE, FOUNDED, TURN, Core, Value, claim_key, inner
+from millfront.post.postmaster.values import CONFIG, CORE, FOUNDED, Core, Value, inner
+from millfront.post.postmaster.window import EVACUATION, Window
 from millfront.post.settings import Settings
 
-EVACUATION = "evacuation/"
 REST = "rest"  # the reference of what a neighbour that is back asks for
-READ_S, WRITE_S = 2.0, 4.0
-ORDER_S = 4.0  # an evacuation that was not begun to be written by then is not
-CLAIM_S = 4.0  # for a claim, all its ballots together
-BACKOFF_S = 0.15  # about what a ballot takes: one that gave way waits up to twice as long, more each time
 FOLLOWERS_S = 4.0  # a line on which nobody asked for so long is pushed nothing
 FRESH_S = 1.7  # a card of the own region is due each second: clients are told of nobody whose card is later
 GONE_S = 1.5  # beyond its lease: the card may have been late, and it asked for it a moment after
@@ -67,7 +61,7 @@
         """A log line."""
 
 
-class Office:
+class Office(Window):
     """One process. `orders` and `evacuated` are what is in force here."""
 
     def __init__(
@@ -93,22 +87,20 @@
         seeds = self._posts(settings.seeds)
         self.neighbours = Neighbours(settings.name, still, seeds, incarnation, seed)
         self.keeper = Keeper(kept, settings.fresh) if kept is not None and still["core"] else None
-        self.clerk = Clerk(f"{settings.name}.{incarnation}.{seed:x}")
-        self.follower = Follower(self.clerk.name, LEASE_SHARE * settings.bounds.revoke_within)
+        life = f"{settings.name}.{incarnation}.{seed:x}"
+        follower = Follower(life, LEASE_SHARE * settings.bounds.revoke_within)
+        super().__init__(Clerk(life), follower, now, seed)  # now: as of the last event
         self.addresses = Addresses()
         self.franking = Franking(settings.bounds, now)
         self.orders: standing.Orders | None = None
         self.evacuated: PSet[str] = pset()
         self.changed: Callable[[], None] = lambda: None  # orders or evacuations have
         self.relisted: Callable[[], None] = lambda: None  # servers have
-        self.waiting: dict[str, tuple[Round, Callable[[Round], None]]] = {}
-        self.later: list[tuple[float, Callable[[], None]]] = []  # what a beat begins anew, and when
-        self.random = random.Random(seed)
         self.followers: dict[Any, float] = {}
         self.pushed = 0  # the number of the last news
         self.had: set[Any] = set()  # who has acknowledged it
         self.to = 0  # how many it was pushed to
-        self.born = self.now = now  # now: as of the last event
+        self.born = now
         self.beats, self.beaten = 0, now
         self.daybook = Daybook()
         self.restante = Restante()
@@ -192,15 +184,7 @@
         self.postings.core_changed()
         core = self.follower.core
         assert core is not None
-        for round, then in list(self.waiting.values()):
-            if round.core.epoch < core.epoch and (
-                round.phase in (Phase.READING, Phase.WRITING) or round.decides != CORE
-            ):
-                if CORE in round.values and round.phase is Phase.WRITING:
-                    continue  # the writing of a core itself, which its keepers take whatever theirs is
-                del self.waiting[round.ref]
-                self.clerk.renew(round, core)
-                self.waiting[round.ref] = (round, then)
+        self.renew_rounds(core)
 
     def _stand(self, now: float) -> None:
         """Ready, a whole copy or not: neighbours, who send clients or change the core, learn it at once."""
@@ -210,189 +194,6 @@
             me.ready, me.keeps = ready, keeps
             self.hurry(now)
 
-    # ---- operators' calls ------------------------------------------------------------------------
-
-    def put(self, now: float, text: str, done: Callable[[int, str], None]) -> None:
-        """A configuration; `done` is told a status and a text, once."""
-        self.put_checked(now, standing.checked(text), done)
-
-    def put_checked(
-        self,
-        now: float,
-        read: Result[standing.Orders, standing.OrdersFault],
-        done: Callable[[int, str], None],
-    ) -> None:
-        """One that was read, perhaps in a thread of its own."""
-        match read:
-            case Err(fault):
-                self.note("counter", f"configuration refused: {fault}")
-                done(400, str(fault))
-                return
-            case Ok(made):
-                pass
-        value = Value(made.version, made.digest, made.text)
-        self._claim(now, value, done, lambda: self._write(self.now, {CONFIG: value}, done))
-
-    def _claim(
-        self, now: float, value: Value, done: Callable[[int, str], None], then: Callable[[], None]
-    ) -> None:
-        """Of a revision number one document is confirmed: whoever's digest a majority has accepted first.
-        Then the document may be written, by anybody who sends it (docs/design/sealed-orders.md)."""
-        number, until = value.version, now + CLAIM_S
-
-        def ballot(at: float, height: int, tries: int) -> None:
-            core, left = self.follower.core, until - at
-            if core is None or left <= 0.0:
-                done(503, "no core is known yet" if core is None else "no majority of the core answers")
-                return
-
-            def decided(round: Round) -> None:
-                if round.phase is Phase.DONE and round.proposal == value.tie:
-                    then()
-                elif round.phase is Phase.DONE:
-                    self.note(
-                        "counter", f"configuration {number:08x} refused: {round.proposal} has its number"
-                    )
-                    done(409, f"revision {number:08x} was given to another document ({round.proposal})")
-                elif round.old:
-                    self._passed(number, done)
-                elif round.highest:
-                    again = self.now + BACKOFF_S * (tries + 1) * 2.0 * self.random.random()
-                    self.later.append((again, lambda: ballot(self.now, round.highest + 1, tries + 1)))
-                else:
-                    done(503, "no majority of the core answers")
-
-            self.start(at, self.clerk.decide(at, core, height, value.tie, left, claim_key(number)), decided)
-
-        ballot(now, 1, 0)
-
-    def _passed(self, number: int, done: Callable[[int, str], None]) -> None:
-        """An order under a number that lies so far back that nobody knows whose it was: a majority has a
-        higher one, so that it changes nothing."""
-
-        def read(round: Round) -> None:
-            held = round.values.get(CONFIG)
-            if round.phase is Phase.DONE and held is not None and held.version > number:
-                done(200, "")
-            else:
-                done(503, "the registry can't be read now")
-
-        self._read(self.now, [CONFIG], read, lambda: done(503, "no core is known yet"))
-
-    def evacuate(
-        self,
-        now: float,
-        zone: str,
-        on: bool,
-        done: Callable[[int, str], None],
-        waits: Callable[[], bool] = lambda: True,
-    ) -> None:
-        """Read from a majority how many words on the zone there were, make known to one that this one is the
-        next (its turn), then write it: whoever begins after it was stored anywhere is above it, so that an
-        order that nobody confirmed does not come up again above one that was confirmed later.
-
-        No two orders are one value: the tie is the read's reference. One that came to a halt on its way is
-        not begun; its operator has sent it elsewhere, and has perhaps taken it back since.
-
-        :param waits: whether whoever ordered it still waits for the answer
-        """
-        key, turn = EVACUATION + zone, TURN + zone
-
-        def goes_on() -> bool:
-            return self.now - now < ORDER_S and waits()
-
-        def read(round: Round) -> None:
-            if round.phase is not Phase.DONE or not goes_on():
-                done(503, "the registry can't be read now")
-                return
-            before = [held.version for held in round.values.values()]
-            version = max([self._version(key), *before]) + 1
-
-            def known(status: int, why: str) -> None:
-                if status == 200 and goes_on():
-                    self._write(self.now, {key: Value(version, round.ref, "1" if on else "0")}, done)
-                else:
-                    done(503, why or "the order was late here")
-
-            self._write(self.now, {turn: Value(version, round.ref, "")}, known)
-
-        self._read(now, [key, turn], read, lambda: done(503, "no core is known yet"))
-
-    def read(self, now: float, done: Callable[[int, str], None]) -> None:
-        """The newest configuration, whole, from a majority."""
-
-        def found(round: Round) -> None:
-            value = round.values.get(CONFIG)
-            if round.phase is not Phase.DONE:
-                done(503, "the registry can't be read now")
-            elif value is None:
-                done(404, "no configuration has been taken yet")
-            else:
-                done(200, value.data)
-
-        self._read(now, [CONFIG], found, lambda: done(503, "no core is known yet"))
-
-    def read_all(self, now: float, done: Callable[[int, str], None]) -> None:
-        """A snapshot of the register, from a majority."""
-
-        def found(round: Round) -> None:
-            if round.phase is Phase.DONE:
-                done(200, snapshot.snapshot(round.values))
-            else:
-                done(503, "the registry can't be read now")
-
-        self._read(now, None, found, lambda: done(503, "no core is known yet"))
-
-    def restore(self, now: float, body: bytes, done: Callable[[int, str], None]) -> None:
-        """Put what a snapshot holds; what is held higher already stays."""
-        match snapshot.restored(body.decode(errors="replace")):
-            case Err(fault):
-                self.note("counter", f"snapshot refused: {fault}")
-                done(400, str(fault))
-            case Ok(values) if CONFIG in values:
-                self._claim(now, values[CONFIG], done, lambda: self._write(self.now, values, done))
-            case Ok(values):
-                self._write(now, values, done)
-
-    def _version(self, key: str) -> int:
-        held = self.follower.values.get(key)
-        return held.version if held is not None else 0
-
-    def _read(
-        self, now: float, keys: list[str] | None, then: Callable[[Round], None], none: Callable[[], None]
-    ) -> None:
-        if self.follower.core is None:
-            none()
-            return
-        self.start(now, self.clerk.read(now, self.follower.core, keys, READ_S), then)
-
-    def _write(self, now: float, values: dict[str, Value], done: Callable[[int, str], None]) -> None:
-        def written(round: Round) -> None:
-            if round.phase is Phase.DONE:
-                done(200, "")
-            else:
-                done(503, "no majority of the core has it yet")
-
-        if self.follower.core is None:
-            done(503, "no core is known yet")
-            return
-        self.start(now, self.clerk.write(now, self.follower.core, values, WRITE_S), written)
-
-    def start(self, now: float, round: Round, then: Callable[[Round], None]) -> None:
-        self.waiting[round.ref] = (round, then)
-        self._drive(now, round)
-
-    def _drive(self, now: float, round: Round) -> None:
-        """Send what the round wants; when it has ended, what it found is held and whoever waits is told."""
-        self.now = now
-        for name, message in self.clerk.drive(now, round):
-            self.to_keeper(now, name, round.core.all[name], message)
-        if round.phase in (Phase.DONE, Phase.FAILED) and round.ref in self.waiting:
-            _, then = self.waiting.pop(round.ref)
-            if round.phase is Phase.DONE:
-                self._hold(round.values)
-            then(round)
-
     # ---- time ------------------------------------------------------------------------------------
 
     def beat(self, now: float) -> None:
@@ -401,12 +202,7 @@
         self.beats += 1
         if self.beats % TICK_BEATS == 1:
             self._tick(now)
-        for round, _ in list(self.waiting.values()):
-            self._drive(now, round)
-        due = [begin for at, begin in self.later if at <= now]
-        self.later = [(at, begin) for at, begin in self.later if at > now]
-        for begin in due:
-            begin()
+        self.beat_rounds(now)
         self.postings.beat(now)
         self._follow(now)
         self._stand(now)
--- /dev/null
+++ b/millfront/post/postmaster/window.py
@@ -0,0 +1,250 @@
+"""The window: operators' orders and questions, each over a majority of the core. No I/O, no clock.
+
+A configuration's number is claimed, then the document is stored; an evacuation has its turn made known, then
+its word is stored; what is read is read from a majority since the call came. Proofs:
+docs/design/sealed-orders.md. An answer is told once: a status of HTTP and a text. 503 says that it may be
+sent again unchanged.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from result import Err, Ok, Result
+
+from millfront.post import orders as standing
+from millfront.post.postmaster import snapshot
+from millfront.post.postmaster.clerk import Clerk, Phase, Round
+from millfront.post.postmaster.rounds import Follower
+from millfront.post.postmaster.values import CONFIG, CORE, TURN, Core, Value, claim_key
+
+EVACUATION = "evacuation/"
+READ_S, WRITE_S = 2.0, 4.0
+ORDER_S = 4.0  # an evacuation that was not begun to be written by then is not
+CLAIM_S = 4.0  # for a claim, all its ballots together
+BACKOFF_S = 0.15  # about what a ballot takes: one that gave way waits up to twice as long, more each time
+Message = dict[str, Any]
+Done = Callable[[int, str], None]  # told a status and a text, once
+
+
+class Window:
+    """The part of a process that takes orders; `Office` puts it together with the rest."""
+
+    def __init__(self, clerk: Clerk, follower: Follower, now: float, seed: int) -> None:
+        self.clerk, self.follower, self.now = clerk, follower, now
+        self.random = random.Random(seed)
+        self.waiting: dict[str, tuple[Round, Callable[[Round], None]]] = {}  # rounds under way
+        self.later: list[tuple[float, Callable[[], None]]] = []  # what a beat begins anew, and when
+
+    # What the process does for it
+
+    def note(self, part: str, text: str, **facts: Any) -> None:
+        raise NotImplementedError
+
+    def to_keeper(self, now: float, name: str, address: str, message: Message) -> None:
+        raise NotImplementedError
+
+    def _hold(self, found: dict[str, Value]) -> None:
+        raise NotImplementedError
+
+    # ---- orders and questions ----------------------------------------------------------------------
+
+    def put(self, now: float, text: str, done: Done) -> None:
+        """A configuration; `done` is told a status and a text, once."""
+        self.put_checked(now, standing.checked(text), done)
+
+    def put_checked(
+        self,
+        now: float,
+        read: Result[standing.Orders, standing.OrdersFault],
+        done: Done,
+    ) -> None:
+        """One that was read, perhaps in a thread of its own."""
+        match read:
+            case Err(fault):
+                self.note("counter", f"configuration refused: {fault}")
+                done(400, str(fault))
+                return
+            case Ok(made):
+                pass
+        value = Value(made.version, made.digest, made.text)
+        self._claim(now, value, done, lambda: self._write(self.now, {CONFIG: value}, done))
+
+    def _claim(self, now: float, value: Value, done: Done, then: Callable[[], None]) -> None:
+        """Of a revision number one document is confirmed: whoever's digest a majority has accepted first.
+        Then the document may be written, by anybody who sends it (docs/design/sealed-orders.md)."""
+        number, until = value.version, now + CLAIM_S
+
+        def ballot(at: float, height: int, tries: int) -> None:
+            core, left = self.follower.core, until - at
+            if core is None or left <= 0.0:
+                done(503, "no core is known yet" if core is None else "no majority of the core answers")
+                return
+
+            def decided(round: Round) -> None:
+                if round.phase is Phase.DONE and round.proposal == value.tie:
+                    then()
+                elif round.phase is Phase.DONE:
+                    self.note(
+                        "counter", f"configuration {number:08x} refused: {round.proposal} has its number"
+                    )
+                    done(409, f"revision {number:08x} was given to another document ({round.proposal})")
+                elif round.old:
+                    self._passed(number, done)
+                elif round.highest:
+                    again = self.now + BACKOFF_S * (tries + 1) * 2.0 * self.random.random()
+                    self.later.append((again, lambda: ballot(self.now, round.highest + 1, tries + 1)))
+                else:
+                    done(503, "no majority of the core answers")
+
+            self.start(at, self.clerk.decide(at, core, height, value.tie, left, claim_key(number)), decided)
+
+        ballot(now, 1, 0)
+
+    def _passed(self, number: int, done: Done) -> None:
+        """An order under a number that lies so far back that nobody knows whose it was: a majority has a
+        higher one, so that it changes nothing."""
+
+        def read(round: Round) -> None:
+            held = round.values.get(CONFIG)
+            if round.phase is Phase.DONE and held is not None and held.version > number:
+                done(200, "")
+            else:
+                done(503, "the registry can't be read now")
+
+        self._read(self.now, [CONFIG], read, lambda: done(503, "no core is known yet"))
+
+    def evacuate(
+        self,
+        now: float,
+        zone: str,
+        on: bool,
+        done: Done,
+        waits: Callable[[], bool] = lambda: True,
+    ) -> None:
+        """Read from a majority how many words on the zone there were, make known to one that this one is the
+        next (its turn), then write it: whoever begins after it was stored anywhere is above it, so that an
+        order that nobody confirmed does not come up again above one that was confirmed later.
+
+        No two orders are one value: the tie is the read's reference. One that came to a halt on its way is
+        not begun; its operator has sent it elsewhere, and has perhaps taken it back since.
+
+        :param waits: whether whoever ordered it still waits for the answer
+        """
+        key, turn = EVACUATION + zone, TURN + zone
+
+        def goes_on() -> bool:
+            return self.now - now < ORDER_S and waits()
+
+        def read(round: Round) -> None:
+            if round.phase is not Phase.DONE or not goes_on():
+                done(503, "the registry can't be read now")
+                return
+            before = [held.version for held in round.values.values()]
+            version = max([self._version(key), *before]) + 1
+
+            def known(status: int, why: str) -> None:
+                if status == 200 and goes_on():
+                    self._write(self.now, {key: Value(version, round.ref, "1" if on else "0")}, done)
+                else:
+                    done(503, why or "the order was late here")
+
+            self._write(self.now, {turn: Value(version, round.ref, "")}, known)
+
+        self._read(now, [key, turn], read, lambda: done(503, "no core is known yet"))
+
+    def read(self, now: float, done: Done) -> None:
+        """The newest configuration, whole, from a majority."""
+
+        def found(round: Round) -> None:
+            value = round.values.get(CONFIG)
+            if round.phase is not Phase.DONE:
+                done(503, "the registry can't be read now")
+            elif value is None:
+                done(404, "no configuration has been taken yet")
+            else:
+                done(200, value.data)
+
+        self._read(now, [CONFIG], found, lambda: done(503, "no core is known yet"))
+
+    def read_all(self, now: float, done: Done) -> None:
+        """A snapshot of the register, from a majority."""
+
+        def found(round: Round) -> None:
+            if round.phase is Phase.DONE:
+                done(200, snapshot.snapshot(round.values))
+            else:
+                done(503, "the registry can't be read now")
+
+        self._read(now, None, found, lambda: done(503, "no core is known yet"))
+
+    def restore(self, now: float, body: bytes, done: Done) -> None:
+        """Put what a snapshot holds; what is held higher already stays."""
+        match snapshot.restored(body.decode(errors="replace")):
+            case Err(fault):
+                self.note("counter", f"snapshot refused: {fault}")
+                done(400, str(fault))
+            case Ok(values) if CONFIG in values:
+                self._claim(now, values[CONFIG], done, lambda: self._write(self.now, values, done))
+            case Ok(values):
+                self._write(now, values, done)
+
+    def _version(self, key: str) -> int:
+        held = self.follower.values.get(key)
+        return held.version if held is not None else 0
+
+    def _read(
+        self, now: float, keys: list[str] | None, then: Callable[[Round], None], none: Callable[[], None]
+    ) -> None:
+        if self.follower.core is None:
+            none()
+            return
+        self.start(now, self.clerk.read(now, self.follower.core, keys, READ_S), then)
+
+    def _write(self, now: float, values: dict[str, Value], done: Done) -> None:
+        def written(round: Round) -> None:
+            if round.phase is Phase.DONE:
+                done(200, "")
+            else:
+                done(503, "no majority of the core has it yet")
+
+        if self.follower.core is None:
+            done(503, "no core is known yet")
+            return
+        self.start(now, self.clerk.write(now, self.follower.core, values, WRITE_S), written)
+
+    def start(self, now: float, round: Round, then: Callable[[Round], None]) -> None:
+        self.waiting[round.ref] = (round, then)
+        self._drive(now, round)
+
+    def _drive(self, now: float, round: Round) -> None:
+        """Send what the round wants; when it has ended, what it found is held and whoever waits is told."""
+        self.now = now
+        for name, message in self.clerk.drive(now, round):
+            self.to_keeper(now, name, round.core.all[name], message)
+        if round.phase in (Phase.DONE, Phase.FAILED) and round.ref in self.waiting:
+            _, then = self.waiting.pop(round.ref)
+            if round.phase is Phase.DONE:
+                self._hold(round.values)
+            then(round)
+
+    def beat_rounds(self, now: float) -> None:
+        """Every beat: what is under way goes on, what gave way begins anew."""
+        for round, _ in list(self.waiting.values()):
+            self._drive(now, round)
+        due = [begin for at, begin in self.later if at <= now]
+        self.later = [(at, begin) for at, begin in self.later if at > now]
+        for begin in due:
+            begin()
+
+    def renew_rounds(self, core: Core) -> None:
+        """The core has changed: what is under way goes on with the new one."""
+        for round, then in list(self.waiting.values()):
+            if round.core.epoch < core.epoch and (
+                round.phase in (Phase.READING, Phase.WRITING) or round.decides != CORE
+            ):
+                if CORE in round.values and round.phase is Phase.WRITING:
+                    continue  # the writing of a core itself, which its keepers take whatever theirs is
+                del self.waiting[round.ref]
+                self.clerk.renew(round, core)
+                self.waiting[round.ref] = (round, then)
