Tests: what several files played alike stands once

Change: Table.turn, found(seeds, table), and members, acknowledged and voting in tests/post_world.py. No assertion is changed.

--- a/tests/post_world.py
+++ b/tests/post_world.py
@@ -281,3 +281,20 @@
             if node.number not in self.spares:
                 node.start()
         return self
+
+
+def members(world: World) -> set[tuple[int, ...]]:
+    """The cores in force, by their machines' numbers; one that still changes is told with its old members."""
+    numbers = {node.name: node.number for node in world.nodes}
+    cores = [office.follower.core for office in world.offices()]
+    return {tuple(sorted(numbers[name] for name in core.all)) for core in cores if core is not None}
+
+
+def acknowledged(world: World, number: int, version: int) -> bool:
+    answers = world.put(number, document(version))
+    world.run(2.0)
+    return bool(answers) and answers[0][0] == 200
+
+
+def voting(node: Node) -> bool:
+    return node.office is not None and node.office.keeper is not None and node.office.keeper.votes
--- a/tests/test_post_claim_search.py
+++ b/tests/test_post_claim_search.py
@@ -12,7 +12,7 @@
 from millfront.post.postmaster.keeper import Keeper, Voting
 from millfront.post.postmaster.values import CLAIM, CORE, Core, Message, Value, claim_key
 from tests.post_register import Recovery
-from tests.test_post_core_search import OLD, Table
+from tests.test_post_core_search import OLD, Table, found
 
 KEY = claim_key(7)
 
@@ -109,29 +109,11 @@
                 self.claim(f"w{step}")
             if step % 25 == 0:
                 self.ask()
-            steps = [partial(self.sync, name) for name, syncs in self.syncs.items() if syncs]
-            if self.pool and (not steps or self.chance.random() < 0.7):
-                self.pool.pop(self.chance.randrange(len(self.pool)))()
-            elif steps:
-                self.chance.choice(steps)()
-            self.now += 0.02
-            for clerk, round, _ in list(self.open):
-                self.drive(clerk, round)
-            self.check()
-
-
-def found(seeds: int) -> str:
-    """What is first found wrong in so many plays, or nothing."""
-    for seed in range(seeds):
-        try:
-            Claims(seed).play()
-        except AssertionError as wrong:
-            return str(wrong)
-    return ""
+            self.turn()
 
 
 def test_no_order_of_a_change_and_a_lost_disk_gives_a_number_to_two_documents() -> None:
-    assert found(100) == ""
+    assert found(100, Claims) == ""
     claims = Claims(1)
     claims.play()
     assert len(claims.chosen) == 4 and 4 in claims.cores and claims.lives  # it comes to its end
@@ -164,4 +146,4 @@
     fault: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     fault(monkeypatch)
-    assert found(600).startswith("two documents of one number")
+    assert found(600, Claims).startswith("two documents of one number")
--- a/tests/test_post_core_changes.py
+++ b/tests/test_post_core_changes.py
@@ -9,7 +9,7 @@
 from millfront.post.postmaster import postings
 from millfront.post.postmaster.keeper import Voting
 from millfront.post.postmaster.values import CORE, Core
-from tests.post_world import Node, World, document
+from tests.post_world import World, acknowledged, document, members, voting
 
 
 @pytest.fixture(autouse=True)
@@ -26,23 +26,6 @@
     return world
 
 
-def members(world: World) -> set[tuple[int, ...]]:
-    """The cores in force, by their machines' numbers; one that still changes is told with its old members."""
-    numbers = {node.name: node.number for node in world.nodes}
-    cores = [office.follower.core for office in world.offices()]
-    return {tuple(sorted(numbers[name] for name in core.all)) for core in cores if core is not None}
-
-
-def acknowledged(world: World, number: int, version: int) -> bool:
-    answers = world.put(number, document(version))
-    world.run(2.0)
-    return bool(answers) and answers[0][0] == 200
-
-
-def voting(node: Node) -> bool:
-    return node.office is not None and node.office.keeper is not None and node.office.keeper.votes
-
-
 def test_a_machine_with_a_disk_that_joins_later_is_posted_and_what_was_acknowledged_is_with_it() -> None:
     world = founded()
     world.nodes[7].start()
--- a/tests/test_post_core_search.py
+++ b/tests/test_post_core_search.py
@@ -126,6 +126,18 @@
             ]
             assert not core.covers(behind), "acknowledged, and a reader is not told"
 
+    def turn(self) -> None:
+        """One thing that is under way happens: a message comes, or a disk has synced."""
+        steps = [partial(self.sync, name) for name, syncs in self.syncs.items() if syncs]
+        if self.pool and (not steps or self.chance.random() < 0.7):
+            self.pool.pop(self.chance.randrange(len(self.pool)))()
+        elif steps:
+            self.chance.choice(steps)()
+        self.now += 0.02
+        for clerk, round, _ in list(self.open):
+            self.drive(clerk, round)
+        self.check()
+
     def play(self) -> None:
         self.office("p", "bcd")
         self.office("q", "acd")
@@ -139,22 +151,14 @@
             if step in (5, 60):  # two orders, one after the other
                 value = Value(1 + step, "", "")
                 self.start(writer, writer.write(self.now, OLD, {CONFIG: value}, 30.0), written)
-            steps = [partial(self.sync, name) for name, syncs in self.syncs.items() if syncs]
-            if self.pool and (not steps or self.chance.random() < 0.7):
-                self.pool.pop(self.chance.randrange(len(self.pool)))()
-            elif steps:
-                self.chance.choice(steps)()
-            self.now += 0.02
-            for clerk, round, _ in list(self.open):
-                self.drive(clerk, round)
-            self.check()
-
-
-def found(seeds: int) -> str:
+            self.turn()
+
+
+def found(seeds: int, table: type[Table] = Table) -> str:
     """What is first found wrong in so many plays, or nothing."""
     for seed in range(seeds):
         try:
-            Table(seed).play()
+            table(seed).play()
         except AssertionError as wrong:
             return str(wrong)
     return ""
--- a/tests/test_post_seats.py
+++ b/tests/test_post_seats.py
@@ -14,7 +14,7 @@
 from millfront.post.postmaster.recovery import Recovery
 from millfront.post.postmaster.seats import Seat, chosen, fewest
 from millfront.post.postmaster.values import Core, write_quorum
-from tests.post_world import Node, World, document
+from tests.post_world import Node, World, acknowledged, document, members, voting
 
 SYNC_TIME_S = 4.0  # after the start of who returned or is new it is no loss any more
 
@@ -27,19 +27,6 @@
     return world
 
 
-def members(world: World) -> set[tuple[int, ...]]:
-    """The cores in force, by their machines' numbers."""
-    numbers = {node.name: node.number for node in world.nodes}
-    cores = [office.follower.core for office in world.offices()]
-    return {tuple(sorted(numbers[name] for name in core.all)) for core in cores if core is not None}
-
-
-def acknowledged(world: World, number: int, version: int) -> bool:
-    answers = world.put(number, document(version))
-    world.run(2.0)
-    return bool(answers) and answers[0][0] == 200
-
-
 def gone(world: World, *nodes: Node) -> None:
     while any(node.office is not None for node in nodes):
         world.run(0.1)
@@ -259,10 +246,6 @@
     return not core.majority(node.name for node in world.nodes if voting(node))
 
 
-def voting(node: Node) -> bool:
-    return node.office is not None and node.office.keeper is not None and node.office.keeper.votes
-
-
 def epoch(world: World) -> int:
     return max(o.follower.core.epoch for o in world.offices() if o.follower.core is not None)
 
