Whose a stored number is counts once a majority has answered

Change: a keeper's word on a stored number is counted like a promise or an acceptance, and told once a majority has answered; an acceptance never counts against it. The new test of a clerk fails where acceptances are counted together with it.

--- a/millfront/post/postmaster/clerk.py
+++ b/millfront/post/postmaster/clerk.py
@@ -45,6 +45,7 @@
     decides: str = CORE  # the key of what is decided
     wish: str = ""  # what is proposed if nothing may have been chosen before
     proposal: str = ""
+    won: str | None = None  # whose a number is, as a keeper that holds its document has told
     old: bool = False  # a claim of a number so low that a keeper has forgotten whose it was
     found: Value | None = None  # the highest that was accepted before
     promised: dict[str, int] = field(default_factory=dict)  # who did, and in which life
@@ -152,33 +153,40 @@
         return round
 
     def _decided(self, round: Round, sender: str, message: Message) -> None:
-        """A keeper's word on a ballot."""
+        """A keeper's word on a ballot. Whose a stored number is, is beyond doubt, and counts like all else
+        once a majority has answered."""
         kind = message["t"]
-        if kind == "no" and "won" in message:
-            round.proposal = message["won"]
-            self._turn(round, Phase.DONE)
-        elif kind == "no" and message.get("old"):
+        if kind == "no" and message.get("old"):
             round.old = True
             self._turn(round, Phase.FAILED)
-        elif kind == "no" and "b" in message:
+            return
+        if kind == "no" and "b" in message:
             round.highest = message["b"]
             self._turn(round, Phase.FAILED)
+            return
+        if kind == "no" and "won" in message:
+            round.won = message["won"]
         elif kind == "promised" and round.phase is Phase.PROMISING:
             if "a" in message:
                 accepted = Value.of(message["a"])
                 round.found = max(round.found, accepted) if round.found is not None else accepted
-            self._count(round, sender, message["l"])
-            if round.core.majority(round.answered):
-                if round.found is not None:
-                    round.proposal = round.found.data
-                round.promised = dict(round.answered)
-                self._turn(round, Phase.ACCEPTING)
-        elif kind == "accepted" and round.phase is Phase.ACCEPTING:
-            self._count(round, sender, message["l"])
-            if any(life < round.lives.get(name, 0) for name, life in round.promised.items()):
-                self._turn(round, Phase.FAILED)  # a promise was forgotten with its disk
-            elif round.core.majority(round.answered):
-                self._turn(round, Phase.DONE)
+        elif kind != "accepted" or round.phase is not Phase.ACCEPTING:
+            return
+        self._count(round, sender, message["l"])
+        if any(life < round.lives.get(name, 0) for name, life in round.promised.items()):
+            self._turn(round, Phase.FAILED)  # a promise was forgotten with its disk
+        elif not round.core.majority(round.answered):
+            return
+        elif round.won is not None:
+            round.proposal = round.won
+            self._turn(round, Phase.DONE)
+        elif round.phase is Phase.PROMISING:
+            if round.found is not None:
+                round.proposal = round.found.data
+            round.promised = dict(round.answered)
+            self._turn(round, Phase.ACCEPTING)
+        else:
+            self._turn(round, Phase.DONE)
 
     @staticmethod
     def _count(round: Round, sender: str, lives: dict[str, int]) -> None:
--- a/millfront/post/postmaster/keeper.py
+++ b/millfront/post/postmaster/keeper.py
@@ -136,7 +136,7 @@
         if key != CORE and claimed_number(key) < self._floor():
             return [(back, {"t": "no", "r": ref, "old": True})], []
         if (won := self._won(key)) is not None:
-            return [(back, {"t": "no", "r": ref, "won": won})], []
+            return [(back, {"t": "no", "r": ref, "won": won, "l": self.lives()})], []
         promise, acceptance = (PROMISED, ACCEPTED) if key == CORE else (OWN + key, key)
         number, whose = message["b"]
         mine = Value(ballot_version(epoch, number), whose, "")
@@ -228,7 +228,7 @@
         if persist.ballot is not None:
             key, ballot = persist.ballot
             if (won := self._won(key)) is not None:
-                return [(back, {"t": "no", "r": answer["r"], "won": won})]
+                return [(back, {"t": "no", "r": answer["r"], "won": won, "l": self.lives()})]
             if not self._still(key, ballot):
                 promised = self.values.get(PROMISED if key == CORE else OWN + key, ballot)
                 return [(back, {"t": "no", "r": answer["r"], "b": promised.version % BALLOTS})]
--- a/tests/test_post_claims.py
+++ b/tests/test_post_claims.py
@@ -10,8 +10,9 @@
 from millfront.post.disk import Disk
 from millfront.post.orders import digest_of
 from millfront.post.postmaster import keeper, values
+from millfront.post.postmaster.clerk import Clerk, Phase
 from millfront.post.postmaster.keeper import Keeper
-from millfront.post.postmaster.values import CLAIM, CONFIG, Value, claim_key
+from millfront.post.postmaster.values import CLAIM, CONFIG, Core, Value, claim_key
 from tests.post_world import World, document
 
 
@@ -115,6 +116,22 @@
         test_of_two_operators_under_one_number_one_is_confirmed_and_the_other_is_told_who_won()
 
 
+def test_whose_a_number_is_is_told_once_a_majority_has_answered_and_no_acceptance_counts_against_it() -> None:
+    clerk = Clerk("x")
+    core = Core(2, {name: name for name in "abcd"})
+    round = clerk.decide(0.0, core, 1, "mine", 4.0, claim_key(7))
+
+    def hear(sender: str, kind: str, **more: str) -> Phase:
+        ref = f"{round.ref}/{round.phase.value}"
+        clerk.take(0.0, sender, {"t": kind, "r": ref, "l": {}} | more)
+        return round.phase
+
+    assert [hear(name, "promised") for name in "abc"][-1] is Phase.ACCEPTING
+    hear("c", "no", won="theirs")
+    assert hear("d", "no", won="theirs") is Phase.ACCEPTING  # two of four are no majority
+    assert hear("a", "accepted") is Phase.DONE and round.proposal == "theirs"
+
+
 def test_claims_are_bounded_and_a_forgotten_number_is_acknowledged(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(keeper, "CLAIMS", 16)
     world = founded()
