--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -1,12 +1,13 @@
 """Bodies of any size, and HTTP/1.1 in every form: what each peer saw."""
 
+import socket
 import time
 from typing import Any
 from unittest.mock import MagicMock
 
 import anyio
 import pytest
-from anyio.abc import SocketStream
+from anyio.abc import SocketAttribute, SocketStream
 
 from millfront import interface as api
 from millfront.node import clients
@@ -99,6 +100,8 @@
 
     one, other = Peer(endless), Peer(endless)
     async with stage(one, other) as on, await on.client() as slow:
+        # The kernel would let the slow one's buffer grow to 32 MB where the machine is busy: it takes nothing
+        slow.extra(SocketAttribute.raw_socket).setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 262_144)
         await slow.send(request())
         with anyio.fail_after(PAST):
             while not on.node.ways.taken:
