What a node's disk holds is in force in its data plane from its start

Cause: the office takes what its disk holds while it is being made, before the carrier listens for changes, so that after a restart the carrier knew neither the evacuations nor the limits until the next change came.

Change: the carrier takes over what is in force when it is made.

Measured: tests/test_restart_from_disk.py fails on the code before (2 of 3) and passes now.

--- a/millfront/post/carrier.py
+++ b/millfront/post/carrier.py
@@ -141,6 +141,7 @@
         self.hurries = False
         office.relisted = self.relisted
         office.changed = self.changed
+        self.changed()  # what the disk had is in force already
 
     # ---- what the office tells -------------------------------------------------------------------
 
--- a/tests/post_world.py
+++ b/tests/post_world.py
@@ -21,8 +21,13 @@
 LEAVE_S = 2.9  # what a process that ends does for its clients
 
 
-def document(version: int, keys: dict[str, list[str]] | None = None, rate: float = 0.0) -> str:
-    """A configuration with one route and tenants with these keys."""
+def document(
+    version: int,
+    keys: dict[str, list[str]] | None = None,
+    rate: float = 0.0,
+    limits: dict[str, Any] | None = None,
+) -> str:
+    """A configuration with one route, tenants with these keys and, where they are given, limits."""
     spec = {
         "host": "a.example", "path_prefix": "/p/", "variant_tag": "effectful", "deadline": "4s",
         "target_time": "1s", "rank": 1, "target": "shop", "max_tries": 2, "home_regions": [],
@@ -41,7 +46,8 @@
         "spec": {"warmup": "3s", "warmup_rate_s": 2.0},
     }
     route = {"variant": "routes", "meta": {"name": "r"}, "spec": spec}
-    return json.dumps({"revision": f"{version:08x}", "resources": [route, service, *tenants]})
+    more = [{"variant": "limits", "meta": {}, "spec": limits}] if limits else []
+    return json.dumps({"revision": f"{version:08x}", "resources": [route, service, *tenants, *more]})
 
 
 class Node:
--- /dev/null
+++ b/tests/test_restart_from_disk.py
@@ -0,0 +1,78 @@
+"""What a process that restarts finds on its own disk is in force in its data plane from the first request."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from millfront.post.carrier import Carrier
+from millfront.post.office import Office
+from millfront.post.orders import Service
+from millfront.post.postmaster.values import CONFIG, CORE, FOUNDED, Core, Value
+from millfront.post.postmaster.window import EVACUATION
+from millfront.post.settings import Bounds, Settings
+from tests.post_world import ZONES, document
+
+NODE = "aa-00"
+CONFIGURATION = document(7, limits={"max_body_bytes": 5000, "idle_timeout": "6s", "header_deadline": "2s"})
+
+
+class NoDoors:
+    """Nothing of what the node wants done reaches anybody."""
+
+    def __getattr__(self, name: str) -> Callable[..., None]:
+        return lambda *args, **more: None
+
+
+def restarted(kept: dict[str, Value]) -> Carrier:
+    """The data plane of a node that starts again with this on its disk."""
+    settings = Settings(
+        name=NODE, ip="127.0.0.1", zone="aa", region="a", fresh=False, counts_loss=True,
+        state_dir=Path("/nowhere"), serves=("edge", "control", "directory"), ram_mb=100, fd_limit=1000,
+        port=7000, seeds=("127.0.0.1:81",), bindings={"plain": "127.0.0.1:80"}, zones=ZONES,
+        cloud="127.0.0.1:1", cloud_rate=40.0, cloud_lag=0.8, bounds=Bounds(),
+    )  # fmt: skip
+    core = Core(FOUNDED, {NODE: "127.0.0.1:7000"}).value()
+    office = Office(settings, NoDoors(), {CORE: core, **kept}, 100.0, 1, 1)
+    return Carrier(office, 1, lambda: 100.0)
+
+
+@pytest.fixture
+def data_plane() -> Carrier:
+    kept = {
+        CONFIG: Value(7, "digest", CONFIGURATION),
+        EVACUATION + "ab": Value(3, "read", "1"),
+        EVACUATION + "ba": Value(4, "read", "0"),
+    }
+    return restarted(kept)
+
+
+def test_an_evacuated_zone_gets_no_request_from_a_node_that_restarted(data_plane: Carrier) -> None:
+    entries = [
+        [f"i-{zone}", "shop", f"10.0.2.{number}:80", zone, 9, 0, 0.0] for number, zone in enumerate(ZONES)
+    ]
+    data_plane.office.addresses.take(100.0, {"f": 1, "p": 0, "e": entries, "g": []})
+    data_plane.relisted()
+    shop = Service("shop", "/health", 100, 0.0, 0.0)
+    chosen = set()
+    for _ in range(100):
+        seen = data_plane.sorting.pick(100.0, shop, True, frozenset(), 1000.0, tried=chosen)
+        if seen is not None:
+            chosen.add(seen.server.ident)
+    assert chosen == {"i-aa", "i-ba", "i-bb"}
+
+
+def test_the_limits_on_the_disk_hold_for_the_first_client_of_a_node_that_restarted(
+    data_plane: Carrier,
+) -> None:
+    server = data_plane.server
+    assert server.most_body == 5000
+    assert server.at_rest_us == 6_000_000
+    assert server.keep_alive == b"timeout=5"
+    assert server.partial_us == 2_300_000
+
+
+def test_a_node_with_nothing_on_its_disk_starts_with_nothing_in_force() -> None:
+    data_plane = restarted({})
+    assert data_plane.sorting.evacuated == frozenset()
+    assert data_plane.office.orders is None
