What others sent of a tenant's quota is charged exactly, at any number of processes

Cause: a tenant's store was charged with the rate at which others are taken to send only now and then, by the rate of that moment, and refunded by the rate that had held; so it drifted, up or down, by the phase at which each other's card comes. Below a share of one request each process also kept one in its bucket: 82 of them at once.

Change: the account is brought up to now before any rate changes, and before a card is counted; tenants of the configuration in force are known to it. The whole request in each bucket is kept only while so many fit into the part of the rule that the store leaves free. Beyond the quota, what may draw on the store is drawn by lot.

--- a/benchmarks/capacity_state.py
+++ b/benchmarks/capacity_state.py
@@ -332,6 +332,7 @@
             f"tenant{k:05}": Tenant(f"tenant{k:05}", frozenset(), None, 18.0, 18.0, frozenset())
             for k in range(tenants)
         }
+        franking.tenants = known
         chance = random.Random(1)
         tracemalloc.start()
         for at in (1.0, 2.0):
@@ -342,7 +343,7 @@
         held = tracemalloc.get_traced_memory()[0]
         tracemalloc.stop()
         names = {f"z0-{p:04d}" for p in range(processes)}
-        _, took = timed(partial(franking.tick, 3.0, names, set(), known))
+        _, took = timed(partial(franking.tick, 3.0, names, set()))
         pairs = tenants * processes
         one, ten = (len(encoded({"t": "cards", "c": _cards(tenants, count)})) for count in (1, 10))
         print(
--- a/millfront/post/franking.py
+++ b/millfront/post/franking.py
@@ -13,6 +13,8 @@
 comes in a clump is let in beyond the level, on the store, and the card goes out at once.
 """
 
+import random
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -26,6 +28,7 @@
 SHARE_UNITS = 8.0  # asked by all in a tick for it to weigh half in a share
 SLACK = 0.5  # of what rate_excess and rate_extra allow, held in the store; the rest is for what is on the way
 BORROW_ABOVE = 0.5  # of the store: above it a clump may draw on what the others leave
+BORROW_OVER = 3.0  # times the quota: at most so much of what all ask draws on the store
 FIRST_STORE = (
     0.3  # of the capacity, after a start: what a herd of restarts may take twice is within the slack
 )
@@ -59,25 +62,49 @@
     bucket: float = 0.0
     store: float = 0.0
     share: float = 0.0
-    at: float = 0.0  # the bucket is filled up to here
+    rate: float = 0.0  # the tenant's quota as last known here
+    capacity: float = 0.0  # what the store may hold
+    least: float = 0.0  # what the bucket may hold, however little its share of the store is
+    at: float = 0.0  # store and bucket stand as of then
     moved: float = -1e9  # when `sent` or `asked` last rose
     seen: float = 0.0
     last_sent: float = 0.0  # `sent` at the last tick
     last_asked: float = 0.0
     own_asked: float = 0.0  # a second, smoothed
+    pressure: float = 0.0  # what all ask over the quota, as of the last tick
     own_sent: float = 0.0
     others: float = 0.0  # the rate at which all others are taken to send until they are heard of again
     refused_store: int = 0  # all that is owed had been let in, by all processes together
     refused_level: int = 0  # this process's level was reached
     peers: dict[str, Peer] = field(default_factory=dict)
 
+    def advance(self, now: float) -> None:
+        """Bring store and bucket up to now, by the rates that held until now.
+
+        Called before every change of `others`, `rate` or `level`: a rate that is charged for time before it
+        held, or refunded for time it was not charged for, is an error that no later total makes up for."""
+        lasted, self.at = max(0.0, now - self.at), now
+        self.store = min(self.store + (self.rate - self.others) * lasted, self.capacity)
+        level = self.level
+        if self.store < SCARCE * self.capacity:  # the price comes a tick later
+            level = min(level, self.rate * self.share)
+        self.bucket = min(self.bucket + level * lasted, max(self.least, self.share * self.store))
+
+    def takes(self, now: float, peer: Peer, rate: float) -> None:
+        """From now on, until it is heard of, a process is taken to send at that rate."""
+        self.advance(now)
+        self.others += rate - peer.used
+        peer.used, peer.since = rate, now
+
 
 class Franking:
     """All tenants' accounts in one process."""
 
-    def __init__(self, bounds: Bounds, now: float) -> None:
+    def __init__(self, bounds: Bounds, now: float, seed: int = 0) -> None:
         self.bounds = bounds
+        self.random = random.Random(seed)
         self.accounts: dict[str, Account] = {}
+        self.tenants: Mapping[str, Tenant] = {}  # by name, of the configuration in force
         self.ticked = now
         self.n = 1
         self.born = now
@@ -88,35 +115,62 @@
     def capacity(self, tenant: Tenant) -> float:
         """What the store may hold: over any `rate_window` w all let in at most capacity + Q·w, and the rule
         allows (Q·w + burst)·(1 + excess) + extra; of the difference SLACK is used."""
+        return tenant.burst + SLACK * self._slack(tenant)
+
+    def spare(self, tenant: Tenant) -> float:
+        """Requests beyond the store that the rule still allows: for what is let in and not told yet."""
+        return (1.0 - SLACK) * self._slack(tenant)
+
+    def _slack(self, tenant: Tenant) -> float:
         b = self.bounds
-        slack = b.rate_excess * (tenant.rate * b.rate_window + tenant.burst) + b.rate_extra
-        return tenant.burst + SLACK * slack
+        return b.rate_excess * (tenant.rate * b.rate_window + tenant.burst) + b.rate_extra
 
     def account(self, now: float, tenant: Tenant) -> Account:
         found = self.accounts.get(tenant.name)
         if found is None:
+            found = self.accounts[tenant.name] = Account(share=1.0 / self.n, at=now, seen=now)
+        if found.rate != tenant.rate or found.capacity != self.capacity(tenant):
+            self._limit(now, tenant, found)
+        return found
+
+    def _account_of(self, now: float, name: str) -> Account:
+        """The account that another process's totals go to. A tenant that the configuration in force here
+        does not limit, or not name yet, has one without a limit."""
+        tenant = self.tenants.get(name)
+        if tenant is not None and tenant.rate > 0.0:
+            return self.account(now, tenant)
+        found = self.accounts.get(name)
+        if found is None:
+            found = self.accounts[name] = Account(share=1.0 / self.n, at=now, seen=now)
+        return found
+
+    def _limit(self, now: float, tenant: Tenant, account: Account) -> None:
+        """The tenant's limit is another one from now on, or is known for the first time."""
+        first = account.rate <= 0.0
+        account.advance(now)
+        account.rate, account.capacity = tenant.rate, self.capacity(tenant)
+        if first:
             # A quiet tenant's store is full, but a process that has just started doesn't know what others
             # sent
-            begun = FIRST_STORE * self.capacity(tenant) + tenant.rate * (now - self.born)
-            store = min(self.capacity(tenant), begun)
-            found = Account(share=1.0 / self.n, at=now, store=store, level=tenant.rate / self.n, seen=now)
-            found.bucket = store * found.share
-            self.accounts[tenant.name] = found
-        return found
+            begun = FIRST_STORE * account.capacity + tenant.rate * (now - self.born)
+            account.store = min(account.capacity, begun)
+            account.least = 1.0 if self.n <= self.spare(tenant) else 0.0
+            account.level, account.bucket = tenant.rate / self.n, account.store * account.share
+        account.store = min(account.store, account.capacity)
 
     def admit(self, now: float, tenant: Tenant) -> float:
         """0: let in. Else it is refused, and may come again after so many seconds."""
         if tenant.rate <= 0.0:
             return 0.0
         found = self.account(now, tenant)
-        self._fill(now, tenant, found)
+        found.advance(now)
         found.seen = found.moved = now
         found.asked += 1.0
         if found.store <= 0.0:  # all has been let in that is owed, whatever the prices say
             found.refused_store += 1
             return max(0.05, min(5.0, (1.0 - found.store) / tenant.rate))
         if found.bucket < 1.0:
-            if found.store < BORROW_ABOVE * self.capacity(tenant) + 1.0:
+            if found.store < BORROW_ABOVE * found.capacity + 1.0 or not self._chosen(found):
                 found.refused_level += 1
                 return max(0.05, min(5.0, (1.0 - found.bucket) / max(found.level, 0.05)))
             self.hurry = True
@@ -126,6 +180,11 @@
         found.store -= 1.0
         return 0.0
 
+    def _chosen(self, account: Account) -> bool:
+        """Whether, of what all ask beyond the quota, this request is one that may draw on the store: else all
+        processes would let in a clump each at the moment when the store has filled up to where they may."""
+        return self.random.random() * account.pressure < BORROW_OVER
+
     def give_back(self, tenant: Tenant) -> None:
         """Let in, and never sent to a server."""
         found = self.accounts.get(tenant.name)
@@ -133,14 +192,6 @@
             found.sent -= 1.0
             found.store += 1.0
 
-    def _fill(self, now: float, tenant: Tenant, account: Account) -> None:
-        lasted, account.at = max(0.0, now - account.at), now
-        account.store = min(account.store + (tenant.rate - account.others) * lasted, self.capacity(tenant))
-        level = account.level
-        if account.store < SCARCE * self.capacity(tenant):  # the price comes a tick later
-            level = min(level, tenant.rate * account.share)
-        account.bucket = min(account.bucket + level * lasted, max(1.0, account.share * account.store))
-
     def told(self, tenant: Tenant) -> dict[str, float | int]:
         """Why a tenant's requests are let in or refused here. Units are requests, rates requests a second."""
         found = self.accounts.get(tenant.name)
@@ -179,9 +230,8 @@
         """
         known = self._whole.get(name) == life  # then a tenant that was not told of had sent nothing
         for tenant, (sent, asked) in totals.items():
-            account = self.accounts.get(tenant)
-            if account is None:
-                account = self.accounts[tenant] = Account(at=self.born, share=1.0 / self.n, seen=now)
+            account = self._account_of(now, tenant)
+            account.advance(now)
             peer = account.peers.setdefault(name, Peer(since=now))
             account.store += peer.used * (now - peer.since)  # what was taken in advance
             if peer.life == life:
@@ -194,18 +244,12 @@
                     account.store -= sent
                 peer.sent_rate = peer.asked_rate = 0.0
             peer.life, peer.age, peer.sent, peer.asked = life, age, sent, asked
-            self._takes(now, account, peer, peer.sent_rate)
+            account.takes(now, peer, peer.sent_rate)
         self._heard[name] = now
         if whole:
             self._whole[name] = life
 
-    @staticmethod
-    def _takes(now: float, account: Account, peer: Peer, rate: float) -> None:
-        """From now on, until it is heard of, a process is taken to send at that rate."""
-        account.others += rate - peer.used
-        peer.used, peer.since = rate, now
-
-    def tick(self, now: float, names: set[str], silent: set[str], tenants: dict[str, Tenant]) -> None:
+    def tick(self, now: float, names: set[str], silent: set[str]) -> None:
         """One price step for each tenant.
 
         :param names: all processes that may be running, this one among them
@@ -214,12 +258,12 @@
         lasted = max(now - self.ticked, 0.05)
         self.ticked, self.n = now, max(1, len(names))
         for name, account in list(self.accounts.items()):
-            tenant = tenants.get(name)
+            tenant = self.tenants.get(name)
             if tenant is None or tenant.rate <= 0.0 or now - account.seen > IDLE_S:
                 if tenant is None and now - account.seen > IDLE_S:
                     del self.accounts[name]
                 continue
-            self._fill(now, tenant, account)
+            self.account(now, tenant).advance(now)
             self._others(now, tenant, account, names, silent)
             self._step(lasted, tenant, account)
 
@@ -232,16 +276,17 @@
             account.peers[name] = Peer(since=now)
         for name, peer in list(account.peers.items()):
             if name not in names:
-                self._takes(now, account, peer, 0.0)
+                account.takes(now, peer, 0.0)
                 del account.peers[name]
                 self._whole.pop(name, None)
                 self._heard.pop(name, None)
             elif self._heard.get(name, 0.0) - peer.since > QUIET_S:  # heard of, and not with this tenant
+                account.advance(now)
                 account.store += peer.used * (now - peer.since)
                 peer.sent_rate, peer.asked_rate = 0.4 * peer.sent_rate, 0.4 * peer.asked_rate
-                self._takes(now, account, peer, peer.sent_rate)
+                account.takes(now, peer, peer.sent_rate)
             elif name in silent and peer.used < slice_:
-                self._takes(now, account, peer, slice_)
+                account.takes(now, peer, slice_)
 
     def _step(self, lasted: float, tenant: Tenant, account: Account) -> None:
         quota = tenant.rate
@@ -254,6 +299,8 @@
         even = 1.0 / self.n
         asked_all = account.own_asked + sum(peer.asked_rate for peer in account.peers.values())
         account.share = (account.own_asked + SHARE_UNITS * even) / (asked_all + SHARE_UNITS)
+        account.pressure = asked_all / quota
+        account.least = 1.0 if self.n <= self.spare(tenant) else 0.0
         account.price = next_price(account.price, total, quota, HIGHEST_PRICE)
         room = max(quota - total, 0.0)
         least = max(0.25 * quota * even if total < quota else 0.0, LEAST_LEVEL)
--- a/millfront/post/office.py
+++ b/millfront/post/office.py
@@ -91,7 +91,7 @@
         follower = Follower(life, LEASE_SHARE * settings.bounds.revoke_within)
         super().__init__(Clerk(life), follower, now, seed)  # now: as of the last event
         self.addresses = Addresses()
-        self.franking = Franking(settings.bounds, now)
+        self.franking = Franking(settings.bounds, now, seed)
         self.orders: standing.Orders | None = None
         self.evacuated: PSet[str] = pset()
         self.changed: Callable[[], None] = lambda: None  # orders or evacuations have
@@ -162,6 +162,7 @@
                 match standing.compiled(value.data):
                     case Ok(made):
                         self.orders = made
+                        self.franking.tenants = made.by_name
                         self.note("registry", f"configuration {made.version:08x} is in force")
                     case Err(fault):
                         self.note("registry", f"configuration {value.version:08x} can't be used: {fault}")
@@ -268,8 +269,7 @@
         moved = self.franking.moved(now, MOVED_S) if sparse else None
         for address, message in self.neighbours.tick(now, moved):
             self.doors.datagram(address, message)
-        tenants = self.orders.by_name if self.orders is not None else {}
-        self.franking.tick(now, *self.neighbours.may_run(now, self._gone_after()), tenants)
+        self.franking.tick(now, *self.neighbours.may_run(now, self._gone_after()))
         self.postings.tick(now)
         self._hand_over()
         self._note_others(now)
--- a/tests/test_post_franking.py
+++ b/tests/test_post_franking.py
@@ -1,12 +1,15 @@
 """Quotas over the whole fleet without a counter, in the simulated world: the rule's window is never broken,
 and what is owed is let in."""
 
+import random
 from collections import deque
 from collections.abc import Callable, Generator
 from typing import Any
 
 import pytest
 
+from millfront.post.franking import Franking
+from millfront.post.orders import Tenant
 from millfront.post.settings import Bounds
 from tests.post_world import Node, World, document
 
@@ -110,3 +113,111 @@
     if name in ("calm", "loss"):
         hot = [well for when, well in told if begin + 8 < when < begin + 18]
         assert sum(hot) >= 0.85 * RATE * 10
+
+
+def limited(rate: float, burst: float) -> Tenant:
+    return Tenant("t", frozenset(("k",)), None, rate, burst, frozenset())
+
+
+def test_what_others_sent_is_charged_exactly_whatever_the_phase_of_their_cards() -> None:
+    """A rate that is charged or refunded for time in which it did not hold lets the store drift."""
+    tenant, random_ = limited(10.0, 500.0), random.Random(3)
+    admission = Franking(Bounds(), 0.0)
+    admission.tenants = {"t": tenant}
+    account = admission.account(1000.0, tenant)  # born long ago: its store is full
+    account.store -= 300.0
+    sent = dict.fromkeys(("p", "q"), 0.0)
+    for name in sent:
+        admission.heard(1000.0, name, 1, 1000.0, {})  # all its totals: it has sent nothing yet
+    begin = account.store
+    for second in range(120):
+        cards = [
+            (phase, name, 0.0) for name, phase in (("p", 0.05), ("q", 0.85))
+        ]  # at its own phase of the tick
+        cards += [(random_.random(), name, 5.0) for name in sent]  # in a hurry, with what it let in
+        for at, name, units in sorted(cards):
+            sent[name] += units
+            now = 1000.0 + second + at
+            admission.heard(now, name, 1, now, {"t": [sent[name], sent[name]]})
+        admission.admit(1001.0 + second, tenant)
+        admission.tick(1001.0 + second, {"me", "p", "q"}, set())
+    now = 1120.0
+    account.advance(now)
+    let_in = account.sent
+    exact = begin + 10.0 * (now - 1000.0) - sum(sent.values()) - let_in
+    in_advance = sum(peer.used * (now - peer.since) for peer in account.peers.values())
+    assert account.store + in_advance == pytest.approx(exact, abs=0.001)
+
+
+def test_a_process_that_was_asked_nothing_for_long_counts_what_others_sent_meanwhile() -> None:
+    tenant = limited(10.0, 10.0)
+    admission = Franking(Bounds(), 0.0)
+    admission.tenants = {"t": tenant}
+    assert admission.admit(100.0, tenant) == 0.0
+    admission.tick(101.0, {"me", "p"}, set())
+    admission.heard(101.0, "p", 1, 50.0, {"t": [0.0, 0.0]})
+    capacity = admission.capacity(tenant)
+    admission.heard(199.9, "p", 1, 149.0, {"t": [capacity + 5.0, 400.0]})
+    assert admission.admit(200.0, tenant) > 0.0, "all that is owed was let in by another a moment ago"
+
+
+def test_what_others_sent_counts_before_the_first_request_here() -> None:
+    tenant = limited(10.0, 10.0)
+    admission = Franking(Bounds(), 0.0)
+    admission.tenants = {"t": tenant}
+    admission.heard(100.0, "p", 1, 50.0, {})  # all its totals: it has sent nothing yet
+    admission.heard(200.0, "p", 1, 150.0, {"t": [admission.capacity(tenant) + 5.0, 400.0]})
+    assert admission.admit(200.1, tenant) > 0.0
+
+
+def poisson(world: World, total: Callable[[float], float], seconds: float) -> list[tuple[float, bool]]:
+    """Requests of one tenant, `total` a second, each at a process drawn at random; cards go out as the daemon
+    sends them."""
+    told: list[tuple[float, bool]] = []
+    hurries: set[int] = set()
+
+    def hurry(node: Node) -> Generator[Any, Any, None]:
+        office = node.office
+        yield world.env.timeout(0.06)
+        hurries.discard(node.number)
+        if office is not None and node.office is office:
+            office.hurry(node.now())
+
+    def clients() -> Generator[Any, Any, None]:
+        end = world.env.now + seconds
+        while world.env.now < end:
+            yield world.env.timeout(world.random.expovariate(total(float(world.env.now))))
+            node = world.random.choice(world.nodes)
+            office = node.office
+            if office is None or office.orders is None:
+                continue
+            wait = office.franking.admit(node.now(), office.orders.by_name["t"])
+            told.append((float(world.env.now), wait == 0.0))
+            if office.franking.hurry and node.number not in hurries:
+                hurries.add(node.number)
+                world.env.process(hurry(node))
+
+    world.env.process(clients())
+    world.run(seconds)
+    return told
+
+
+@pytest.mark.parametrize("rate", [5.0, 18.0])
+def test_at_82_processes_all_know_what_a_rush_has_used_and_the_window_holds(rate: float) -> None:
+    world = World(82, 6, seed=2).start().run(4.0)
+    world.put(0, document(1, {"t": ["k"]}, rate=rate))
+    world.run(3.0)
+    begin = world.env.now
+    told = poisson(world, lambda now: (12.0 if now > begin + 2.0 else 0.6) * rate, 12.0)
+    views = []
+    for node in world.nodes:
+        assert node.office is not None
+        account = node.office.franking.accounts["t"]
+        account.advance(node.now())
+        views.append(account.store)
+    bounds = world.bounds
+    slack = bounds.rate_excess * (rate * bounds.rate_window + rate) + bounds.rate_extra
+    assert max(views) - min(views) <= 0.5 * slack, "they differ by what is on the way, no more"
+    assert worst_window(told, bounds.rate_window) <= rate * bounds.rate_window + rate + slack
+    late = [well for when, well in told if when > begin + 5.0]
+    assert sum(late) >= 0.75 * rate * 7.0
--- a/tests/test_restart_from_disk.py
+++ b/tests/test_restart_from_disk.py
@@ -1,7 +1,6 @@
 """What a process that restarts finds on its own disk is in force in its data plane from the first request."""
 
 from collections.abc import Callable
-from pathlib import Path
 
 import pytest
 
@@ -28,7 +27,7 @@
     """The data plane of a node that starts again with this on its disk."""
     settings = Settings(
         name=NODE, ip="127.0.0.1", zone="aa", region="a", fresh=False, counts_loss=True,
-        state_dir=Path("/nowhere"), serves=("edge", "control", "directory"), ram_mb=100, fd_limit=1000,
+        state_dir="/nowhere", serves=("edge", "control", "directory"), ram_mb=100, fd_limit=1000,
         port=7000, seeds=("127.0.0.1:81",), bindings={"plain": "127.0.0.1:80"}, zones=ZONES,
         cloud="127.0.0.1:1", cloud_rate=40.0, cloud_lag=0.8, bounds=Bounds(),
     )  # fmt: skip
@@ -54,7 +53,7 @@
     data_plane.office.addresses.take(100.0, {"f": 1, "p": 0, "e": entries, "g": []})
     data_plane.relisted()
     shop = Service("shop", "/health", 100, 0.0, 0.0)
-    chosen = set()
+    chosen: set[str] = set()
     for _ in range(100):
         seen = data_plane.sorting.pick(100.0, shop, True, frozenset(), 1000.0, tried=chosen)
         if seen is not None:
