The last check before a request is written asks for the zone, too

Cause: a server is chosen, and its connection may come up, or be tried again, after its zone's evacuation came into force; the check before the write asked for readiness and the configuration alone (EVAC).

Change: Road.check refuses where the chosen server's zone is evacuated; the request is chosen a server anew.

Measured: tests/test_post_calls.py, a connection that comes up after the evacuation: 200 before, 503 and no server reached now.

--- a/millfront/post/carrier.py
+++ b/millfront/post/carrier.py
@@ -110,8 +110,12 @@
     def check(self, member: PoolMember, flow: Any = None) -> None:
         if not member.ready:
             raise Ended(Ending.NOT_SENT, f"{member.id} is draining or gone")
-        if flow is not None and not self.carrier.still_allowed(flow.opened):
+        if flow is None:
+            return
+        if not self.carrier.still_allowed(flow.opened):
             raise Ended(Ending.NOT_SENT, "not allowed any more")
+        if self.carrier.evacuated(flow):
+            raise Ended(Ending.NOT_SENT, f"the zone of {member.id} is evacuated")
 
 
 class Carrier:
@@ -281,6 +285,11 @@
         route = orders.route_of(letter.host, letter.path)
         return route is not None and any(name == letter.service for name, _ in route.arms)
 
+    def evacuated(self, flow: ServerSideFlow) -> bool:
+        """Whether the zone of the server that was chosen is evacuated by now."""
+        seen = flow.opened.seen.get(flow.number)
+        return seen is not None and seen.server.zone in self.sorting.evacuated
+
     # ---- tries ---------------------------------------------------------------------------------------
 
     def go(self, letter: Letter) -> None:
--- a/tests/test_post_calls.py
+++ b/tests/test_post_calls.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from millfront.post import cli
+from millfront.post import cli, service
 from millfront.post.addresses import Addresses
 from millfront.post.cloud import CloudFault, listed
 from millfront.post.postmaster import postings
@@ -451,6 +451,111 @@
     play(story)
 
 
+async def kept(made: Stage) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """A connection that has had an answer and rests."""
+    host, _, port = made.plain.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    assert (await exchange(reader, writer, "POST", "/p/a1", b"x", KEY))[0] == 200
+    return reader, writer
+
+
+def with_idle_timeout(version: int, idle: str) -> str:
+    return document(version, {"t": ["key-1"]}, limits={"idle_timeout": idle})
+
+
+def test_a_lower_idle_timeout_binds_a_connection_from_its_next_answer_on(tmp_path: Path) -> None:
+    async def story() -> None:
+        async with stage(tmp_path, [well]) as made:
+            server = made.service.carrier.server
+            reader, writer = await kept(made)  # told 14 s
+            (connection,) = server._connections
+            assert await made.put(with_idle_timeout(2, "4s")) == 200
+            since = connection.rests_since_us
+            connection.expire(since + 12_000_000, server.partial_us)
+            assert connection in server._connections
+            head = (await exchange(reader, writer, "POST", "/p/a2", b"x", KEY))[1]
+            assert field(head, "Keep-Alive") == b"timeout=3"
+            since = connection.rests_since_us
+            connection.expire(since + 3_900_000, server.partial_us)
+            assert connection in server._connections
+            connection.expire(since + 4_100_000, server.partial_us)
+            assert connection not in server._connections
+            writer.close()
+
+    play(story)
+
+
+def test_a_connection_on_which_a_request_has_come_is_not_closed_for_idleness(tmp_path: Path) -> None:
+    async def story() -> None:
+        async with stage(tmp_path, [well]) as made:
+            server = made.service.carrier.server
+            reader, writer = await kept(made)
+            (connection,) = server._connections
+            fields = f"Host: a.example\r\nMillfront-Attempt-Id: a29c\r\n{KEY}"
+            writer.write(f"GET /p/a2 HTTP/1.1\r\n{fields}\r\n".encode())
+            connection.expire(connection.rests_since_us + 60_000_000, server.partial_us)  # before it is read
+            async with asyncio.timeout(5):
+                assert b" 200 " in await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+
+    play(story)
+
+
+def test_at_its_end_a_node_waits_for_a_client_that_takes_its_answer_slowly(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The answer says `Connection: close`, and the member is done with it long before the client."""
+    monkeypatch.setattr(service, "LEAVE_S", 0.01)
+    size = 9_000_000
+
+    async def story() -> None:
+        async with stage(tmp_path, [says(body=b"y" * size, more=SEAL)], servers=1) as made:
+            host, _, port = made.plain.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port), limit=4096)
+            fields = f"Host: a.example\r\nMillfront-Attempt-Id: a19c\r\n{KEY}"
+            server, carrier = made.service.carrier.server, made.service.carrier
+            server.room.most = 4 * size  # the member is done while the client still reads
+            made.service.ending.set()
+            await made.until(lambda: server.closing)
+            writer.write(f"GET /p/a1 HTTP/1.1\r\n{fields}\r\n".encode())
+            await made.until(lambda: len(made.seen) == 1 and carrier.open == 0)
+            connection = next(iter(server._connections))
+            assert server.untaken() == 1
+            connection.expire(server.clock.now() + 2_000_000, server.partial_us)
+            async with asyncio.timeout(5):
+                head = await reader.readuntil(b"\r\n\r\n")
+                assert field(head, "Connection") == b"close"
+                assert len(await reader.readexactly(size)) == size
+            writer.close()
+
+    play(story)
+
+
+def test_a_request_held_for_a_server_goes_to_no_zone_that_is_evacuated_meanwhile(tmp_path: Path) -> None:
+    """The server is chosen, and its connection comes up after the evacuation is in force."""
+
+    async def story() -> None:
+        async with stage(tmp_path, [well], servers=1) as made:
+            carrier = made.service.carrier
+            obtain = carrier.members.obtain
+            dialled: list[Callable[[], object]] = []
+
+            def later(member: Any, up: Any) -> Callable[[], None]:
+                dialled.append(lambda: obtain(member, up))
+                return lambda: None
+
+            carrier.members.obtain = later  # type: ignore[method-assign]
+            asked = asyncio.get_running_loop().create_task(made.ask("POST", "/p/a1", b"order", more=KEY))
+            await made.until(lambda: bool(dialled))
+            carrier.members.obtain = obtain  # type: ignore[method-assign]
+            assert (await made.ask("POST", "/v1/evacuation/aa", at=made.ctl))[0] == 200
+            dialled[0]()
+            assert (await asked)[0] == 503
+            assert made.seen == []
+
+    play(story)
+
+
 def test_a_server_s_own_error_comes_back_unchanged(tmp_path: Path) -> None:
     async def story() -> None:
         async with stage(tmp_path, [says(status="500 Oh", body=b"why")]) as made:
