No connection ends with a request unread or an answer half taken

Change: a connection keeps the limit that its client was told, a look for unread bytes comes before it is closed for idleness, and an answer that is being taken holds it; a node exits after six looks in a row without work.

--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -122,6 +122,7 @@
         "moved_us",
         "opened",
         "over",
+        "rest_us",
         "rests_since_us",
         "server",
         "source",
@@ -140,6 +141,7 @@
         self.asked = False  # a request came whole
         self.spent_us = 0  # since when its last answer is written
         self.rests_since_us = server.clock.now()
+        self.rest_us = server.at_rest_us  # how long it may lie idle, as its client was told
         self.answering_us = 0  # since when an answer waits for the client to read
         self.unsent = 0  # how much of it waited then
         self.source: Source | None = None  # of an answer that goes on as it comes
@@ -281,7 +283,7 @@
 
     def expire(self, now_us: int, partial_us: int) -> None:
         begun_us = self.begun_us if self.asked or self.in_body else self.rests_since_us
-        if self.spent_us:
+        if self.spent_us and not self.link.unsent:
             heard_us = min(self.moved_us, self.spent_us + LONGEST_LINGER_US)
             if max(self.spent_us, heard_us) < now_us - LINGER_US:
                 self.close()
@@ -290,19 +292,23 @@
         elif not self.busy and begun_us and begun_us < now_us - partial_us:
             if self.begun_us:
                 self.refuse(HTTPStatus.REQUEST_TIMEOUT, "request not finished in time")
-            else:
+            elif self.link.quiet():
                 self.end(Ending.TIMED_OUT)
         elif self.answering_us and self.answering_us < now_us - UNREAD_US:
             if (unsent := self.link.unsent + self.link.unread()) < self.unsent:  # slowly, but it reads
                 self.answering_us, self.unsent = now_us, unsent
             else:
                 self.end(Ending.TIMED_OUT)
-        elif self.at_rest() and self.rests_since_us < now_us - self.server.at_rest_us:
+        elif self.rested_out(now_us) and self.link.quiet():  # a request that has come is answered first
             self.end(Ending.CLOSED)
 
     def at_rest(self) -> bool:
         return not self.busy and not self.begun_us
 
+    def rested_out(self, now_us: int) -> bool:
+        """Idle for longer than its client was told, and than the limit in force allows."""
+        return self.at_rest() and self.rests_since_us < now_us - max(self.rest_us, self.server.at_rest_us)
+
     def drain(self) -> None:
         """Its next answer says `Connection: close`."""
 
@@ -405,6 +411,7 @@
             return
         self.busy = False
         self.rests_since_us = self.server.clock.now()
+        self.rest_us = self.server.at_rest_us
         self.server.rested(self)
         if self.codec.buffered:
             self.begun_us = self.rests_since_us
@@ -618,3 +625,7 @@
     def unanswered(self) -> int:
         """Connections with a request that was taken, or is just coming."""
         return sum(1 for c in self._connections if (c.busy or c.begun_us) and not c.deaf)
+
+    def untaken(self) -> int:
+        """Connections with a last answer that the client has not taken whole."""
+        return sum(1 for c in self._connections if isinstance(c, ClientConnection) and c.link.unsent)
--- a/millfront/post/service.py
+++ b/millfront/post/service.py
@@ -30,6 +30,8 @@
 LOOK_BEATS = 8  # between two looks at the settings file, 2 s
 LEAVE_S = 0.6  # of the grace, from SIGTERM until clients are no longer taken on
 LAST_S = 0.3  # before the grace ends
+LOOK_S = 0.02  # between two looks at whether anything is under way
+LAST_LOOKS = 6
 
 
 class Service:
@@ -181,14 +183,18 @@
         server.send_away(True)
         await asyncio.sleep(LEAVE_S * grace * 0.3)
         server.stop_accepting()
-        seat = self.office.postings
-        while self.now() < end and (
-            self.carrier.open > 0 or server.unanswered() or not seat.may_go(self.now())
-        ):
+        looks = 0  # in a row at which nothing was under way: a request may still come on a kept connection
+        while self.now() < end and looks < LAST_LOOKS:
             server.close_at_rest()
-            await asyncio.sleep(0.02)
-        server.close_at_rest()
-        await asyncio.sleep(0.1)
+            looks = 0 if self._under_way() else looks + 1
+            await asyncio.sleep(LOOK_S)
+
+    def _under_way(self) -> bool:
+        """Whether something is open that is to end before this process does."""
+        server = self.carrier.server
+        if self.carrier.open > 0 or server.unanswered() or server.untaken():
+            return True
+        return not self.office.postings.may_go(self.now())
 
 
 def run(environment: Mapping[str, str]) -> int:
