Modules of the whole system move to packages by their subject

Cause: one package, post, held 31 modules of control plane, membership, discovery, data plane, transport and disk under names of the post.

No change of behaviour; names inside follow.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -17,9 +17,9 @@
 from benchmarks import capacity_state
 from benchmarks.capacity_state import document
 from benchmarks.hollow import Fleet, Meter, settled
-from millfront.post.neighbours import Standing
-from millfront.post.office import FRESH_S
-from millfront.post.orders import Tenant
+from millfront.control.configuration import Tenant
+from millfront.gatekeeper.node import FRESH_S
+from millfront.membership.gossip import Standing
 
 REST_S, MEASURED_S = 6.0, 10.0  # measured: whole times of the 5 s in which all greet the seeds
 ROSTER = frozenset(("cards", "hello", "want"))
--- a/benchmarks/capacity_state.py
+++ b/benchmarks/capacity_state.py
@@ -19,18 +19,18 @@
 from typing import Any
 
 from benchmarks.hollow import Fleet, settled
-from millfront.post import orders
-from millfront.post.addresses import Addresses
-from millfront.post.cloud import CloudFault, listed
-from millfront.post.disk import MAP_BYTES, Disk, DiskFault
-from millfront.post.franking import Franking
-from millfront.post.neighbours import PER_LETTER, Card
-from millfront.post.office import BEAT_S, TICK_BEATS, Office
-from millfront.post.orders import Orders, Service, Tenant
-from millfront.post.postmaster.values import Value
-from millfront.post.settings import Bounds
-from millfront.post.sorting import Sorting
-from millfront.post.wire import MOST_LINE, Wire, WireFault, decoded, encoded
+from millfront.control import configuration as orders
+from millfront.control.configuration import Orders, Service, Tenant
+from millfront.dataplane.admission import Franking
+from millfront.dataplane.load_balancer import Sorting
+from millfront.discovery.platform_client import CloudFault, listed
+from millfront.discovery.server_list import Addresses
+from millfront.environment import Bounds
+from millfront.gatekeeper.node import BEAT_S, TICK_BEATS, Office
+from millfront.membership.gossip import PER_LETTER, Card
+from millfront.register.values import Value
+from millfront.storage.disk import MAP_BYTES, Disk, DiskFault
+from millfront.transport.connections import MOST_LINE, Wire, WireFault, decoded, encoded
 
 ROUTES, TENANTS, SERVICES, SERVERS = 5300, 30_000, 290, 6600  # the target's
 PROCESSES, REGIONS = 1200, 13
--- a/benchmarks/catching_up.py
+++ b/benchmarks/catching_up.py
@@ -15,13 +15,13 @@
 from functools import lru_cache
 from typing import Any
 
-from millfront.post import orders
-from millfront.post.disk import Disk
-from millfront.post.postmaster import pieces
-from millfront.post.postmaster.differences import difference, followed, size
-from millfront.post.postmaster.pieces import Archive
-from millfront.post.postmaster.values import Value
-from millfront.post.wire import decoded, encoded
+from millfront.control import configuration as orders
+from millfront.register import chunks as pieces
+from millfront.register.chunks import Archive
+from millfront.register.deltas import difference, followed, size
+from millfront.register.values import Value
+from millfront.storage.disk import Disk
+from millfront.transport.connections import decoded, encoded
 from tests.post_world import Node
 from tests.test_post_catching_up import Watched, held_by, long
 
--- a/benchmarks/hollow.py
+++ b/benchmarks/hollow.py
@@ -2,8 +2,8 @@
 
 A lean twin of tests/post_world.py for hundreds of them: deliveries wait in slots of 5 ms, and a letter is
 handed on as it is. A few offices are *measured*: whatever they send or get is encoded and decoded by
-`millfront.post.wire`, as the daemon does it, with its bytes counted, and their processor time is charged to
-parts. No requests are carried. Times are seconds.
+`millfront.transport.connections`, as the daemon does it, with its bytes counted, and their processor time is
+charged to parts. No requests are carried. Times are seconds.
 """
 
 import gc
@@ -14,12 +14,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from millfront.post.office import BEAT_S, Office
-from millfront.post.orders import Tenant
-from millfront.post.postmaster.keeper import Persist
-from millfront.post.postmaster.values import Value
-from millfront.post.settings import Bounds, Settings
-from millfront.post.wire import decoded, encoded
+from millfront.control.configuration import Tenant
+from millfront.environment import Bounds, Settings
+from millfront.gatekeeper.node import BEAT_S, Office
+from millfront.register.replica import Persist
+from millfront.register.values import Value
+from millfront.transport.connections import decoded, encoded
 
 Message = dict[str, Any]
 PORT = 7000
--- a/benchmarks/registered_mail.py
+++ b/benchmarks/registered_mail.py
@@ -15,10 +15,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from millfront.post.disk import Disk
-from millfront.post.postmaster import postings
-from millfront.post.postmaster.values import Value
-from millfront.post.wire import encoded
+from millfront.register import reconfiguration as postings
+from millfront.register.values import Value
+from millfront.storage.disk import Disk
+from millfront.transport.connections import encoded
 from tests import test_post_core_changes, test_post_core_search
 from tests.post_world import ZONES, Node, World, document
 
--- a/benchmarks/roster.py
+++ b/benchmarks/roster.py
@@ -12,8 +12,8 @@
 import sys
 from typing import Any
 
-from millfront.post.neighbours import Neighbours, Standing
-from millfront.post.wire import encoded
+from millfront.membership.gossip import Neighbours, Standing
+from millfront.transport.connections import encoded
 
 TICKS = 40
 LOSS = 0.02
--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -7,7 +7,7 @@
 
 from pyrsistent import pmap
 
-from millfront.post.orders import Limits, Orders, Roads, Route
+from millfront.control.configuration import Limits, Orders, Roads, Route
 
 LOOKS = 100_000
 
--- a/millfront/__main__.py
+++ b/millfront/__main__.py
@@ -6,7 +6,7 @@
 
 def main() -> int:
     if sys.argv[1:] == ["office"]:  # a role of the whole system: it starts without the commands' imports
-        from millfront.post import lean
+        from millfront.gatekeeper import start as lean
 
         return lean.office(os.environ)
     if len(sys.argv) > 1 or "_MILLFRONT_COMPLETE" in os.environ:
--- a/millfront/cli/commands.py
+++ b/millfront/cli/commands.py
@@ -17,11 +17,11 @@
 
     GROUPS: ClassVar[dict[str, str]] = {
         "plans": "millfront.cli.plans",
-        "post": "millfront.post.cli",
+        "post": "millfront.cli.gatekeeper",
         "rehearse": "millfront.cli.rehearse",
         "usage": "millfront.cli.usage",
     }
-    ROLES: ClassVar[dict[str, str]] = {"office": "millfront.post.cli"}  # of the whole system
+    ROLES: ClassVar[dict[str, str]] = {"office": "millfront.cli.gatekeeper"}  # of the whole system
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         return sorted([*super().list_commands(ctx), *self.GROUPS, *self.ROLES])
--- a/millfront/cli/documents.py
+++ b/millfront/cli/documents.py
@@ -52,7 +52,8 @@
     """Of the whole system's documents the first fault is named."""
     from result import Err
 
-    from millfront.post import orders, settings
+    from millfront import environment as settings
+    from millfront.control import configuration as orders
 
     try:
         if kind == "orders":
--- a/millfront/post/cli.py
+++ b/millfront/cli/gatekeeper.py
@@ -24,7 +24,7 @@
 @click.command()
 def office() -> None:
     """Serve as one process of the whole system; MILLFRONT_CONFIG names its settings file."""
-    from millfront.post import service
+    from millfront.gatekeeper import process as service
 
     sys.exit(service.run(os.environ))
 
@@ -109,7 +109,7 @@
     """Put the snapshot in FILE into the register; what it holds already at a higher version stays."""
     from result import Err
 
-    from millfront.post.postmaster import snapshot
+    from millfront.register import snapshot
 
     text = file.read_text()
     if isinstance(read := snapshot.restored(text), Err):
--- /dev/null
+++ b/millfront/control/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration and evacuations: checked documents, admin operations, delivery to subscribers, hints."""
--- a/millfront/post/postmaster/window.py
+++ b/millfront/control/admin.py
@@ -12,11 +12,11 @@
 
 from result import Err, Ok, Result
 
-from millfront.post import orders as standing
-from millfront.post.postmaster import snapshot
-from millfront.post.postmaster.clerk import Clerk, Phase, Round
-from millfront.post.postmaster.rounds import Follower
-from millfront.post.postmaster.values import CONFIG, CORE, TURN, Core, Value, claim_key
+from millfront.control import configuration as standing
+from millfront.control.delivery import Follower
+from millfront.register import snapshot
+from millfront.register.coordinator import Clerk, Phase, Round
+from millfront.register.values import CONFIG, CORE, TURN, Core, Value, claim_key
 
 EVACUATION = "evacuation/"
 READ_S, WRITE_S = 2.0, 4.0
--- a/millfront/post/orders.py
+++ b/millfront/control/configuration.py
@@ -14,7 +14,7 @@
 from result import Err, Ok, Result
 from schema import And, Optional, Or, Schema, SchemaError
 
-from millfront.post.settings import seconds
+from millfront.environment import seconds
 
 KINDS = ("idempotent", "effectful", "upload")
 MOST_OVER_S = 60.0  # a target time so far above its route's deadline is a slip of the pen
--- a/millfront/post/postmaster/rounds.py
+++ b/millfront/control/delivery.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from millfront.post.postmaster.pieces import SHORT, Archive, Arrivals, Offer
-from millfront.post.postmaster.values import CORE, Core, Value
+from millfront.register.chunks import SHORT, Archive, Arrivals, Offer
+from millfront.register.values import CORE, Core, Value
 
 LEASE_SHARE = (
     0.8  # of revoke_within: the rest is for a clock that runs 1% slow and a request that waits to be sent
--- a/millfront/post/postmaster/restante.py
+++ b/millfront/control/hinted_handoff.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from millfront.post.neighbours import Card, Standing
-from millfront.post.postmaster.values import Value
+from millfront.membership.gossip import Card, Standing
+from millfront.register.values import Value
 
 YOUNG_S = 5.0  # a process seen for the first time that is older has been running, and lacks nothing
 Stamps = dict[str, list[Any]]
--- a/millfront/post/franking.py
+++ b/millfront/dataplane/admission.py
@@ -18,9 +18,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from millfront.control.configuration import Tenant
 from millfront.decisions.prices import level_at, next_price
-from millfront.post.orders import Tenant
-from millfront.post.settings import Bounds
+from millfront.environment import Bounds
 
 FIRST_PRICE = 1.0
 HIGHEST_PRICE = 8.0  # an n undercounted by so much is still outbid
--- a/millfront/post/sorting.py
+++ b/millfront/dataplane/load_balancer.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from millfront.post.addresses import Phase, Server
-from millfront.post.orders import Service
+from millfront.control.configuration import Service
+from millfront.discovery.server_list import Phase, Server
 
 REPORT_S = 1.0  # a load report is worth 1/e after so long
 LATENCY_WEIGHT = 0.15
--- a/millfront/post/carrier.py
+++ b/millfront/dataplane/proxy.py
@@ -13,6 +13,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from millfront.control.configuration import Route, Tenant
+from millfront.dataplane.load_balancer import Seen, Sorting
+from millfront.dataplane.retries import Course, Purse
+from millfront.gatekeeper.node import Office
 from millfront.node.bodies import EACH, PART, ROOM_PART, Room, Ways
 from millfront.node.clients import VirtualServer
 from millfront.node.config import Address
@@ -23,10 +27,6 @@
 from millfront.node.stages import relay
 from millfront.node.stages.send import Send, ServerSideFlow
 from millfront.node.stages.take_in import NotTaken
-from millfront.post.forwarding import Course, Purse
-from millfront.post.office import Office
-from millfront.post.orders import Route, Tenant
-from millfront.post.sorting import Seen, Sorting
 
 ID, DEADLINE = b"millfront-attempt-id", b"millfront-deadline-ms"
 TENANT, TARGET = b"millfront-tenant-name", b"millfront-target-instance"
--- a/millfront/post/forwarding.py
+++ b/millfront/dataplane/retries.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from millfront.environment import Bounds
 from millfront.node.endings import Ending
-from millfront.post.settings import Bounds
 
 HELD = 0.45  # of its part of retry_extra, and of what its requests of a window earn: held at most
 EARNED = 0.45  # of the same, earned over a window; held and earned together stay below the rule by a tenth
--- a/millfront/post/cloud.py
+++ b/millfront/discovery/platform_client.py
@@ -6,8 +6,8 @@
 
 import h11
 
-from millfront.post.addresses import Told, told_by_platform
-from millfront.post.settings import seconds
+from millfront.discovery.server_list import Told, told_by_platform
+from millfront.environment import seconds
 
 WHOLE_S = 0.9  # of a call, all its pages
 MOST_PAGES = 40
--- a/millfront/post/counter.py
+++ b/millfront/gatekeeper/api.py
@@ -8,15 +8,15 @@
 
 from result import Result
 
+from millfront.control.configuration import Orders, OrdersFault
+from millfront.gatekeeper import status as statement
+from millfront.gatekeeper.node import Office
 from millfront.node.bodies import Upload
 from millfront.node.clients import VirtualServer
 from millfront.node.config import Address
 from millfront.node.host import Caller, Clock
 from millfront.node.http import Fields, Message
 from millfront.node.stages.take_in import NotTaken
-from millfront.post import statement
-from millfront.post.office import Office
-from millfront.post.orders import Orders, OrdersFault
 
 VALID_S = 2.0  # of an answer to clients: short, so that they leave soon where a gatekeeper is gone
 JSON: Fields = [(b"Content-Type", b"application/json")]
--- a/millfront/post/office.py
+++ b/millfront/gatekeeper/node.py
@@ -11,20 +11,20 @@
 from pyrsistent import PSet, pset
 from result import Err, Ok
 
-from millfront.post import orders as standing
-from millfront.post.addresses import Addresses
-from millfront.post.daybook import Daybook
-from millfront.post.franking import Franking
-from millfront.post.neighbours import PART, Neighbours, Standing, holders
-from millfront.post.postmaster.clerk import Clerk
-from millfront.post.postmaster.keeper import Keeper, Persist
-from millfront.post.postmaster.postings import Postings
-from millfront.post.postmaster.recovery import SELF
-from millfront.post.postmaster.restante import Restante
-from millfront.post.postmaster.rounds import FETCHED, LEASE_SHARE, Follower
-from millfront.post.postmaster.values import CONFIG, CORE, FOUNDED, Core, Value, inner
-from millfront.post.postmaster.window import EVACUATION, Window
-from millfront.post.settings import Settings
+from millfront.control import configuration as standing
+from millfront.control.admin import EVACUATION, Window
+from millfront.control.delivery import FETCHED, LEASE_SHARE, Follower
+from millfront.control.event_log import Daybook
+from millfront.control.hinted_handoff import Restante
+from millfront.dataplane.admission import Franking
+from millfront.discovery.server_list import Addresses
+from millfront.environment import Settings
+from millfront.membership.gossip import PART, Neighbours, Standing, holders
+from millfront.register.coordinator import Clerk
+from millfront.register.reconfiguration import Postings
+from millfront.register.recovery import SELF
+from millfront.register.replica import Keeper, Persist
+from millfront.register.values import CONFIG, CORE, FOUNDED, Core, Value, inner
 
 REST = "rest"  # the reference of what a neighbour that is back asks for
 FOLLOWERS_S = 4.0  # a line on which nobody asked for so long is pushed nothing
--- a/millfront/post/service.py
+++ b/millfront/gatekeeper/process.py
@@ -13,19 +13,19 @@
 from loguru import logger
 from result import Err, Ok, Result
 
+from millfront.control.configuration import Orders, OrdersFault, checked
+from millfront.dataplane.proxy import Carrier
+from millfront.discovery.platform_client import CloudFault, listed
+from millfront.environment import VARIABLE, Settings, load
+from millfront.gatekeeper import api as counter
+from millfront.gatekeeper.node import BEAT_S, Office
 from millfront.node.config import Address
-from millfront.post import counter
-from millfront.post.carrier import Carrier
-from millfront.post.cloud import CloudFault, listed
-from millfront.post.office import BEAT_S, Office
-from millfront.post.orders import Orders, OrdersFault, checked
-from millfront.post.postmaster.keeper import Persist
-from millfront.post.postmaster.values import Value
-from millfront.post.settings import VARIABLE, Settings, load
-from millfront.post.wire import Line, Message, Wire
+from millfront.register.replica import Persist
+from millfront.register.values import Value
+from millfront.transport.connections import Line, Message, Wire
 
 if TYPE_CHECKING:
-    from millfront.post.disk import Disk
+    from millfront.storage.disk import Disk
 
 LOOK_BEATS = 8  # between two looks at the settings file, 2 s
 LEAVE_S = 0.6  # of the grace, from SIGTERM until clients are no longer taken on
@@ -90,7 +90,7 @@
             logger.opt(exception=wrong).error("service: a task failed")
 
     async def _persist(self, persist: Persist) -> None:
-        from millfront.post.disk import DiskFault
+        from millfront.storage.disk import DiskFault
 
         assert self.disk is not None
         try:
@@ -210,7 +210,7 @@
     logger.add(sys.stderr, format=form, level=settings.log_level, serialize=settings.log_json)
     disk, kept = None, None
     if settings.state_dir is not None and "control" in settings.serves:
-        from millfront.post.disk import Disk, DiskFault  # lmdb: only where there is a disk
+        from millfront.storage.disk import Disk, DiskFault  # lmdb: only where there is a disk
 
         disk = Disk(settings.state_dir)
         try:
--- a/millfront/post/lean.py
+++ b/millfront/gatekeeper/start.py
@@ -17,6 +17,6 @@
     modules: dict[str, Any] = sys.modules
     for name in SPARED:
         modules.setdefault(name, None)
-    from millfront.post import service
+    from millfront.gatekeeper import process as service
 
     return service.run(environment)
--- a/millfront/post/statement.py
+++ b/millfront/gatekeeper/status.py
@@ -5,9 +5,9 @@
 
 from typing import Any
 
-from millfront.post.neighbours import holders
-from millfront.post.office import Office
-from millfront.post.postmaster.values import CLAIM, inner
+from millfront.gatekeeper.node import Office
+from millfront.membership.gossip import holders
+from millfront.register.values import CLAIM, inner
 
 
 def of(office: Office, now: float) -> dict[str, Any]:
--- a/millfront/post/postmaster/pieces.py
+++ b/millfront/register/chunks.py
@@ -13,9 +13,9 @@
 
 from result import Err, Ok
 
-from millfront.post.orders import digest_of
-from millfront.post.postmaster import differences
-from millfront.post.postmaster.values import Message, Value
+from millfront.control.configuration import digest_of
+from millfront.register import deltas as differences
+from millfront.register.values import Message, Value
 
 SHORT = 4096  # goes whole in any answer
 PIECE = 128 * 1024  # of one message
--- a/millfront/post/postmaster/clerk.py
+++ b/millfront/register/coordinator.py
@@ -10,7 +10,7 @@
 from enum import Enum
 from typing import Any
 
-from millfront.post.postmaster.values import CORE, OWN, Core, Message, Value
+from millfront.register.values import CORE, OWN, Core, Message, Value
 
 
 class Phase(Enum):
--- a/millfront/post/postmaster/seats.py
+++ b/millfront/register/placement.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from millfront.post.postmaster.values import Core, write_quorum
+from millfront.register.values import Core, write_quorum
 
 FEWEST = 3  # two would need both for everything
 
--- a/millfront/post/postmaster/postings.py
+++ b/millfront/register/reconfiguration.py
@@ -19,14 +19,14 @@
 from enum import Enum
 from typing import Any, Protocol
 
-from millfront.post.neighbours import SUSPECT_TICKS, Neighbours, Standing, holders
-from millfront.post.postmaster.clerk import Clerk, Phase, Round
-from millfront.post.postmaster.keeper import Keeper, Persist, Voting
-from millfront.post.postmaster.recovery import SELF, Recovery
-from millfront.post.postmaster.rounds import Follower
-from millfront.post.postmaster.seats import Choice, Seat, chosen
-from millfront.post.postmaster.values import CORE, FOUNDED, Core, Value
-from millfront.post.settings import Settings
+from millfront.control.delivery import Follower
+from millfront.environment import Settings
+from millfront.membership.gossip import SUSPECT_TICKS, Neighbours, Standing, holders
+from millfront.register.coordinator import Clerk, Phase, Round
+from millfront.register.placement import Choice, Seat, chosen
+from millfront.register.recovery import SELF, Recovery
+from millfront.register.replica import Keeper, Persist, Voting
+from millfront.register.values import CORE, FOUNDED, Core, Value
 
 SETTLED_S = 1.2  # the roster unchanged for so long, the core is founded
 FOUNDING_S = 1.6  # the least time from the start: all start together, each in its own time
--- a/millfront/post/postmaster/recovery.py
+++ b/millfront/register/recovery.py
@@ -13,11 +13,11 @@
 from enum import Enum
 from typing import Any, Protocol
 
-from millfront.post.postmaster.clerk import Clerk
-from millfront.post.postmaster.keeper import Keeper, Persist, Voting
-from millfront.post.postmaster.pieces import Offer, Stamp
-from millfront.post.postmaster.rounds import Follower
-from millfront.post.postmaster.values import CORE, LIFE, Core, Value
+from millfront.control.delivery import Follower
+from millfront.register.chunks import Offer, Stamp
+from millfront.register.coordinator import Clerk
+from millfront.register.replica import Keeper, Persist, Voting
+from millfront.register.values import CORE, LIFE, Core, Value
 
 SELF = "self"
 AGAIN_BEATS = 3  # between two times that the others are asked
--- a/millfront/post/postmaster/keeper.py
+++ b/millfront/register/replica.py
@@ -14,8 +14,8 @@
 from enum import Enum
 from typing import Any
 
-from millfront.post.postmaster.pieces import Archive
-from millfront.post.postmaster.values import (
+from millfront.register.chunks import Archive
+from millfront.register.values import (
     ACCEPTED,
     BALLOTS,
     CLAIM,
--- a/millfront/post/postmaster/snapshot.py
+++ b/millfront/register/snapshot.py
@@ -6,8 +6,8 @@
 
 from result import Err, Ok, Result
 
-from millfront.post import orders
-from millfront.post.postmaster.values import CONFIG, CORE, LIFE, Value, inner
+from millfront.control import configuration as orders
+from millfront.register.values import CONFIG, CORE, LIFE, Value, inner
 
 FORMAT = 1
 
--- a/millfront/rehearsal/links.py
+++ b/millfront/rehearsal/links.py
@@ -30,7 +30,7 @@
 
 from millfront.rehearsal.scenario import Effect
 
-GIVEN_UP_S = 2.0  # as millfront/post/wire.py has it
+GIVEN_UP_S = 2.0  # as millfront/transport/connections.py has it
 MOST_HELD = 1024  # pieces of a connection that wait in the relay, one way
 PIECE = 65536
 LINGER_RESET = struct.pack("ii", 1, 0)  # close with RST
--- /dev/null
+++ b/millfront/storage/__init__.py
@@ -0,0 +1,1 @@
+"""What a process keeps on its disk."""
--- a/millfront/post/disk.py
+++ b/millfront/storage/disk.py
@@ -16,7 +16,7 @@
 
 import lmdb
 
-from millfront.post.postmaster.values import Value
+from millfront.register.values import Value
 
 FORMAT = 2
 PACKED_FROM = 4096  # characters
--- /dev/null
+++ b/millfront/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Held connections and datagrams between the system's own processes."""
--- a/tests/post_register.py
+++ b/tests/post_register.py
@@ -11,11 +11,11 @@
 
 import pytest
 
-from millfront.post.postmaster.clerk import Clerk, Phase, Round
-from millfront.post.postmaster.keeper import Keeper, Persist
-from millfront.post.postmaster.recovery import Recovery as Part
-from millfront.post.postmaster.recovery import Stage
-from millfront.post.postmaster.values import CONFIG, CORE, Core, Message, Value, claim_key
+from millfront.register.coordinator import Clerk, Phase, Round
+from millfront.register.recovery import Recovery as Part
+from millfront.register.recovery import Stage
+from millfront.register.replica import Keeper, Persist
+from millfront.register.values import CONFIG, CORE, Core, Message, Value, claim_key
 
 FETCHED = "fetched"
 WIPED = "a"  # the keeper that may lose its disk
--- a/tests/post_world.py
+++ b/tests/post_world.py
@@ -9,10 +9,10 @@
 
 import simpy
 
-from millfront.post.office import BEAT_S, Office
-from millfront.post.postmaster.keeper import Persist
-from millfront.post.postmaster.values import Value
-from millfront.post.settings import Bounds, Settings
+from millfront.environment import Bounds, Settings
+from millfront.gatekeeper.node import BEAT_S, Office
+from millfront.register.replica import Persist
+from millfront.register.values import Value
 
 ZONES = {"aa": "a", "ab": "a", "ba": "b", "bb": "b"}
 PORT = 7000
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -5,7 +5,7 @@
 
 from benchmarks import capacity, capacity_state
 from benchmarks.hollow import Fleet, settled
-from millfront.post import orders
+from millfront.control import configuration as orders
 
 
 def test_a_hollow_fleet_works_and_a_measured_office_is_charged() -> None:
--- a/tests/test_post_call_once.py
+++ b/tests/test_post_call_once.py
@@ -18,16 +18,16 @@
 
 import pytest
 
+from millfront.dataplane import load_balancer as sorting
+from millfront.dataplane.load_balancer import State
+from millfront.dataplane.proxy import Carrier, Letter
+from millfront.dataplane.retries import Course
 from millfront.node.endings import Ending
 from millfront.node.http import Message
 from millfront.node.link import Link
 from millfront.node.members import MemberConnection, Wear
 from millfront.node.stages import send
-from millfront.post import sorting
-from millfront.post.carrier import Carrier, Letter
-from millfront.post.forwarding import Course
-from millfront.post.postmaster import postings
-from millfront.post.sorting import State
+from millfront.register import reconfiguration as postings
 from tests import test_post_calls as calls
 from tests.post_world import document
 
@@ -446,7 +446,7 @@
 
 
 def promises_passed_on(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr("millfront.post.carrier.promise", lambda answer: False)
+    patch.setattr("millfront.dataplane.proxy.promise", lambda answer: False)
 
 
 def long_ones_copied(patch: pytest.MonkeyPatch) -> None:
--- a/tests/test_post_calls.py
+++ b/tests/test_post_calls.py
@@ -12,12 +12,13 @@
 
 import pytest
 
-from millfront.post import cli, service
-from millfront.post.addresses import Addresses
-from millfront.post.cloud import CloudFault, listed
-from millfront.post.postmaster import postings
-from millfront.post.service import Service
-from millfront.post.settings import Bounds, Settings
+from millfront.cli import gatekeeper as cli
+from millfront.discovery.platform_client import CloudFault, listed
+from millfront.discovery.server_list import Addresses
+from millfront.environment import Bounds, Settings
+from millfront.gatekeeper import process as service
+from millfront.gatekeeper.process import Service
+from millfront.register import reconfiguration as postings
 from tests.post_world import document
 
 OPENAPI = Path(__file__).parent.parent / "docs" / "openapi" / "post.json"
@@ -149,7 +150,7 @@
         seeds=(made.ctl,), bindings={"plain": made.plain} | counters,
         zones={"aa": "a", "ba": "b"}, cloud=cloud, cloud_rate=9.0, cloud_lag=0.5, bounds=Bounds(),
     )  # fmt: skip
-    from millfront.post.disk import Disk
+    from millfront.storage.disk import Disk
 
     disk = Disk(str(tmp_path))
     kept, _ = disk.load()
--- a/tests/test_post_catching_up.py
+++ b/tests/test_post_catching_up.py
@@ -12,15 +12,19 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from millfront.post import disk, orders
-from millfront.post.orders import digest_of
-from millfront.post.postmaster import differences, pieces, postings, recovery
-from millfront.post.postmaster.keeper import Keeper
-from millfront.post.postmaster.pieces import Archive, Arrivals, Offer
-from millfront.post.postmaster.postings import Change
-from millfront.post.postmaster.recovery import Recovery, Stage
-from millfront.post.postmaster.values import Value
-from millfront.post.wire import encoded
+from millfront.control import configuration as orders
+from millfront.control.configuration import digest_of
+from millfront.register import chunks as pieces
+from millfront.register import deltas as differences
+from millfront.register import reconfiguration as postings
+from millfront.register import recovery
+from millfront.register.chunks import Archive, Arrivals, Offer
+from millfront.register.reconfiguration import Change
+from millfront.register.recovery import Recovery, Stage
+from millfront.register.replica import Keeper
+from millfront.register.values import Value
+from millfront.storage import disk
+from millfront.transport.connections import encoded
 from tests.post_world import Node, World, document
 
 CAUGHT_UP_S = 4.0  # from its start or from the end of the cut, on lines without a limit
--- a/tests/test_post_claim_search.py
+++ b/tests/test_post_claim_search.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from millfront.post.postmaster.clerk import Clerk, Phase, Round
-from millfront.post.postmaster.keeper import Keeper, Voting
-from millfront.post.postmaster.values import CLAIM, CORE, Core, Message, Value, claim_key
+from millfront.register.coordinator import Clerk, Phase, Round
+from millfront.register.replica import Keeper, Voting
+from millfront.register.values import CLAIM, CORE, Core, Message, Value, claim_key
 from tests.post_register import Recovery
 from tests.test_post_core_search import OLD, Table, found
 
--- a/tests/test_post_claims.py
+++ b/tests/test_post_claims.py
@@ -7,12 +7,13 @@
 
 import pytest
 
-from millfront.post.disk import Disk
-from millfront.post.orders import digest_of
-from millfront.post.postmaster import keeper, values
-from millfront.post.postmaster.clerk import Clerk, Phase
-from millfront.post.postmaster.keeper import Keeper
-from millfront.post.postmaster.values import CLAIM, CONFIG, Core, Value, claim_key
+from millfront.control.configuration import digest_of
+from millfront.register import replica as keeper
+from millfront.register import values
+from millfront.register.coordinator import Clerk, Phase
+from millfront.register.replica import Keeper
+from millfront.register.values import CLAIM, CONFIG, Core, Value, claim_key
+from millfront.storage.disk import Disk
 from tests.post_world import World, document
 
 
--- a/tests/test_post_control_calls.py
+++ b/tests/test_post_control_calls.py
@@ -7,12 +7,12 @@
 
 import pytest
 
-from millfront.post.office import Office
-from millfront.post.postmaster.clerk import Clerk, Phase, Round
-from millfront.post.postmaster.keeper import Voting
-from millfront.post.postmaster.postings import Founding
-from millfront.post.postmaster.rounds import LEASE_SHARE
-from millfront.post.postmaster.values import CONFIG, CORE, Core, Value
+from millfront.control.delivery import LEASE_SHARE
+from millfront.gatekeeper.node import Office
+from millfront.register.coordinator import Clerk, Phase, Round
+from millfront.register.reconfiguration import Founding
+from millfront.register.replica import Voting
+from millfront.register.values import CONFIG, CORE, Core, Value
 from tests.post_world import Node, World, document
 
 OLD, NEW = (Core(epoch, dict.fromkeys("abc", "")) for epoch in (2, 3))
--- a/tests/test_post_core_changes.py
+++ b/tests/test_post_core_changes.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from millfront.post.postmaster import postings
-from millfront.post.postmaster.keeper import Voting
-from millfront.post.postmaster.values import CORE, Core
+from millfront.register import reconfiguration as postings
+from millfront.register.replica import Voting
+from millfront.register.values import CORE, Core
 from tests.post_world import World, acknowledged, document, members, voting
 
 
--- a/tests/test_post_core_search.py
+++ b/tests/test_post_core_search.py
@@ -10,10 +10,11 @@
 
 import pytest
 
-from millfront.post.postmaster import postings, values
-from millfront.post.postmaster.clerk import Clerk, Phase, Round
-from millfront.post.postmaster.keeper import Keeper, Persist
-from millfront.post.postmaster.values import CORE, Core, Value
+from millfront.register import reconfiguration as postings
+from millfront.register import values
+from millfront.register.coordinator import Clerk, Phase, Round
+from millfront.register.replica import Keeper, Persist
+from millfront.register.values import CORE, Core, Value
 
 CONFIG = "config"
 OLD = Core(2, dict.fromkeys("abc", ""))
--- a/tests/test_post_docs.py
+++ b/tests/test_post_docs.py
@@ -9,17 +9,17 @@
 @pytest.mark.parametrize(
     "name",
     [
-        "daybook",
-        "orders",
-        "postmaster.differences",
-        "postmaster.pieces",
-        "postmaster.restante",
-        "postmaster.seats",
-        "postmaster.snapshot",
-        "postmaster.values",
-        "settings",
+        "control.configuration",
+        "control.event_log",
+        "control.hinted_handoff",
+        "environment",
+        "register.chunks",
+        "register.deltas",
+        "register.placement",
+        "register.snapshot",
+        "register.values",
     ],
 )
 def test_a_module_s_examples_run(name: str) -> None:
-    tried = doctest.testmod(importlib.import_module(f"millfront.post.{name}"))
+    tried = doctest.testmod(importlib.import_module(f"millfront.{name}"))
     assert tried.attempted and not tried.failed
--- a/tests/test_post_franking.py
+++ b/tests/test_post_franking.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from millfront.post.franking import Franking
-from millfront.post.orders import Tenant
-from millfront.post.settings import Bounds
+from millfront.control.configuration import Tenant
+from millfront.dataplane.admission import Franking
+from millfront.environment import Bounds
 from tests.post_world import Node, World, document
 
 RATE = 30.0
--- a/tests/test_post_neighbours.py
+++ b/tests/test_post_neighbours.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from millfront.post import neighbours
-from millfront.post.neighbours import RELAYS, Standing, holders
+from millfront.membership import gossip as neighbours
+from millfront.membership.gossip import RELAYS, Standing, holders
 from tests.post_world import World, document
 
 
--- a/tests/test_post_parts.py
+++ b/tests/test_post_parts.py
@@ -7,15 +7,17 @@
 import pytest
 from result import Err, Ok
 
+from millfront import environment as settings
+from millfront.control import configuration as orders
+from millfront.control.configuration import Service
+from millfront.dataplane.load_balancer import MOST_EJECTED, Sorting, State
+from millfront.dataplane.retries import Course, Fate, Purse
+from millfront.discovery.server_list import Phase, Server
+from millfront.environment import Bounds
 from millfront.node.endings import Ending
-from millfront.post import orders, settings, wire
-from millfront.post.addresses import Phase, Server
-from millfront.post.disk import Disk, DiskFault
-from millfront.post.forwarding import Course, Fate, Purse
-from millfront.post.orders import Service
-from millfront.post.postmaster.values import Value
-from millfront.post.settings import Bounds
-from millfront.post.sorting import MOST_EJECTED, Sorting, State
+from millfront.register.values import Value
+from millfront.storage.disk import Disk, DiskFault
+from millfront.transport import connections as wire
 from tests.post_world import ZONES, document
 
 
--- a/tests/test_post_register_machine.py
+++ b/tests/test_post_register_machine.py
@@ -18,9 +18,9 @@
     run_state_machine_as_test,
 )
 
-from millfront.post.postmaster.clerk import Clerk, Phase, Round
-from millfront.post.postmaster.keeper import Voting
-from millfront.post.postmaster.values import CONFIG, Core, Message, Value
+from millfront.register.coordinator import Clerk, Phase, Round
+from millfront.register.replica import Voting
+from millfront.register.values import CONFIG, Core, Message, Value
 from tests.post_register import Recovery, Replica, fewer, hasty
 
 POOL, OPEN = 60, 4  # messages on their way, rounds at once (the oldest is given up)
--- a/tests/test_post_register_search.py
+++ b/tests/test_post_register_search.py
@@ -20,10 +20,11 @@
 
 import pytest
 
-from millfront.post.postmaster import pieces, recovery
-from millfront.post.postmaster.clerk import Clerk, Round
-from millfront.post.postmaster.keeper import Keeper, Persist, Voting
-from millfront.post.postmaster.values import CLAIM, OWN, Core, Message
+from millfront.register import chunks as pieces
+from millfront.register import recovery
+from millfront.register.coordinator import Clerk, Round
+from millfront.register.replica import Keeper, Persist, Voting
+from millfront.register.values import CLAIM, OWN, Core, Message
 from tests.post_register import (
     WIPED,
     Order,
--- a/tests/test_post_sealed.py
+++ b/tests/test_post_sealed.py
@@ -12,13 +12,13 @@
 
 import pytest
 
-from millfront.post.office import Office
-from millfront.post.postmaster import snapshot
-from millfront.post.postmaster.clerk import Clerk, Phase
-from millfront.post.postmaster.keeper import Voting
-from millfront.post.postmaster.rounds import Follower
-from millfront.post.postmaster.values import CONFIG, Core, Value
-from millfront.post.postmaster.window import EVACUATION
+from millfront.control.admin import EVACUATION
+from millfront.control.delivery import Follower
+from millfront.gatekeeper.node import Office
+from millfront.register import snapshot
+from millfront.register.coordinator import Clerk, Phase
+from millfront.register.replica import Voting
+from millfront.register.values import CONFIG, Core, Value
 from tests import linear
 from tests.post_world import Node, World, document
 
--- a/tests/test_post_seats.py
+++ b/tests/test_post_seats.py
@@ -7,13 +7,14 @@
 
 import pytest
 
-from millfront.post import neighbours
-from millfront.post.neighbours import LOST_TICKS, TICK_S
-from millfront.post.postmaster import postings, seats
-from millfront.post.postmaster.keeper import Voting
-from millfront.post.postmaster.recovery import Recovery
-from millfront.post.postmaster.seats import Seat, chosen, fewest
-from millfront.post.postmaster.values import Core, write_quorum
+from millfront.membership import gossip as neighbours
+from millfront.membership.gossip import LOST_TICKS, TICK_S
+from millfront.register import placement as seats
+from millfront.register import reconfiguration as postings
+from millfront.register.placement import Seat, chosen, fewest
+from millfront.register.recovery import Recovery
+from millfront.register.replica import Voting
+from millfront.register.values import Core, write_quorum
 from tests.post_world import Node, World, acknowledged, document, members, voting
 
 SYNC_TIME_S = 4.0  # after the start of who returned or is new it is no loss any more
--- a/tests/test_post_world.py
+++ b/tests/test_post_world.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from millfront.post.postmaster.keeper import Voting
+from millfront.register.replica import Voting
 from tests.post_world import World, document
 
 
--- a/tests/test_restart_from_disk.py
+++ b/tests/test_restart_from_disk.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from millfront.post.carrier import Carrier
-from millfront.post.office import Office
-from millfront.post.orders import Service
-from millfront.post.postmaster.values import CONFIG, CORE, FOUNDED, Core, Value
-from millfront.post.postmaster.window import EVACUATION
-from millfront.post.settings import Bounds, Settings
+from millfront.control.admin import EVACUATION
+from millfront.control.configuration import Service
+from millfront.dataplane.proxy import Carrier
+from millfront.environment import Bounds, Settings
+from millfront.gatekeeper.node import Office
+from millfront.register.values import CONFIG, CORE, FOUNDED, Core, Value
 from tests.post_world import ZONES, document
 
 NODE = "aa-00"
