--- a/benchmarks/added_latency.py
+++ b/benchmarks/added_latency.py
@@ -13,7 +13,7 @@
 import time
 from pathlib import Path
 
-from benchmarks.office_cost import Platform, Shop, request, started
+from benchmarks.gatekeeper_cost import Platform, Shop, request, started
 
 
 async def asked(streams: tuple[asyncio.StreamReader, asyncio.StreamWriter], number: int) -> float:
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,7 +1,7 @@
-"""What control costs by size, for docs/CAPACITY.md: slopes of hollow offices (benchmarks/hollow.py).
+"""What control costs by size, for docs/CAPACITY.md: slopes of hollow gatekeepers (benchmarks/hollow.py).
 
     python -m benchmarks.capacity roster 11x2 82x2 300x3        # processes x regions
-    python -m benchmarks.capacity followers|changes|restarts|apart|tenants [SIZES]
+    python -m benchmarks.capacity subscribers|changes|restarts|apart|tenants [SIZES]
     python -m benchmarks.capacity alone|document|delivery|accounts|servers|platform|disk [SIZES]
 
 The parts of the second line play fleets, those of the third one (benchmarks/capacity_state.py) look at one
@@ -19,7 +19,7 @@
 from benchmarks.hollow import Fleet, Meter, settled
 from millfront.control.configuration import Tenant
 from millfront.gatekeeper.node import FRESH_S
-from millfront.membership.gossip import Standing
+from millfront.membership.gossip import Liveness
 
 REST_S, MEASURED_S = 6.0, 10.0  # measured: whole times of the 5 s in which all greet the seeds
 ROSTER = frozenset(("cards", "hello", "want"))
@@ -82,14 +82,14 @@
 
 
 def fleet(n: int, regions: int, disks: int = 4) -> Fleet:
-    """n offices at rest, and one machine more that is not started."""
+    """n gatekeepers at rest, and one machine more that is not started."""
     made = Fleet(n + 1, min(disks, n), regions, 2 * regions, seed=n)
     return settled(made, document(0.002).text, but=1).run(REST_S)
 
 
 def roles(made: Fleet) -> tuple[list[Meter], list[Meter], list[Meter]]:
     """Meters of two seeds (core members also), a core member that is no seed, and three plain ones."""
-    live = [node.number for node in made.nodes if node.office is not None]
+    live = [node.number for node in made.nodes if node.gatekeeper is not None]
     plain = [n for n in (made.disks, len(live) // 2, len(live) - 1) if n >= made.disks]
     found = [[made.nodes[n].measure() for n in numbers] for numbers in ([0, 1], [3], plain)]
     for meters in found:
@@ -111,12 +111,12 @@
         seeds, core, plain = roles(made)
         made.run(MEASURED_S)
         out, came = a_second(plain, "out", ROSTER), a_second(plain, "in", ROSTER)
-        cards = sum(m.cards["in"] for m in plain) / MEASURED_S / len(plain)
+        records = sum(m.records["in"] for m in plain) / MEASURED_S / len(plain)
         total, part = cpu(plain), cpu(plain, "roster", "wire", "office")
         row = (a_second(plain, "out")[1], total, a_second(seeds, "out")[1], cpu(seeds))
         rows.append((n, regions, *row))
         longest, fresh = max(m.most for m in plain + seeds), 100.0 * _fresh(made)
-        told = f"{n:5} {regions:4} | {out[0]:7.1f} {came[0]:7.1f} {cards:8.0f} {row[0]:7.2f} "
+        told = f"{n:5} {regions:4} | {out[0]:7.1f} {came[0]:7.1f} {records:8.0f} {row[0]:7.2f} "
         told += f"{a_second(plain, 'in')[1]:7.2f} {total:6.2f} {part:6.2f} {cpu(plain, 'duties'):6.2f} | "
         told += f"{row[2]:8.1f} {row[3]:7.1f} | {a_second(core, 'in', ASKS)[0]:6.1f} "
         told += f"{a_second(core, 'out')[1]:7.1f} {cpu(core):6.1f} | "
@@ -131,19 +131,19 @@
     node.start(False)
 
     def known() -> bool:
-        cards = [office.neighbours.cards.get(node.name) for office in made.offices()]
-        return all(card is not None and card.still is not None for card in cards)
+        records = [gatekeeper.membership.records.get(node.name) for gatekeeper in made.gatekeepers()]
+        return all(record is not None and record.identity is not None for record in records)
 
     return made.until(known, 20.0)
 
 
 def _fresh(made: Fleet) -> float:
-    """Of the cards of its own region the share that a directory would name, the mean of all."""
+    """Of the records of its own region the share that a directory would name, the mean of all."""
     shares = []
-    for office in made.offices():
-        region = office.settings.region
-        cards = [c for c in office.neighbours.live(region) if c is not office.neighbours.me]
-        shares.append(sum(made.now - c.heard < FRESH_S for c in cards) / len(cards))
+    for gatekeeper in made.gatekeepers():
+        region = gatekeeper.settings.region
+        records = [c for c in gatekeeper.membership.live(region) if c is not gatekeeper.membership.me]
+        shares.append(sum(made.now - c.heard < FRESH_S for c in records) / len(records))
     return sum(shares) / len(shares)
 
 
@@ -154,13 +154,13 @@
     name = node.name
 
     def lost() -> bool:
-        return all(o.neighbours.cards[name].standing is Standing.LOST for o in made.offices())
+        return all(o.membership.records[name].liveness is Liveness.LOST for o in made.gatekeepers())
 
     return made.until(lost, 20.0)
 
 
-def followers(words: list[str]) -> None:
-    """Questions of followers at the keepers, by the size of the core."""
+def subscribers(words: list[str]) -> None:
+    """Questions of subscribers at the replicas, by the size of the core."""
     print("    n core | asks/s at a keeper (mean, most)  KB/s in  out  µs an ask: keeper  with the wire")
     for disks in (4, 10):
         rows = []
@@ -173,11 +173,11 @@
             asks = [m.count["in ask"] / MEASURED_S for m in meters]
             rows.append((n, sum(asks) / disks))
             came, out = a_second(meters, "in", ASKS)[1], a_second(meters, "out", ASKS)[1]
-            keeper = sum(m.cpu["keeper"] for m in meters) / sum(m.count["in ask"] for m in meters) * 1e6
-            wire = capacity_state.wire_us({"t": "ask", "r": "2 1234.5", "e": 2}, made.offices()[0])
+            replica = sum(m.cpu["keeper"] for m in meters) / sum(m.count["in ask"] for m in meters) * 1e6
+            wire = capacity_state.wire_us({"t": "ask", "r": "2 1234.5", "e": 2}, made.gatekeepers()[0])
             print(
                 f"{n:5} {disks:4} | {sum(asks) / disks:6.1f} {max(asks):6.1f}  {came:6.2f} {out:6.2f}  "
-                f"{keeper:6.1f} {keeper + wire:6.1f}",
+                f"{replica:6.1f} {replica + wire:6.1f}",
                 flush=True,
             )
         fitted(
@@ -237,13 +237,13 @@
             took = made.until(made.ready, 9.0, 0.02)
             made.run(9.5 - took)
             now = [_load(seeds), _load(core)]
-            seed, keeper = (
+            seed, replica = (
                 [x - 10.0 / MEASURED_S * y for x, y in zip(*pair, strict=True)]
                 for pair in zip(now, rest, strict=True)
             )
             print(
                 f"{n:5} {count:5} | {took:5.2f} | {seed[0]:8.1f} {seed[1]:7.0f} {seed[2]:7.0f} | "
-                f"{keeper[0]:7.1f} {keeper[3]:6.0f} | {made.polls - polls}",
+                f"{replica[0]:7.1f} {replica[3]:6.0f} | {made.polls - polls}",
                 flush=True,
             )
 
@@ -270,7 +270,7 @@
         made.cut = lambda a, b: (a.region == "r0") != (b.region == "r0")
         made.run(70.0)
         ready = [
-            [o.ready(made.now) for o in made.offices() if (o.settings.region == "r0") is own]
+            [o.ready(made.now) for o in made.gatekeepers() if (o.settings.region == "r0") is own]
             for own in (True, False)
         ]
         for meter in seeds:
@@ -297,9 +297,11 @@
                 for k in range(count)
             ]
             made.rate = 20.0 if count else 0.0
-            for office in made.offices():
-                assert office.orders is not None
-                office.orders.__dict__["by_name"] = {tenant.name: tenant for tenant in made.tenants}
+            for gatekeeper in made.gatekeepers():
+                assert gatekeeper.configuration is not None
+                gatekeeper.configuration.__dict__["by_name"] = {
+                    tenant.name: tenant for tenant in made.tenants
+                }
             made.run(8.0)
             plain = roles(made)[2]
             made.run(MEASURED_S)
@@ -312,7 +314,7 @@
 
 PARTS: dict[str, Callable[[list[str]], None]] = {
     "roster": roster,
-    "followers": followers,
+    "followers": subscribers,
     "changes": changes,
     "restarts": restarts,
     "apart": apart,
--- a/benchmarks/capacity_state.py
+++ b/benchmarks/capacity_state.py
@@ -1,4 +1,4 @@
-"""What one process holds and computes by size: configuration, cards, accounts, servers, disk.
+"""What one process holds and computes by size: configuration, records, accounts, servers, disk.
 
 Parts of `python -m benchmarks.capacity`. Peaks of memory are of a process of its own each.
 """
@@ -19,18 +19,18 @@
 from typing import Any
 
 from benchmarks.hollow import Fleet, settled
-from millfront.control import configuration as orders
-from millfront.control.configuration import Orders, Service, Tenant
-from millfront.dataplane.admission import Franking
-from millfront.dataplane.load_balancer import Sorting
+from millfront.control import configuration
+from millfront.control.configuration import Configuration, Service, Tenant
+from millfront.dataplane.admission import Admission
+from millfront.dataplane.load_balancer import LoadBalancer
 from millfront.discovery.platform_client import CloudFault, listed
-from millfront.discovery.server_list import Addresses
+from millfront.discovery.server_list import ServerList
 from millfront.environment import Bounds
-from millfront.gatekeeper.node import BEAT_S, TICK_BEATS, Office
-from millfront.membership.gossip import PER_LETTER, Card
+from millfront.gatekeeper.node import BEAT_S, TICK_BEATS, Gatekeeper
+from millfront.membership.gossip import PER_DATAGRAM, MemberRecord
 from millfront.register.values import Value
 from millfront.storage.disk import MAP_BYTES, Disk, DiskFault
-from millfront.transport.connections import MOST_LINE, Wire, WireFault, decoded, encoded
+from millfront.transport.connections import MOST_LINE, Transport, WireFault, decoded, encoded
 
 ROUTES, TENANTS, SERVICES, SERVERS = 5300, 30_000, 290, 6600  # the target's
 PROCESSES, REGIONS = 1200, 13
@@ -91,7 +91,7 @@
 
 
 def found(text: str) -> dict[str, Any]:
-    """A keeper's answer to a follower that fetches."""
+    """A replica's answer to a subscriber that fetches."""
     return {"t": "found", "r": "f", "v": {"config": [1, "0123456789abcdef", text]}, "l": {}, "m": "z0-0001"}
 
 
@@ -112,12 +112,12 @@
         return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 2**20
 
 
-def wire_us(asked: dict[str, Any], office: Office) -> float:
+def wire_us(asked: dict[str, Any], gatekeeper: Gatekeeper) -> float:
     """Microseconds that the wire takes of a question and its answer."""
-    assert office.follower.core is not None
-    stamps = {key: value.stamp for key, value in office.follower.values.items()}
+    assert gatekeeper.subscriber.core is not None
+    stamps = {key: value.stamp for key, value in gatekeeper.subscriber.values.items()}
     data = encoded(asked)
-    answer = {"t": "newest", "r": asked["r"], "s": stamps, "m": office.name}
+    answer = {"t": "newest", "r": asked["r"], "s": stamps, "m": gatekeeper.name}
     return (timed(lambda: decoded(data), 2000)[1] + timed(lambda: encoded(answer), 2000)[1]) * 1e6
 
 
@@ -144,9 +144,9 @@
     text, after = made.text, made.at(2)
     entries, packed = len(made.resources), made.packed
     del made
-    first = timed(lambda: orders.checked(text).unwrap())[1]
-    again = timed(lambda: orders.checked(after).unwrap())[1]
-    compiled = timed(lambda: orders.compiled(text).unwrap())[1]
+    first = timed(lambda: configuration.checked(text).unwrap())[1]
+    again = timed(lambda: configuration.checked(after).unwrap())[1]
+    compiled = timed(lambda: configuration.compiled(text).unwrap())[1]
     print(
         f"{share:6g} {entries:8} | {len(text) / 1000:8.0f} {packed / 1000:8.0f} | "
         f"{first:8.3f} {again:8.3f} {compiled:8.3f} | {peak_mb():6.0f} | ",
@@ -164,11 +164,11 @@
         script += "; [open(sys.argv[2] + v, 'w').write(made.at(int(v))) for v in '12']"
         subprocess.run([sys.executable, "-c", script, words[0], path], check=True)
         before = rss_mb()
-        held: list[Orders] = []
+        held: list[Configuration] = []
         figures = []
         for version in "12":
             with open(path + version) as file:
-                held.append(orders.compiled(file.read()).unwrap())
+                held.append(configuration.compiled(file.read()).unwrap())
             _ = held[-1].by_name
             gc.collect()
             figures += [rss_mb() - before, peak_mb()]
@@ -176,7 +176,7 @@
 
 
 def delivery(words: list[str]) -> None:
-    """A version on its way to a follower: what the wire and a swap take, and whether it goes through."""
+    """A version on its way to a subscriber: what the wire and a swap take, and whether it goes through."""
     print(
         f" share | the message KB (a line may have {MOST_LINE / 1000:.0f})  packed KB | encode, s  decode, s"
     )
@@ -221,35 +221,35 @@
         print(f"{float(word):6g} | {size:8.0f} {took:8.1f} {made.packed / 1000:8.1f} {fault}", flush=True)
 
 
-# ---- one office among many -----------------------------------------------------------------------
+# ---- one gatekeeper among many -----------------------------------------------------------------------
 
 
-def others(n: int, regions: int) -> list[Card]:
+def others(n: int, regions: int) -> list[MemberRecord]:
     return [
-        Card(f"z{k % regions}-{k:04d}", 1000 + k, 1, True, age=100.0, still={
+        MemberRecord(f"z{k % regions}-{k:04d}", 1000 + k, 1, True, age=100.0, identity={
             "post": f"10.1.{k >> 8}.{k & 255}:7000", "zone": f"z{k % regions}", "region": f"r{k % regions}",
             "plain": f"10.1.{k >> 8}.{k & 255}:80", "ctl": f"10.1.{k >> 8}.{k & 255}:81", "core": k < 10})
         for k in range(n)
     ]  # fmt: skip
 
 
-def told(cards: list[Card], number: int, still: bool = False) -> list[bytes]:
-    """Letters with these cards, each with that number."""
+def told(records: list[MemberRecord], number: int, still: bool = False) -> list[bytes]:
+    """Letters with these records, each with that number."""
     letters = []
-    for at in range(0, len(cards), PER_LETTER):
-        some = cards[at : at + PER_LETTER]
-        for card in some:
-            card.number = number
-        letter: dict[str, Any] = {"t": "cards", "c": [card.wire() for card in some]}
+    for at in range(0, len(records), PER_DATAGRAM):
+        some = records[at : at + PER_DATAGRAM]
+        for record in some:
+            record.number = number
+        letter: dict[str, Any] = {"t": "cards", "c": [record.wire() for record in some]}
         if still:
-            letter["x"] = {card.name: card.still for card in some}
+            letter["x"] = {record.name: record.identity for record in some}
         letters.append(encoded(letter))
     return letters
 
 
 def alone(words: list[str]) -> None:
-    """One office that hears of so many others: what it holds, what a beat and a letter of 10 cards cost it,
-    and what it sends."""
+    """One gatekeeper that hears of so many others: what it holds, what a beat and a message of 10 records
+    cost it, and what it sends."""
     print("    n regions | MB held for the others | ms/s: a tick, 4 beats, their sending")
     print(
         "              | a letter of 10 cards: µs new  µs known already | a hello's answer: letters  KB  ms"
@@ -264,17 +264,17 @@
     for weighed in (True, False):
         fleet = Fleet(4, 4, regions, regions)
         settled(fleet, document(0.002).text).run(5.0)
-        node, cards = fleet.nodes[3], others(n, regions)
-        office = node.office
-        assert office is not None
+        node, records = fleet.nodes[3], others(n, regions)
+        gatekeeper = node.gatekeeper
+        assert gatekeeper is not None
         for other in fleet.nodes[:3]:  # they sleep from here on
             other.kill()
-        first = told(cards, 1, True)
-        rounds = [told(cards, number) for number in range(2, 14)]
+        first = told(records, 1, True)
+        rounds = [told(records, number) for number in range(2, 14)]
         if weighed:
             tracemalloc.start()
         for data in first:
-            office.datagram(fleet.now, "10.1.0.9:7000", decoded(data))
+            gatekeeper.datagram(fleet.now, "10.1.0.9:7000", decoded(data))
         meter = node.measure()
         spent_new = spent_known = longest = resolve = 0.0
         for number, letters in enumerate(rounds):
@@ -284,20 +284,20 @@
             for known in (False, True):
                 began = time.process_time()
                 for data in letters:
-                    office.datagram(fleet.now, "10.1.0.9:7000", decoded(data))
+                    gatekeeper.datagram(fleet.now, "10.1.0.9:7000", decoded(data))
                 if known:
                     spent_known += time.process_time() - began
                 else:
                     spent_new += time.process_time() - began
-            office.addresses.heard = fleet.now + 1.0  # no poll of its own
+            gatekeeper.server_list.heard = fleet.now + 1.0  # no poll of its own
             for _ in range(TICK_BEATS):
                 fleet.now += BEAT_S
                 meter.enter("office")
                 began = time.process_time()
-                office.beat(fleet.now)
+                gatekeeper.beat(fleet.now)
                 longest = max(longest, time.process_time() - began)
                 meter.leave()
-            resolve = timed(partial(office.resolve, fleet.now, "r0"), 3)[1]
+            resolve = timed(partial(gatekeeper.resolve, fleet.now, "r0"), 3)[1]
         if weighed:
             gc.collect()
             held = tracemalloc.get_traced_memory()[0] / 2**20
@@ -306,10 +306,10 @@
     count = len(rounds[0]) * 8
     most = sorted(meter.cpu.items(), key=lambda item: -item[1])[:6]
     spent = sum(meter.cpu.values()) / 8 * 1e3
-    assert office is not None
+    assert gatekeeper is not None
     hello = {"t": "hello", "c": [], "x": {}}
     before = meter.total("out")
-    _, answered = timed(partial(office.datagram, fleet.now, "10.1.0.9:7000", hello))
+    _, answered = timed(partial(gatekeeper.datagram, fleet.now, "10.1.0.9:7000", hello))
     after = meter.total("out")
     print(
         f"{n:5} {regions:4} | {held:6.2f} | {spent:7.2f} | "
@@ -324,26 +324,26 @@
 
 
 def accounts(words: list[str]) -> None:
-    """Totals of tenants by processes: memory, a tick, and how long a card is."""
+    """Totals of tenants by processes: memory, a tick, and how long a record is."""
     print("tenants processes | MB  bytes a pair | a tick ms  µs a pair | a card KB, packed (10 in a letter)")
     for tenants, processes in ((300, 30), (1000, 30), (300, 120), (1000, 120), (3000, 120)):
-        franking = Franking(Bounds(), 0.0)
+        admission = Admission(Bounds(), 0.0)
         known = {
             f"tenant{k:05}": Tenant(f"tenant{k:05}", frozenset(), None, 18.0, 18.0, frozenset())
             for k in range(tenants)
         }
-        franking.tenants = known
+        admission.tenants = known
         chance = random.Random(1)
         tracemalloc.start()
         for at in (1.0, 2.0):
             for p in range(processes):
                 totals = {name: [chance.random() + at, chance.random() + at] for name in known}
-                franking.heard(at, f"z0-{p:04d}", 1, at, totals)
+                admission.heard(at, f"z0-{p:04d}", 1, at, totals)
         del totals
         held = tracemalloc.get_traced_memory()[0]
         tracemalloc.stop()
         names = {f"z0-{p:04d}" for p in range(processes)}
-        _, took = timed(partial(franking.tick, 3.0, names, set()))
+        _, took = timed(partial(admission.tick, 3.0, names, set()))
         pairs = tenants * processes
         one, ten = (len(encoded({"t": "cards", "c": _cards(tenants, count)})) for count in (1, 10))
         print(
@@ -364,7 +364,8 @@
         for _ in range(count)
     ]
     return [
-        Card(f"z0-{k:04d}", 1_790_000_000_000 + k, 777, True, totals=t).wire() for k, t in enumerate(totals)
+        MemberRecord(f"z0-{k:04d}", 1_790_000_000_000 + k, 777, True, totals=t).wire()
+        for k, t in enumerate(totals)
     ]
 
 
@@ -372,7 +373,7 @@
     """Letters so many KB long, over loopback by the very wire."""
     arrived: list[int] = []
     address = "127.0.0.1:47311"
-    wire = Wire(lambda line, message: None, lambda back, message: arrived.append(message["kb"]))
+    wire = Transport(lambda line, message: None, lambda back, message: arrived.append(message["kb"]))
     await wire.listen("127.0.0.1", 47311)
     chance = random.Random(3)
     for kb in sizes:  # as long when packed
@@ -385,13 +386,13 @@
     return len(encoded({"t": "cards", "c": _cards(tenants, count)})) > DATAGRAM
 
 
-def polled(book: Addresses, entries: list[Any]) -> None:
+def polled(book: ServerList, entries: list[Any]) -> None:
     book.polled(2.0, book.begin(), entries)
 
 
-def looked_through(sorting: Sorting) -> int:
-    """As Carrier.share_cold does with each beat."""
-    return sum(sorting.cold(2.0, seen) for seen in sorting.seen.values())
+def looked_through(load_balancer: LoadBalancer) -> int:
+    """As Proxy.share_cold does with each beat."""
+    return sum(load_balancer.cold(2.0, seen) for seen in load_balancer.seen.values())
 
 
 def servers(words: list[str]) -> None:
@@ -414,13 +415,13 @@
             for k in range(count)
         ]
         tracemalloc.start()
-        book, other, sorting = (
-            Addresses(),
-            Addresses(),
-            Sorting("z0", {f"z{k}": f"r{k % 13}" for k in range(36)}, 1),
+        book, other, load_balancer = (
+            ServerList(),
+            ServerList(),
+            LoadBalancer("z0", {f"z{k}": f"r{k % 13}" for k in range(36)}, 1),
         )
         book.polled(1.0, book.begin(), entries)
-        sorting.listed(book.servers.values())
+        load_balancer.listed(book.servers.values())
         held = tracemalloc.get_traced_memory()[0] / 2**20
         tracemalloc.stop()
         whole = book.whole(1.0)
@@ -429,8 +430,8 @@
         poll = timed(partial(polled, book, entries), 5)[1]
         changed = {"t": "list", "f": other.number + 1, "p": other.number, "e": entries[:10], "g": []}
         take = timed(partial(other.take, 3.0, changed))[1]
-        listed = timed(partial(sorting.listed, book.servers.values()), 5)[1]
-        cold = timed(partial(looked_through, sorting), 5)[1]
+        listed = timed(partial(load_balancer.listed, book.servers.values()), 5)[1]
+        cold = timed(partial(looked_through, load_balancer), 5)[1]
         print(
             f"{count:6} | {raw / 1000:8.0f} {len(encoded(whole)) / 1000:7.0f} | "
             f"{poll * 1e3:7.2f} {take * 1e3:7.3f} {listed * 1e3:7.2f} {cold * 1e3:6.2f} {held:6.1f}",
@@ -438,15 +439,15 @@
         )
     print("servers of a service | µs a choice")
     for count in (2, 10, 23, 100, 300):
-        sorting, book = Sorting("z0", {f"z{k}": f"r{k % 13}" for k in range(36)}, 1), Addresses()
+        load_balancer, book = LoadBalancer("z0", {f"z{k}": f"r{k % 13}" for k in range(36)}, 1), ServerList()
         book.polled(
             1.0,
             book.begin(),
             [[f"i-{k}", "shop", f"10.2.0.{k}:80", f"z{k % 36}", 2, 0, 0.0] for k in range(count)],
         )
-        sorting.listed(book.servers.values())
+        load_balancer.listed(book.servers.values())
         service = Service("shop", "/health", 100, 3.0, 2.0)
-        pick = timed(partial(sorting.pick, 2.0, service, True, frozenset(), 1000.0), 2000)[1]
+        pick = timed(partial(load_balancer.pick, 2.0, service, True, frozenset(), 1000.0), 2000)[1]
         print(f"{count:6} | {pick * 1e6:6.1f}")
 
 
--- a/benchmarks/catching_up.py
+++ b/benchmarks/catching_up.py
@@ -3,8 +3,8 @@
     python -m benchmarks.catching_up                # the figures of docs/design/catching-up.md
     python -m benchmarks.catching_up --changes 100
 
-The worlds are the tests' (`tests/post_world.py`, `tests/test_post_catching_up.py`): the very offices, here
-over lines of 2 Mbit/s between any two, on which a message waits for those before it. Times are seconds.
+The worlds are the tests' (`tests/system_world.py`, `tests/test_catching_up.py`): the very gatekeepers,
+here over lines of 2 Mbit/s between any two, on which a message waits for those before it. Times are seconds.
 """
 
 import argparse
@@ -15,19 +15,19 @@
 from functools import lru_cache
 from typing import Any
 
-from millfront.control import configuration as orders
-from millfront.register import chunks as pieces
+from millfront.control import configuration
+from millfront.register import chunks
 from millfront.register.chunks import Archive
 from millfront.register.deltas import difference, followed, size
 from millfront.register.values import Value
 from millfront.storage.disk import Disk
 from millfront.transport.connections import decoded, encoded
-from tests.post_world import Node
-from tests.test_post_catching_up import Watched, held_by, long
+from tests.system_world import Node
+from tests.test_catching_up import Watched, held_by, long
 
 LINE = 2e6 / 8  # bytes a second
 LARGE = 21_000  # routes of a document of 6 MB
-orders.compiled = lru_cache(4)(orders.compiled)  # type: ignore[assignment]  # once for all offices of a world
+configuration.compiled = lru_cache(4)(configuration.compiled)  # type: ignore[assignment]  # once for all gatekeepers of a world
 
 
 class Lines(Watched):
@@ -103,11 +103,11 @@
 def large() -> None:
     """A wiped member and a document of 6 MB: by pieces, and in one message."""
     text = long(1, LARGE)
-    for name, piece in (("pieces", pieces.PIECE), ("256 K", 256 * 1024), ("one message", 64 * 1024 * 1024)):
-        pieces.PIECE, before = piece, pieces.PIECE
+    for name, piece in (("pieces", chunks.PIECE), ("256 K", 256 * 1024), ("one message", 64 * 1024 * 1024)):
+        chunks.PIECE, before = piece, chunks.PIECE
         world = Lines(7, 6, 1)
         world.start().run(4.0)
-        answers = world.call(6, lambda o, now, done: o.put_checked(now, orders.compiled(text), done))
+        answers = world.call(6, lambda o, now, done: o.put_checked(now, configuration.compiled(text), done))
         world.run(4.0)
         assert answers[0][0] == 200
         world.acknowledged = 1
@@ -115,14 +115,14 @@
         world.run(1.0)
         took, came, held_up = world.measure(4)
         print(f"{name:12} {'wiped':24} {took:6.2f} {came:8} {held_up:6.2f}")
-        pieces.PIECE = before
+        chunks.PIECE = before
     print(f"{len(text)} characters, {len(encoded({'t': '', 'v': text}))} bytes packed")
 
 
 def processor() -> None:
     """Processor time of one message at either end, and of a difference."""
     text, later = long(1, LARGE), long(2, LARGE)
-    for name, part in (("a piece", text[: pieces.PIECE]), ("256 K", text[: 256 * 1024]), ("the whole", text)):
+    for name, part in (("a piece", text[: chunks.PIECE]), ("256 K", text[: 256 * 1024]), ("the whole", text)):
         began = time.process_time()
         line = encoded({"t": "piece", "x": part})
         packed = time.process_time()
@@ -133,10 +133,10 @@
         )
     for one, two in ((long(1), long(2)), (text, later)):
         began = time.process_time()
-        steps = difference(one, two, pieces.CHAIN)
+        steps = difference(one, two, chunks.CHAIN)
         made = time.process_time()
         assert steps is not None
-        followed(one, [steps], len(two), orders.digest_of(two)).unwrap()
+        followed(one, [steps], len(two), configuration.digest_of(two)).unwrap()
         print(
             f"a difference of {len(one)} characters: {size(steps)} on a line, made in "
             f"{1000 * (made - began):.1f} ms, followed in {1000 * (time.process_time() - made):.1f} ms"
--- a/benchmarks/sealed_orders.py
+++ b/benchmarks/control_faults.py
@@ -1,8 +1,8 @@
 """The control side's worst days, with real processes and doors between them: each story a verdict line.
 
-    python -m benchmarks.sealed_orders                          # all, at full length
-    python -m benchmarks.sealed_orders --story cut_off --seed 7
-    python -m benchmarks.sealed_orders --small                  # as in CI
+    python -m benchmarks.control_faults                          # all, at full length
+    python -m benchmarks.control_faults --story cut_off --seed 7
+    python -m benchmarks.control_faults --small                  # as in CI
 
 The seed draws who is struck, which ways a cut goes and whether it holds bytes back (`millfront/rehearsal/
 links.py`), who is asked, and the documents; an even one's links between regions take 20 to 40 ms. Exit code
@@ -56,23 +56,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Sample:
-    """One look: when it was asked and answered, by which office."""
+    """One look: when it was asked and answered, by which gatekeeper."""
 
     asked: float
     answered: float
-    office: int
+    gatekeeper: int
     status: int
     version: int = 0
 
 
 class Watch:
-    """Looks at offices all the time, each with a thread of its own, and keeps what they answered."""
+    """Looks at gatekeepers all the time, each with a thread of its own, and keeps what they answered."""
 
-    def __init__(self, look: Callable[[int], tuple[int, int]], offices: list[int]) -> None:
-        """:param look: at one office: a status, and a version or 0"""
+    def __init__(self, look: Callable[[int], tuple[int, int]], gatekeepers: list[int]) -> None:
+        """:param look: at one gatekeeper: a status, and a version or 0"""
         self.samples: list[Sample] = []
         self._look, self._ends = look, threading.Event()
-        self._threads = [threading.Thread(target=self._run, args=[number]) for number in offices]
+        self._threads = [threading.Thread(target=self._run, args=[number]) for number in gatekeepers]
 
     def _run(self, number: int) -> None:
         while not self._ends.wait(0.05):
@@ -95,28 +95,28 @@
     return int(answer.json()["revision"], 16) if answer.status == 200 else 0
 
 
-def watched_reads(system: System, offices: list[int]) -> Watch:
+def watched_reads(system: System, gatekeepers: list[int]) -> Watch:
     def look(number: int) -> tuple[int, int]:
         answer = system.get(number)
         return answer.status, revision(answer)
 
-    return Watch(look, offices)
+    return Watch(look, gatekeepers)
 
 
-def watched_key(system: System, offices: list[int], key: str) -> Watch:
-    return Watch(lambda number: (system.page(number, key), 0), offices)
+def watched_key(system: System, gatekeepers: list[int], key: str) -> Watch:
+    return Watch(lambda number: (system.page(number, key), 0), gatekeepers)
 
 
-def watched_readiness(system: System, offices: list[int]) -> Watch:
-    return Watch(lambda number: (system.ready(number), 0), offices)
+def watched_readiness(system: System, gatekeepers: list[int]) -> Watch:
+    return Watch(lambda number: (system.ready(number), 0), gatekeepers)
 
 
-def watched_versions(system: System, offices: list[int]) -> Watch:
+def watched_versions(system: System, gatekeepers: list[int]) -> Watch:
     def look(number: int) -> tuple[int, int]:
         version = system.version(number)
         return 200 if version else 0, version
 
-    return Watch(look, offices)
+    return Watch(look, gatekeepers)
 
 
 def never_back(told: Verdict, watch: Watch) -> None:
@@ -124,11 +124,11 @@
     highest: dict[int, int] = {}
     for sample in watch.samples:
         if sample.version:
-            before = highest.get(sample.office, 0)
+            before = highest.get(sample.gatekeeper, 0)
             told.check(
-                sample.version >= before, f"office {sample.office} went from {before} to {sample.version}"
+                sample.version >= before, f"office {sample.gatekeeper} went from {before} to {sample.version}"
             )
-            highest[sample.office] = max(before, sample.version)
+            highest[sample.gatekeeper] = max(before, sample.version)
 
 
 def never_old(told: Verdict, watch: Watch, acked: float, version: int) -> None:
@@ -137,7 +137,7 @@
         if sample.asked > acked and sample.status == 200 and sample.version < version:
             late = sample.asked - acked
             told.check(
-                False, f"office {sample.office} told of {sample.version}, {late:.2f} s after {version}"
+                False, f"office {sample.gatekeeper} told of {sample.version}, {late:.2f} s after {version}"
             )
 
 
@@ -151,16 +151,18 @@
     return answer.status == 503 and "Retry-After" in answer.fields
 
 
-def all_in_force(system: System, version: int, offices: list[int]) -> float:
-    return until(f"version {version} everywhere", lambda: all(system.version(n) >= version for n in offices))
+def all_in_force(system: System, version: int, gatekeepers: list[int]) -> float:
+    return until(
+        f"version {version} everywhere", lambda: all(system.version(n) >= version for n in gatekeepers)
+    )
 
 
 def begun(system: System, version: int, keys: list[str]) -> None:
     """A first version, in force everywhere."""
     system.settled(0, lambda number: system.put(number, document(version, keys)))
-    offices = list(range(system.count))
-    until("all ready", lambda: all(system.ready(number) == 200 for number in offices))
-    all_in_force(system, version, offices)
+    gatekeepers = list(range(system.count))
+    until("all ready", lambda: all(system.ready(number) == 200 for number in gatekeepers))
+    all_in_force(system, version, gatekeepers)
 
 
 # ---- stories ---------------------------------------------------------------------------------------
@@ -228,7 +230,7 @@
         all_in_force(system, 4, [cut, *others])
         told.check(system.page(cut, "kept") == 200, "back, and refuses a key that is well")
     for sample in reads.samples:
-        if sample.office == cut and sample.asked > since and sample.answered < healed:
+        if sample.gatekeeper == cut and sample.asked > since and sample.answered < healed:
             told.check(sample.status == 503, f"cut off, a read: {sample.status} with {sample.version}")
     ready = [
         s.asked for s in readiness.samples if since < s.asked and s.answered < healed and s.status != 503
@@ -386,7 +388,7 @@
     for number in (wiped, down):
         system.start(number)
     struck, caught_up = {"wiped": wiped, "restarted": down}, {}
-    for what, number in struck.items():  # by themselves: a read would bring a keeper what it lacks
+    for what, number in struck.items():  # by themselves: a read would bring a replica what it lacks
 
         def holds(number: int = number) -> bool:
             return system.held(number) == newest and system.version(number) == newest
--- a/benchmarks/office_cost.py
+++ b/benchmarks/gatekeeper_cost.py
@@ -1,6 +1,6 @@
 """What a request costs an office of the whole system, in turns with the gatekeeper in service.
 
-    python -m benchmarks.office_cost [--rounds 24] [--requests 400]
+    python -m benchmarks.gatekeeper_cost [--rounds 24] [--requests 400]
 
 A real process of each, both up at once, between stand-ins and a client with kept connections on loopback;
 each round gives both a block of requests, in an order drawn anew. CPU is that of the process's threads. The
@@ -121,7 +121,7 @@
     (folder / "disk").mkdir()
     given = os.environ | {"MILLFRONT_CONFIG": str(folder / "node.toml")}
     began = time.monotonic()
-    command = [sys.executable, "-B", "-m", "millfront", "office"]
+    command = [sys.executable, "-B", "-m", "millfront", "gatekeeper"]
     process = subprocess.Popen(command, cwd=HERE, env=given, stderr=subprocess.DEVNULL, text=True)
     body = json.dumps(CONFIGURATION).encode()
     put = b"PUT /v1/config HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
--- a/benchmarks/hollow.py
+++ b/benchmarks/hollow.py
@@ -1,7 +1,7 @@
-"""Hollow offices: many of the very `Office` in one process, on wires of memory, in simulated time.
+"""Hollow gatekeepers: many of the very `Gatekeeper` in one process, on wires of memory, in simulated time.
 
-A lean twin of tests/post_world.py for hundreds of them: deliveries wait in slots of 5 ms, and a letter is
-handed on as it is. A few offices are *measured*: whatever they send or get is encoded and decoded by
+A lean twin of tests/system_world.py for hundreds of them: deliveries wait in slots of 5 ms, and a message is
+handed on as it is. A few gatekeepers are *measured*: whatever they send or get is encoded and decoded by
 `millfront.transport.connections`, as the daemon does it, with its bytes counted, and their processor time is
 charged to parts. No requests are carried. Times are seconds.
 """
@@ -16,7 +16,7 @@
 
 from millfront.control.configuration import Tenant
 from millfront.environment import Bounds, Settings
-from millfront.gatekeeper.node import BEAT_S, Office
+from millfront.gatekeeper.node import BEAT_S, Gatekeeper
 from millfront.register.replica import Persist
 from millfront.register.values import Value
 from millfront.transport.connections import decoded, encoded
@@ -25,17 +25,18 @@
 PORT = 7000
 SLOT_S = 0.005
 SYNC_S = 0.002
-LETTERS = frozenset(("cards", "hello", "want", "core", "core?"))
+DATAGRAMS = frozenset(("cards", "hello", "want", "core", "core?"))
 
 
 class Meter:
-    """Of one office: messages and bytes by kind, processor time by part (what a part calls is its own)."""
+    """Of one gatekeeper: messages and bytes by kind, processor time by part (what a part calls is its
+    own)."""
 
     def __init__(self) -> None:
         self.cpu: defaultdict[str, float] = defaultdict(float)
         self.count: Counter[str] = Counter()
         self.bytes: Counter[str] = Counter()
-        self.cards: Counter[str] = Counter()  # by way
+        self.records: Counter[str] = Counter()  # by way
         self.most = 0  # the longest datagram
         self._stack: list[str] = []
         self._mark = 0.0
@@ -68,15 +69,15 @@
         self.cpu.clear()
         self.count.clear()
         self.bytes.clear()
-        self.cards.clear()
+        self.records.clear()
         self.most = 0
 
     def passed(self, way: str, message: Message, size: int) -> None:
         kind = f"{way} {message['t']}"
         self.count[kind] += 1
         self.bytes[kind] += size
-        self.cards[way] += len(message.get("c", ()))
-        if message["t"] in LETTERS:
+        self.records[way] += len(message.get("c", ()))
+        if message["t"] in DATAGRAMS:
             self.most = max(self.most, size)
 
     def total(self, way: str, kinds: frozenset[str] | None = None) -> tuple[int, int]:
@@ -98,7 +99,7 @@
         self.address = f"{self.ip}:{PORT}"
         self.name = f"{self.zone}-{number:04d}"
         self.disk: dict[str, Value] | None = {} if number < fleet.disks else None
-        self.office: Office | None = None
+        self.gatekeeper: Gatekeeper | None = None
         self.life = 0
         self.meter: Meter | None = None
         self._last: tuple[Message, bytes] = ({}, b"")
@@ -116,33 +117,35 @@
         )  # fmt: skip
         kept = dict(self.disk) if self.disk is not None else None
         incarnation = int(fleet.now * 1000) + 1
-        self.office = Office(settings, self, kept, fleet.now, incarnation, self.number * 1000 + self.life)
+        self.gatekeeper = Gatekeeper(
+            settings, self, kept, fleet.now, incarnation, self.number * 1000 + self.life
+        )
         if self.meter is not None:
             self.measure()
         fleet.after(fleet.random.random() * BEAT_S, self, self._beat)
 
     def kill(self) -> None:
-        self.office, self.life = None, self.life + 1
+        self.gatekeeper, self.life = None, self.life + 1
 
     def measure(self) -> Meter:
-        """Count what this office sends and gets, and charge its time."""
+        """Count what this gatekeeper sends and gets, and charge its time."""
         self.meter = meter = self.meter or Meter()
-        office = self.office
-        assert office is not None
+        gatekeeper = self.gatekeeper
+        assert gatekeeper is not None
         for owner, name, part in (
-            (office.neighbours, "tick", "roster: tick"),
-            (office.neighbours, "take", "roster: take"),
-            (office.neighbours, "has_duty", "duties"),
-            (office.franking, "heard", "tenants: heard"),
-            (office.franking, "tick", "tenants: tick"),
-            (office.franking, "admit", "tenants: admit"),
-            (office, "_hand_over", "poste restante"),
-            (office, "_note_others", "daybook"),
-            (office, "_near", "follower"),
-            (office.follower, "tick", "follower"),
-            (office.follower, "take", "follower"),
-            (office, "_keep", "keeper"),
-            (office, "_hold", "in force"),
+            (gatekeeper.membership, "tick", "roster: tick"),
+            (gatekeeper.membership, "take", "roster: take"),
+            (gatekeeper.membership, "has_duty", "duties"),
+            (gatekeeper.admission, "heard", "tenants: heard"),
+            (gatekeeper.admission, "tick", "tenants: tick"),
+            (gatekeeper.admission, "admit", "tenants: admit"),
+            (gatekeeper, "_hand_over", "poste restante"),
+            (gatekeeper, "_note_others", "daybook"),
+            (gatekeeper, "_near", "follower"),
+            (gatekeeper.subscriber, "tick", "follower"),
+            (gatekeeper.subscriber, "take", "follower"),
+            (gatekeeper, "_keep", "keeper"),
+            (gatekeeper, "_hold", "in force"),
         ):
             meter.wrap(owner, name, part)
         return meter
@@ -172,17 +175,17 @@
 
     def persist(self, persist: Persist) -> None:
         def synced() -> None:
-            if self.disk is not None and self.office is not None:
+            if self.disk is not None and self.gatekeeper is not None:
                 self.disk.update(persist.values)
-                self.office.synced(self.fleet.now, persist, True)
+                self.gatekeeper.synced(self.fleet.now, persist, True)
 
         self.fleet.after(SYNC_S, self, synced)
 
     def poll(self, number: int) -> None:
         self.fleet.polls += 1
-        office = self.office
-        assert office is not None
-        self.fleet.after(0.05, self, lambda: office.polled(self.fleet.now, number, self.fleet.servers))
+        gatekeeper = self.gatekeeper
+        assert gatekeeper is not None
+        self.fleet.after(0.05, self, lambda: gatekeeper.polled(self.fleet.now, number, self.fleet.servers))
 
     def say(self, part: str, text: str) -> None:
         pass
@@ -190,10 +193,10 @@
     # ---- what comes --------------------------------------------------------------------------------
 
     def take(self, back: str, message: Message) -> None:
-        office, now = self.office, self.fleet.now
-        if office is None:
+        gatekeeper, now = self.gatekeeper, self.fleet.now
+        if gatekeeper is None:
             return
-        take = office.datagram if message["t"] in LETTERS else office.message
+        take = gatekeeper.datagram if message["t"] in DATAGRAMS else gatekeeper.message
         if self.meter is None:
             take(now, back, message)
             return
@@ -207,17 +210,17 @@
         self.meter.leave()
 
     def _beat(self) -> None:
-        office, fleet = self.office, self.fleet
-        assert office is not None
+        gatekeeper, fleet = self.gatekeeper, self.fleet
+        assert gatekeeper is not None
         if self.meter is not None:
             self.meter.enter("office")
-        office.beat(fleet.now)
+        gatekeeper.beat(fleet.now)
         self.requests += fleet.rate * BEAT_S
         while self.requests >= 1.0:
             self.requests -= 1.0
-            office.franking.admit(fleet.now, fleet.random.choice(fleet.tenants))
-        if office.franking.hurry:
-            office.hurry(fleet.now)
+            gatekeeper.admission.admit(fleet.now, fleet.random.choice(fleet.tenants))
+        if gatekeeper.admission.flush:
+            gatekeeper.flush(fleet.now)
         if self.meter is not None:
             self.meter.leave()
         fleet.after(BEAT_S, self, self._beat)
@@ -278,26 +281,28 @@
             self.run(step)
         return self.now - began
 
-    def offices(self) -> list[Office]:
-        return [node.office for node in self.nodes if node.office is not None]
+    def gatekeepers(self) -> list[Gatekeeper]:
+        return [node.gatekeeper for node in self.nodes if node.gatekeeper is not None]
 
     def put(self, number: int, text: str) -> list[int]:
         answers: list[int] = []
-        office = self.nodes[number].office
-        assert office is not None
-        office.put(self.now, text, lambda status, text: answers.append(status))
+        gatekeeper = self.nodes[number].gatekeeper
+        assert gatekeeper is not None
+        gatekeeper.put(self.now, text, lambda status, text: answers.append(status))
         return answers
 
     def whole(self) -> bool:
         """Whether all know all, and hear of them."""
-        live = len(self.offices())
-        return all(len(office.neighbours.live()) == live for office in self.offices())
+        live = len(self.gatekeepers())
+        return all(len(gatekeeper.membership.live()) == live for gatekeeper in self.gatekeepers())
 
     def ready(self) -> bool:
-        return all(office.ready(self.now) for office in self.offices())
+        return all(gatekeeper.ready(self.now) for gatekeeper in self.gatekeepers())
 
     def in_force(self, version: int) -> bool:
-        return all(o.orders is not None and o.orders.version >= version for o in self.offices())
+        return all(
+            o.configuration is not None and o.configuration.version >= version for o in self.gatekeepers()
+        )
 
 
 def settled(fleet: Fleet, text: str, but: int = 0) -> Fleet:
@@ -307,7 +312,9 @@
     gc.disable()  # the daemon's heap is small; here it is that of hundreds
     for node in fleet.nodes[: len(fleet.nodes) - but]:
         node.start(True)
-    fleet.until(lambda: all(office.follower.core is not None for office in fleet.offices()), 60.0)
+    fleet.until(
+        lambda: all(gatekeeper.subscriber.core is not None for gatekeeper in fleet.gatekeepers()), 60.0
+    )
     answers = fleet.put(len(fleet.nodes) - but - 1, text)
     fleet.until(lambda: bool(answers) and fleet.in_force(1), 30.0)
     if answers != [200]:
--- a/benchmarks/registered_mail.py
+++ b/benchmarks/register_changes.py
@@ -1,10 +1,10 @@
 """Control state in simulated time: how soon a change is in force, a fleet whole again, and what it costs.
 
-    python -m benchmarks.registered_mail            # the figures of docs/design/registered-mail.md
-    python -m benchmarks.registered_mail --histories 10000
+    python -m benchmarks.register_changes            # the figures of docs/design/register.md
+    python -m benchmarks.register_changes --histories 10000
 
-The worlds are the tests' (`tests/post_world.py`): the very offices, links of 1 to 2 ms in a region and 20 to
-40 ms between two, disks that sync in 2 ms. Times are seconds.
+The worlds are the tests' (`tests/system_world.py`): the very gatekeepers, links of 1 to 2 ms in a region and
+20 to 40 ms between two, disks that sync in 2 ms. Times are seconds.
 """
 
 import argparse
@@ -15,12 +15,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from millfront.register import reconfiguration as postings
+from millfront.register import reconfiguration
 from millfront.register.values import Value
 from millfront.storage.disk import Disk
 from millfront.transport.connections import encoded
-from tests import test_post_core_changes, test_post_core_search
-from tests.post_world import ZONES, Node, World, document
+from tests import test_core_changes, test_core_search
+from tests.system_world import ZONES, Node, World, document
 
 CHANGES = 12
 
@@ -75,8 +75,8 @@
         at: dict[Node, float] = {}
         while world.env.now < ends:
             world.run(0.005)
-            for node in [node for node in waiting if node.office and node.office.orders]:
-                if node.office.orders.version >= version:  # type: ignore[union-attr]
+            for node in [node for node in waiting if node.gatekeeper and node.gatekeeper.configuration]:
+                if node.gatekeeper.configuration.version >= version:  # type: ignore[union-attr]
                     at[node] = world.env.now
                     waiting.discard(node)
             if answers and not acknowledged:
@@ -91,15 +91,15 @@
 
 
 def whole_again(n: int, disks: int) -> None:
-    """After all of the core was killed, and after all machines lost power: until all keepers vote, and until
+    """After all of the core was killed, and after all machines lost power: until all replicas vote, and until
     every process is ready."""
 
     def ready() -> bool:
-        return all(node.office is not None and node.office.ready(node.now()) for node in world.nodes)
+        return all(node.gatekeeper is not None and node.gatekeeper.ready(node.now()) for node in world.nodes)
 
     def votes() -> bool:
-        keepers = [node.office.keeper for node in world.nodes[:disks] if node.office]
-        return all(keeper is not None and keeper.votes for keeper in keepers)
+        replicas = [node.gatekeeper.replica for node in world.nodes[:disks] if node.gatekeeper]
+        return all(replica is not None and replica.votes for replica in replicas)
 
     figures = []
     for down in (range(disks), range(n)):
@@ -126,12 +126,10 @@
 
 
 def histories(count: int) -> None:
-    postings.JOINED_S, postings.RELIEVED_S = 2.0, 8.0
+    reconfiguration.JOINED_S, reconfiguration.RELIEVED_S = 2.0, 8.0
     began = time.monotonic()
-    print("search:", test_post_core_search.found(count) or f"nothing in {count} plays")
-    play = (
-        test_post_core_changes.test_histories_with_changes_of_the_core_lose_nothing_and_have_one_core_an_epoch
-    )
+    print("search:", test_core_search.found(count) or f"nothing in {count} plays")
+    play = test_core_changes.test_histories_with_changes_of_the_core_lose_nothing_and_have_one_core_an_epoch
     for seed in range(1000, 1000 + count // 20):
         play(seed)
     print(f"histories: nothing in {count // 20} of whole fleets; {time.monotonic() - began:.0f} s in all")
--- a/benchmarks/roster.py
+++ b/benchmarks/roster.py
@@ -2,7 +2,7 @@
 
     python -m benchmarks.roster 11 82 300
 
-The very `Neighbours`, each told of three seeds at its start, two regions, letters on the way for 5 to 40 ms,
+The very `Members`, each told of three seeds at its start, two regions, messages on the way for 5 to 40 ms,
 2% of them lost. Bytes are of what one process sends, before the network's own.
 """
 
@@ -12,7 +12,7 @@
 import sys
 from typing import Any
 
-from millfront.membership.gossip import Neighbours, Standing
+from millfront.membership.gossip import Liveness, Membership
 from millfront.transport.connections import encoded
 
 TICKS = 40
@@ -25,7 +25,7 @@
         {"post": str(k), "zone": f"z{k % 4}", "region": f"r{k % 2}", "plain": "", "ctl": "", "core": k < 4}
         for k in range(n)
     ]
-    fleet = [Neighbours(f"p{k}", still[k], ["0", "1", "2"], 1, k) for k in range(n)]
+    fleet = [Membership(f"p{k}", still[k], ["0", "1", "2"], 1, k) for k in range(n)]
     numbers = itertools.count()
     due: list[tuple[float, int, int, str, Any]] = []  # when, number, to, from, message; None: a tick
     for k in range(n):
@@ -37,24 +37,25 @@
         if now >= next_look:
             next_look += 1.0
             if whole_at == float("inf"):
-                known = all(sum(c.still is not None for c in one.cards.values()) == n for one in fleet)
+                known = all(sum(c.identity is not None for c in one.records.values()) == n for one in fleet)
                 whole_at = now if known else whole_at
             if now > TICKS / 2:
                 looks += n * (n - 1)
-                falsely += sum(c.standing is Standing.LOST for one in fleet for c in one.others())
+                falsely += sum(c.liveness is Liveness.LOST for one in fleet for c in one.others())
         if message is None:
             out = fleet[to].tick(now)
             heapq.heappush(due, (now + 1.0, next(numbers), to, "", None))
         else:
             out = fleet[to].take(now, back, message)
         sizes: dict[int, int] = {}
-        for address, letter in out:
-            size = sizes.setdefault(id(letter), 0) or len(encoded(letter))
-            sizes[id(letter)] = size
+        for address, datagram in out:
+            size = sizes.setdefault(id(datagram), 0) or len(encoded(datagram))
+            sizes[id(datagram)] = size
             sent += size if now > TICKS / 2 else 0
             if chance.random() >= LOSS:
                 heapq.heappush(
-                    due, (now + 0.005 + 0.035 * chance.random(), next(numbers), int(address), str(to), letter)
+                    due,
+                    (now + 0.005 + 0.035 * chance.random(), next(numbers), int(address), str(to), datagram),
                 )
     print(f"{n:5}  {whole_at:8.1f}  {sent / n / (TICKS / 2) / 1000:8.2f}  {falsely / looks:.6f}", flush=True)
 
--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -7,30 +7,30 @@
 
 from pyrsistent import pmap
 
-from millfront.control.configuration import Limits, Orders, Roads, Route
+from millfront.control.configuration import Configuration, Limits, Route, RouteTable
 
 LOOKS = 100_000
 
 
-def made(count: int) -> tuple[Orders, list[str]]:
+def made(count: int) -> tuple[Configuration, list[str]]:
     prefixes = [f"/p{number}/q{number % 7}/" for number in range(count)]
     routes = [
         Route(prefix, "h", prefix, "upload", 3.0, 1.0, 0, (("s", 1.0),), 1, True, frozenset())
         for prefix in prefixes
     ]
-    orders = Orders(1, "", pmap({"h": Roads(routes)}), pmap(), pmap(), Limits())
-    return orders, [f"{prefix}no/{number}" for number, prefix in enumerate(prefixes)]
+    configuration = Configuration(1, "", pmap({"h": RouteTable(routes)}), pmap(), pmap(), Limits())
+    return configuration, [f"{prefix}no/{number}" for number, prefix in enumerate(prefixes)]
 
 
 def main() -> None:
     print("routes  us a look-up")
     for count in (10, 1_000, 10_000):
-        orders, paths = made(count)
+        configuration, paths = made(count)
         best = 1e9
         for _ in range(5):
             began = time.perf_counter()
             for look in range(LOOKS):
-                assert orders.route_of("h", paths[look % count]) is not None
+                assert configuration.route_of("h", paths[look % count]) is not None
             best = min(best, time.perf_counter() - began)
         print(f"{count:6}  {best / LOOKS * 1e6:.2f}")
 
--- a/examples/try_system.py
+++ b/examples/try_system.py
@@ -1,5 +1,5 @@
-"""A whole system to try on loopback: three offices in two regions, toy servers, a platform that lists them,
-and a first configuration.
+"""A whole system to try on loopback: three gatekeepers in two regions, toy servers, a platform that lists
+them, and a first configuration.
 
 python examples/try_system.py
 
@@ -33,7 +33,7 @@
 
 
 def ports(count: int) -> list[int]:
-    """Free ones; each office has an address of its own and the same ports."""
+    """Free ones; each gatekeeper has an address of its own and the same ports."""
     held = [socket.socket() for _ in range(count)]
     for sock in held:
         sock.bind(("127.0.0.1", 0))
@@ -44,7 +44,7 @@
 
 
 def settings(folder: Path, number: int, cloud: str, plain: int, ctl: int, post: int) -> Path:
-    """The settings file of one office, on an address of its own."""
+    """The settings file of one gatekeeper, on an address of its own."""
     ip, zone = f"127.0.0.{number + 1}", list(ZONES)[number]
     seeds = [f"127.0.0.{other + 1}:{ctl}" for other in range(len(ZONES))]
     lines = [
@@ -116,7 +116,7 @@
         try:
             for number in range(len(ZONES)):
                 path = settings(Path(name), number, cloud, plain, ctl, post)
-                command = [sys.executable, "-B", "-m", "millfront", "office"]
+                command = [sys.executable, "-B", "-m", "millfront", "gatekeeper"]
                 given = os.environ | {"MILLFRONT_CONFIG": str(path)}
                 started.append(subprocess.Popen(command, env=given))
             until("the configuration", "PUT", f"http://127.0.0.2:{ctl}/v1/config", configuration(1))
--- a/millfront/__main__.py
+++ b/millfront/__main__.py
@@ -5,10 +5,10 @@
 
 
 def main() -> int:
-    if sys.argv[1:] == ["office"]:  # a role of the whole system: it starts without the commands' imports
-        from millfront.gatekeeper import start as lean
+    if sys.argv[1:] == ["gatekeeper"]:  # a role of the whole system: it starts without the commands' imports
+        from millfront.gatekeeper import start
 
-        return lean.office(os.environ)
+        return start.run(os.environ)
     if len(sys.argv) > 1 or "_MILLFRONT_COMPLETE" in os.environ:
         from millfront.cli import commands
 
--- a/millfront/cli/commands.py
+++ b/millfront/cli/commands.py
@@ -17,11 +17,11 @@
 
     GROUPS: ClassVar[dict[str, str]] = {
         "plans": "millfront.cli.plans",
-        "post": "millfront.cli.gatekeeper",
+        "control": "millfront.cli.gatekeeper",
         "rehearse": "millfront.cli.rehearse",
         "usage": "millfront.cli.usage",
     }
-    ROLES: ClassVar[dict[str, str]] = {"office": "millfront.cli.gatekeeper"}  # of the whole system
+    ROLES: ClassVar[dict[str, str]] = {"gatekeeper": "millfront.cli.gatekeeper"}  # of the whole system
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         return sorted([*super().list_commands(ctx), *self.GROUPS, *self.ROLES])
@@ -70,13 +70,13 @@
 @click.argument("files", nargs=-1, required=True, type=click.Path(dir_okay=False))
 @click.option(
     "--kind",
-    type=click.Choice(["operators", "plans", "config", "settings", "orders"]),
+    type=click.Choice(["operators", "plans", "config", "settings", "configuration"]),
     help="Of all of them.",
 )
 @json_option
 def check(files: tuple[str, ...], kind: str | None, as_json: bool) -> None:
     """Check FILES of ours: operators' files, plan books, configurations of a gatekeeper; of the whole system
-    settings (.toml) and configurations (orders). Exits with 2 on any fault."""
+    settings (.toml) and configurations. Exits with 2 on any fault."""
     from millfront.cli import documents
 
     found: list[dict[str, Any]] = []
--- a/millfront/cli/documents.py
+++ b/millfront/cli/documents.py
@@ -28,7 +28,7 @@
     if not isinstance(held, dict):
         return kind or "unknown", [Fault("$", "is not an object")]
     kind = kind or kind_of(held)
-    if kind == "orders":
+    if kind == "configuration":
         return kind, _system(text, kind)
     try:
         if kind == "operators":
@@ -52,14 +52,14 @@
     """Of the whole system's documents the first fault is named."""
     from result import Err
 
-    from millfront import environment as settings
-    from millfront.control import configuration as orders
+    from millfront import environment
+    from millfront.control import configuration
 
     try:
-        if kind == "orders":
-            read: Any = orders.checked(text.decode())
+        if kind == "configuration":
+            read: Any = configuration.checked(text.decode())
         else:
-            read = settings.read(tomllib.loads(text.decode()))
+            read = environment.read(tomllib.loads(text.decode()))
     except ValueError as wrong:
         return [Fault("$", f"is not TOML: {wrong}")]
     return [Fault("$", str(read.err_value))] if isinstance(read, Err) else []
@@ -67,7 +67,7 @@
 
 def kind_of(held: dict[str, Any]) -> str:
     if "resources" in held:
-        return "orders"
+        return "configuration"
     if "settings" in held or "discovery" in held:
         return "config"
     return "plans" if "version" in held or "assignments" in held else "operators"
--- a/millfront/cli/gatekeeper.py
+++ b/millfront/cli/gatekeeper.py
@@ -1,4 +1,4 @@
-"""The system's commands: its roles, and what an operator asks a running office."""
+"""The system's commands: its roles, and what an operator asks a running gatekeeper."""
 
 import json
 import os
@@ -16,33 +16,35 @@
 )
 
 
-@click.group("post")
+@click.group("control")
 def group() -> None:
-    """millfront as a whole system: what an office knows, and why it did what it did."""
+    """millfront as a whole system: what a gatekeeper knows, and why it did what it did."""
 
 
 @click.command()
-def office() -> None:
+def gatekeeper() -> None:
     """Serve as one process of the whole system; MILLFRONT_CONFIG names its settings file."""
-    from millfront.gatekeeper import process as service
+    from millfront.gatekeeper import process
 
-    sys.exit(service.run(os.environ))
+    sys.exit(process.run(os.environ))
 
 
-group.add_command(office)
+group.add_command(gatekeeper)
 
 
 @group.command("show")
 @at_option
 @json_option
-def show_office(address: str, as_json: bool) -> None:
+def show_gatekeeper(address: str, as_json: bool) -> None:
     """The roster and each one's version, the core and its disks, duties, what is under way.
 
     Exits with 1 where versions differ or somebody is missing."""
-    told = _asked(address, "GET", "/v1/office")
+    told = _asked(address, "GET", "/v1/gatekeeper")
     show(as_json, told, "\n".join(_lines(told)))
     behind = [
-        card for card in told["roster"] if card["version"] != told["version"] or card["standing"] != "up"
+        record
+        for record in told["roster"]
+        if record["version"] != told["version"] or record["liveness"] != "up"
     ]
     sys.exit(DIFFERS if behind or not told["ready"] else 0)
 
@@ -54,8 +56,8 @@
 )
 @json_option
 def why(address: str, part: str, as_json: bool) -> None:
-    """What an office did lately, and on which facts."""
-    pages = _asked(address, "GET", f"/v1/office/daybook?part={part}")["pages"]
+    """What a gatekeeper did lately, and on which facts."""
+    pages = _asked(address, "GET", f"/v1/gatekeeper/events?part={part}")["pages"]
     lines = [
         f"{page['ago']:9.1f} s ago  {page['part']}: {page['text']}"
         + "".join(f"  {name}={value}" for name, value in page["facts"].items())
@@ -69,8 +71,9 @@
 @click.argument("name")
 @json_option
 def tenant(address: str, name: str, as_json: bool) -> None:
-    """Why a tenant's requests are let in or refused by an office. Exits with 1 where there is none such."""
-    told = _asked(address, "GET", "/v1/office/tenants").get(name)
+    """Why a tenant's requests are let in or refused by a gatekeeper. Exits with 1 where there is none
+    such."""
+    told = _asked(address, "GET", "/v1/gatekeeper/tenants").get(name)
     if told is None:
         fail(DIFFERS, f"no tenant {name} in the configuration in force at {address}")
     lines = [f"{name}: no limit"]
@@ -143,9 +146,9 @@
         lines.append(f"core {core['epoch']}: {' '.join(core['members'])}; change: {core['change']}")
         if "old_members" in core:
             lines.append(f"  it takes over from: {' '.join(core['old_members'])}")
-    if (keeper := told["keeper"]) is not None:
-        held = " ".join(f"{key}@{version}" for key, version in keeper["held"].items())
-        lines.append(f"keeper: {keeper['state']}; its disk {keeper['disk']} writes; {held}")
+    if (replica := told["replica"]) is not None:
+        held = " ".join(f"{key}@{version}" for key, version in replica["held"].items())
+        lines.append(f"keeper: {replica['state']}; its disk {replica['disk']} writes; {held}")
     for name, duty in told["duties"].items():
         lines.append(f"duty {name}: {duty['holder']}, fence {duty['fence']}")
     for round in told["under_way"]:
@@ -156,11 +159,11 @@
         lines.append(
             f"service {service}: " + ", ".join(f"{count} {phase}" for phase, count in phases.items())
         )
-    lines.append(f"{'name':24} {'zone':14} {'standing':9} {'ready':6} {'version':9} {'disk':5} heard")
-    for card in told["roster"]:
-        ready, disk = "yes" if card["ready"] else "no", "yes" if card["disk"] else ""
+    lines.append(f"{'name':24} {'zone':14} {'liveness':9} {'ready':6} {'version':9} {'disk':5} heard")
+    for record in told["roster"]:
+        ready, disk = "yes" if record["ready"] else "no", "yes" if record["disk"] else ""
         lines.append(
-            f"{card['name']:24} {card['zone']:14} {card['standing']:9} {ready:6} {card['version']:9} "
-            f"{disk:5} {card['heard_ago']} s ago"
+            f"{record['name']:24} {record['zone']:14} {record['liveness']:9} {ready:6} {record['version']:9} "
+            f"{disk:5} {record['heard_ago']} s ago"
         )
     return lines
--- a/millfront/control/admin.py
+++ b/millfront/control/admin.py
@@ -2,7 +2,7 @@
 
 A configuration's number is claimed, then the document is stored; an evacuation has its turn made known, then
 its word is stored; what is read is read from a majority since the call came. Proofs:
-docs/design/sealed-orders.md. An answer is told once: a status of HTTP and a text. 503 says that it may be
+docs/design/control-faults.md. An answer is told once: a status of HTTP and a text. 503 says that it may be
 sent again unchanged.
 """
 
@@ -12,10 +12,10 @@
 
 from result import Err, Ok, Result
 
-from millfront.control import configuration as standing
-from millfront.control.delivery import Follower
+from millfront.control import configuration as configurations
+from millfront.control.delivery import Subscriber
 from millfront.register import snapshot
-from millfront.register.coordinator import Clerk, Phase, Round
+from millfront.register.coordinator import Coordinator, Phase, Round
 from millfront.register.values import CONFIG, CORE, TURN, Core, Value, claim_key
 
 EVACUATION = "evacuation/"
@@ -27,11 +27,11 @@
 Done = Callable[[int, str], None]  # told a status and a text, once
 
 
-class Window:
-    """The part of a process that takes orders; `Office` puts it together with the rest."""
+class AdminOperations:
+    """The part of a process that takes orders; `Gatekeeper` puts it together with the rest."""
 
-    def __init__(self, clerk: Clerk, follower: Follower, now: float, seed: int) -> None:
-        self.clerk, self.follower, self.now = clerk, follower, now
+    def __init__(self, coordinator: Coordinator, subscriber: Subscriber, now: float, seed: int) -> None:
+        self.coordinator, self.subscriber, self.now = coordinator, subscriber, now
         self.random = random.Random(seed)
         self.waiting: dict[str, tuple[Round, Callable[[Round], None]]] = {}  # rounds under way
         self.later: list[tuple[float, Callable[[], None]]] = []  # what a beat begins anew, and when
@@ -41,7 +41,7 @@
     def note(self, part: str, text: str, **facts: Any) -> None:
         raise NotImplementedError
 
-    def to_keeper(self, now: float, name: str, address: str, message: Message) -> None:
+    def to_replica(self, now: float, name: str, address: str, message: Message) -> None:
         raise NotImplementedError
 
     def _hold(self, found: dict[str, Value]) -> None:
@@ -51,18 +51,18 @@
 
     def put(self, now: float, text: str, done: Done) -> None:
         """A configuration; `done` is told a status and a text, once."""
-        self.put_checked(now, standing.checked(text), done)
+        self.put_checked(now, configurations.checked(text), done)
 
     def put_checked(
         self,
         now: float,
-        read: Result[standing.Orders, standing.OrdersFault],
+        read: Result[configurations.Configuration, configurations.ConfigurationError],
         done: Done,
     ) -> None:
         """One that was read, perhaps in a thread of its own."""
         match read:
             case Err(fault):
-                self.note("counter", f"configuration refused: {fault}")
+                self.note("admin", f"configuration refused: {fault}")
                 done(400, str(fault))
                 return
             case Ok(made):
@@ -72,11 +72,11 @@
 
     def _claim(self, now: float, value: Value, done: Done, then: Callable[[], None]) -> None:
         """Of a revision number one document is confirmed: whoever's digest a majority has accepted first.
-        Then the document may be written, by anybody who sends it (docs/design/sealed-orders.md)."""
+        Then the document may be written, by anybody who sends it (docs/design/control-faults.md)."""
         number, until = value.version, now + CLAIM_S
 
         def ballot(at: float, height: int, tries: int) -> None:
-            core, left = self.follower.core, until - at
+            core, left = self.subscriber.core, until - at
             if core is None or left <= 0.0:
                 done(503, "no core is known yet" if core is None else "no majority of the core answers")
                 return
@@ -85,9 +85,7 @@
                 if round.phase is Phase.DONE and round.proposal == value.tie:
                     then()
                 elif round.phase is Phase.DONE:
-                    self.note(
-                        "counter", f"configuration {number:08x} refused: {round.proposal} has its number"
-                    )
+                    self.note("admin", f"configuration {number:08x} refused: {round.proposal} has its number")
                     done(409, f"revision {number:08x} was given to another document ({round.proposal})")
                 elif round.old:
                     self._passed(number, done)
@@ -97,7 +95,9 @@
                 else:
                     done(503, "no majority of the core answers")
 
-            self.start(at, self.clerk.decide(at, core, height, value.tie, left, claim_key(number)), decided)
+            self.start(
+                at, self.coordinator.decide(at, core, height, value.tie, left, claim_key(number)), decided
+            )
 
         ballot(now, 1, 0)
 
@@ -182,7 +182,7 @@
         """Put what a snapshot holds; what is held higher already stays."""
         match snapshot.restored(body.decode(errors="replace")):
             case Err(fault):
-                self.note("counter", f"snapshot refused: {fault}")
+                self.note("admin", f"snapshot refused: {fault}")
                 done(400, str(fault))
             case Ok(values) if CONFIG in values:
                 self._claim(now, values[CONFIG], done, lambda: self._write(self.now, values, done))
@@ -190,16 +190,16 @@
                 self._write(now, values, done)
 
     def _version(self, key: str) -> int:
-        held = self.follower.values.get(key)
+        held = self.subscriber.values.get(key)
         return held.version if held is not None else 0
 
     def _read(
         self, now: float, keys: list[str] | None, then: Callable[[Round], None], none: Callable[[], None]
     ) -> None:
-        if self.follower.core is None:
+        if self.subscriber.core is None:
             none()
             return
-        self.start(now, self.clerk.read(now, self.follower.core, keys, READ_S), then)
+        self.start(now, self.coordinator.read(now, self.subscriber.core, keys, READ_S), then)
 
     def _write(self, now: float, values: dict[str, Value], done: Done) -> None:
         def written(round: Round) -> None:
@@ -208,10 +208,10 @@
             else:
                 done(503, "no majority of the core has it yet")
 
-        if self.follower.core is None:
+        if self.subscriber.core is None:
             done(503, "no core is known yet")
             return
-        self.start(now, self.clerk.write(now, self.follower.core, values, WRITE_S), written)
+        self.start(now, self.coordinator.write(now, self.subscriber.core, values, WRITE_S), written)
 
     def start(self, now: float, round: Round, then: Callable[[Round], None]) -> None:
         self.waiting[round.ref] = (round, then)
@@ -220,8 +220,8 @@
     def _drive(self, now: float, round: Round) -> None:
         """Send what the round wants; when it has ended, what it found is held and whoever waits is told."""
         self.now = now
-        for name, message in self.clerk.drive(now, round):
-            self.to_keeper(now, name, round.core.all[name], message)
+        for name, message in self.coordinator.drive(now, round):
+            self.to_replica(now, name, round.core.all[name], message)
         if round.phase in (Phase.DONE, Phase.FAILED) and round.ref in self.waiting:
             _, then = self.waiting.pop(round.ref)
             if round.phase is Phase.DONE:
@@ -244,7 +244,7 @@
                 round.phase in (Phase.READING, Phase.WRITING) or round.decides != CORE
             ):
                 if CORE in round.values and round.phase is Phase.WRITING:
-                    continue  # the writing of a core itself, which its keepers take whatever theirs is
+                    continue  # the writing of a core itself, which its replicas take whatever theirs is
                 del self.waiting[round.ref]
-                self.clerk.renew(round, core)
+                self.coordinator.renew(round, core)
                 self.waiting[round.ref] = (round, then)
--- a/millfront/control/configuration.py
+++ b/millfront/control/configuration.py
@@ -23,7 +23,7 @@
 HEX = frozenset("0123456789abcdef")
 
 
-class OrdersFault(Exception):
+class ConfigurationError(Exception):
     """The configuration is invalid; the text names the entry."""
 
 
@@ -77,13 +77,13 @@
     idle_timeout: float = 15.0
 
 
-class Roads:
+class RouteTable:
     """The routes of one host, found by prefix: a look-up for each slash in the path's begin, however many
     routes there are.
 
     >>> route = lambda prefix: Route(prefix, "h", prefix, "upload", 1, 1, 0, (), 1, True, frozenset())
-    >>> roads = Roads([route("/a/"), route("/a/b/"), route("/od")])
-    >>> [found.name if (found := roads.find(path)) else None for path in ("/a/b/c", "/a/bc", "/odd", "/x/")]
+    >>> table = RouteTable([route("/a/"), route("/a/b/"), route("/od")])
+    >>> [found.name if (found := table.find(path)) else None for path in ("/a/b/c", "/a/bc", "/odd", "/x/")]
     ['/a/b/', '/a/', '/od', None]
     """
 
@@ -114,12 +114,12 @@
 
 
 @dataclass(frozen=True)
-class Orders:
+class Configuration:
     """One version of the configuration, as it is decided by; immutable."""
 
     version: int
     text: str  # the document, as it was put
-    routes: PMap[str, Roads]  # by host
+    routes: PMap[str, RouteTable]  # by host
     services: PMap[str, Service]
     tenants: PMap[str, Tenant]  # by key
     limits: Limits
@@ -135,8 +135,8 @@
 
     def route_of(self, host: str, path: str) -> Route | None:
         """The route with the longest prefix that begins the path."""
-        roads = self.routes.get(host)
-        return roads.find(path) if roads is not None else None
+        table = self.routes.get(host)
+        return table.find(path) if table is not None else None
 
 
 def digest_of(text: str) -> str:
@@ -217,7 +217,7 @@
 )
 
 
-def checked(text: str) -> Result[Orders, OrdersFault]:
+def checked(text: str) -> Result[Configuration, ConfigurationError]:
     """A document from an operator: its form, then what its entries say of one another."""
     try:
         document = WHOLE.validate(json.loads(text))
@@ -226,11 +226,11 @@
                 _entry_checked(resource["variant"], resource["spec"])
             except SchemaError as wrong:
                 named = " ".join((resource["variant"], resource["meta"].get("name", ""))).strip()
-                return Err(OrdersFault(f"{named}: {_said(wrong)}"))
+                return Err(ConfigurationError(f"{named}: {_said(wrong)}"))
     except SchemaError as wrong:
-        return Err(OrdersFault(_said(wrong)))
+        return Err(ConfigurationError(_said(wrong)))
     except (ValueError, RecursionError) as wrong:
-        return Err(OrdersFault(f"is not JSON: {wrong}"))
+        return Err(ConfigurationError(f"is not JSON: {wrong}"))
     return compiled(text, document)
 
 
@@ -252,17 +252,17 @@
     return "; ".join(dict.fromkeys(parts)).replace("\n", " ")[:400]
 
 
-def compiled(text: str, document: dict[str, Any] | None = None) -> Result[Orders, OrdersFault]:
+def compiled(text: str, document: dict[str, Any] | None = None) -> Result[Configuration, ConfigurationError]:
     """Of a document whose form is known to be right; what entries say of one another is looked at here."""
     try:
         return Ok(_compiled(text, json.loads(text) if document is None else document))
-    except OrdersFault as fault:
+    except ConfigurationError as fault:
         return Err(fault)
     except (ValueError, KeyError, TypeError, AttributeError) as wrong:
-        return Err(OrdersFault(f"can't be read in full: {wrong!r}"))
+        return Err(ConfigurationError(f"can't be read in full: {wrong!r}"))
 
 
-def _compiled(text: str, document: dict[str, Any]) -> Orders:
+def _compiled(text: str, document: dict[str, Any]) -> Configuration:
     routes: list[Route] = []
     services: dict[str, Service] = {}
     tenants: dict[str, Tenant] = {}
@@ -283,7 +283,7 @@
             tenant = _tenant(name, spec)
             for key in tenant.keys:
                 if key in tenants:
-                    raise OrdersFault(f"tenant {name}: shares a key with {tenants[key].name}")
+                    raise ConfigurationError(f"tenant {name}: shares a key with {tenants[key].name}")
                 tenants[key] = tenant
         elif variant == "limits":
             limits = Limits(
@@ -296,25 +296,27 @@
     for route in routes:
         for service, _ in route.arms:
             if service not in services:
-                raise OrdersFault(f"route {route.name}: unknown service {service}")
+                raise ConfigurationError(f"route {route.name}: unknown service {service}")
         by_host.setdefault(route.host, []).append(route)
-    ordered = {host: Roads(found) for host, found in by_host.items()}
-    return Orders(int(document["revision"], 16), text, pmap(ordered), pmap(services), pmap(tenants), limits)
+    ordered = {host: RouteTable(found) for host, found in by_host.items()}
+    return Configuration(
+        int(document["revision"], 16), text, pmap(ordered), pmap(services), pmap(tenants), limits
+    )
 
 
 def _route(name: str, spec: dict[str, Any]) -> Route:
     if not spec["host"]:
-        raise OrdersFault(f"route {name}: host is empty")
+        raise ConfigurationError(f"route {name}: host is empty")
     arms = [(arm["target"], float(arm["weight"])) for arm in spec.get("split") or ()]
     if arms and sum(weight for _, weight in arms) <= 0.0:
-        raise OrdersFault(f"route {name}: weights sum to 0")
+        raise ConfigurationError(f"route {name}: weights sum to 0")
     if not arms:
         if not spec.get("target"):
-            raise OrdersFault(f"route {name}: neither target nor split")
+            raise ConfigurationError(f"route {name}: neither target nor split")
         arms = [(spec["target"], 1.0)]
     deadline, target = seconds(spec["deadline"]), seconds(spec["target_time"])
     if target >= deadline + MOST_OVER_S:
-        raise OrdersFault(f"route {name}: target_time is a minute or more above its deadline")
+        raise ConfigurationError(f"route {name}: target_time is a minute or more above its deadline")
     return Route(
         name=name,
         host=spec["host"].lower(),
--- a/millfront/control/delivery.py
+++ b/millfront/control/delivery.py
@@ -1,9 +1,10 @@
 """Rounds (delivery): how a process follows the registry, and until when it may trust what it holds. No I/O,
 no clock.
 
-A follower asks keepers which versions are newest, over held connections on which keepers also push numbered
-news, and fetches what it lacks. A keeper's answer that names nothing newer than what is held here confirms,
-as of the moment the question was sent, that nothing newer was acknowledged *if* so many keepers say so that
+A subscriber asks replicas which versions are newest, over held connections on which replicas also push
+numbered
+news, and fetches what it lacks. A replica's answer that names nothing newer than what is held here confirms,
+as of the moment the question was sent, that nothing newer was acknowledged *if* so many replicas say so that
 each majority has one of them (Core.covers). The lease is that moment plus LEASE_SHARE of ``revoke_within``: a
 key whose removal was acknowledged at t is refused here from t + LEASE_SHARE * revoke_within on, whether this
 process is in touch or not, without the acknowledgement having waited for anybody. Derivation:
@@ -20,14 +21,14 @@
     0.8  # of revoke_within: the rest is for a clock that runs 1% slow and a request that waits to be sent
 )
 ASK_S = 1.0
-AGAIN_S = 0.45  # a keeper that is silent for so long is passed over for another one
-FETCHED = "f "  # with this begins the reference of a follower's fetches and of what answers them
+AGAIN_S = 0.45  # a replica that is silent for so long is passed over for another one
+FETCHED = "f "  # with this begins the reference of a subscriber's fetches and of what answers them
 Message = dict[str, Any]
 
 
 @dataclass(slots=True)
 class Confirmed:
-    """What one keeper has said last."""
+    """What one replica has said last."""
 
     asked: float = -1e9  # when the last question went out that it confirmed by
     out: float = -1e9  # when a question went out that is not answered yet
@@ -38,7 +39,7 @@
     news: int = 0  # the last numbered push
 
 
-class Follower:
+class Subscriber:
     """Holds the newest values known here, and how sure that is."""
 
     def __init__(self, name: str, lease_s: float) -> None:
@@ -47,10 +48,10 @@
         self.lease_s = lease_s
         self.values: dict[str, Value] = {}
         self.core: Core | None = None
-        self.keepers: dict[str, Confirmed] = {}
+        self.replicas: dict[str, Confirmed] = {}
         self._fetching: dict[str, float] = {}  # key -> when it was last asked for, or a piece came
         self._arrivals = Arrivals()
-        self._archive = Archive()  # for neighbours that are back and reach no keeper yet
+        self._archive = Archive()  # for members that are back and reach no replica yet
         self._floor = -1e9  # a lease that an earlier core has given
 
     # ---- what is held ----------------------------------------------------------------------------
@@ -68,9 +69,9 @@
             self._fetching.clear()  # an answer that was meant for the core before is dropped
             self._floor = self.lease_until()  # nothing newer was acknowledged by then, whoever keeps it since
             self.core = Core.of(self.values[CORE])
-            self.keepers = {name: Confirmed() for name in self.core.all}  # what counted there doesn't here
+            self.replicas = {name: Confirmed() for name in self.core.all}  # what counted there doesn't here
         if changed:
-            for said in self.keepers.values():
+            for said in self.replicas.values():
                 self._confirm(said)
         return changed
 
@@ -78,9 +79,9 @@
         """Nothing newer was acknowledged before this time less `lease_s`."""
         if self.core is None:
             return -1e9
-        times = sorted({said.asked for said in self.keepers.values()}, reverse=True)
+        times = sorted({said.asked for said in self.replicas.values()}, reverse=True)
         for time in times:
-            if self.core.covers(name for name, said in self.keepers.items() if said.asked >= time):
+            if self.core.covers(name for name, said in self.replicas.items() if said.asked >= time):
                 return max(time + self.lease_s, self._floor)
         return self._floor
 
@@ -91,16 +92,16 @@
     # ---- asking ----------------------------------------------------------------------------------
 
     def tick(self, now: float, near: list[str]) -> list[tuple[str, Message]]:
-        """Questions to be sent to keepers; `near` is the order of preference, nearest and soundest first."""
+        """Questions to be sent to replicas; `near` is the order of preference, nearest and soundest first."""
         if self.core is None:
             return []
         core = self.core
-        order = [name for name in near if name in self.keepers]
-        order += [name for name in self.keepers if name not in order]
-        for said in self.keepers.values():
+        order = [name for name in near if name in self.replicas]
+        order += [name for name in self.replicas if name not in order]
+        for said in self.replicas.values():
             if said.waiting and now - said.waiting > AGAIN_S:
                 said.failed, said.waiting = now, 0.0
-        order.sort(key=lambda name: now - self.keepers[name].failed < 3.0 * ASK_S)
+        order.sort(key=lambda name: now - self.replicas[name].failed < 3.0 * ASK_S)
         chosen: list[str] = []
         for name in order:
             if core.covers(chosen):
@@ -111,15 +112,15 @@
             chosen = order
         out = []
         for name in chosen:
-            said = self.keepers[name]
+            said = self.replicas[name]
             if now - said.out >= ASK_S * 0.95 or now - said.failed < 0.2:
                 said.out = said.waiting = now
                 out.append((name, {"t": "ask", "r": f"{core.epoch} {now!r} {self.name}", "e": core.epoch}))
         return out
 
     def take(self, now: float, sender: str, message: Message) -> list[tuple[str, Message]]:
-        """A keeper's answer or push; returns what is to be fetched, and from whom."""
-        said = self.keepers.get(sender)
+        """A replica's answer or push; returns what is to be fetched, and from whom."""
+        said = self.replicas.get(sender)
         if said is None:
             return []
         if message["t"] == "news":
@@ -156,7 +157,7 @@
                 lacking.append(key)
         return lacking
 
-    # ---- neighbours that are back ------------------------------------------------------------------
+    # ---- members that are back ------------------------------------------------------------------
 
     @staticmethod
     def rest(values: dict[str, Value]) -> Message:
@@ -165,7 +166,7 @@
         return {"t": "rest", "v": short, "s": {k: v.stamp for k, v in values.items() if k not in short}}
 
     def handed(self, message: Message) -> Message:
-        """The answer to one that asks for what it was told of so: as a keeper's, but it confirms nothing."""
+        """The answer to one that asks for what it was told of so: as a replica's, but it confirms nothing."""
         if message["t"] == "piece?":
             value = self.values.get(message["k"], Value(0, "", ""))
             return {"t": "piece"} | self._archive.piece(message["k"], value, message["s"], message["o"])
@@ -174,7 +175,7 @@
         return {"t": "found", "v": found, "d": offers}
 
     def lacking(self, now: float, message: Message) -> list[tuple[str, Message]]:
-        """What is to be asked of a neighbour that has handed this over."""
+        """What is to be asked of a member that has handed this over."""
         return self.fetch(now, "", self._newer(message.get("s", {})))
 
     # ---- fetching ----------------------------------------------------------------------------------
@@ -183,7 +184,7 @@
         return self.fetch(now, sender, self._newer(stamps))
 
     def fetch(self, now: float, sender: str, keys: list[str]) -> list[tuple[str, Message]]:
-        """Ask that keeper for what is not on its way already, and say which versions are here."""
+        """Ask that replica for what is not on its way already, and say which versions are here."""
         keys = [key for key in keys if now - self._fetching.get(key, -1e9) > AGAIN_S]
         if not keys or self.core is None:
             return []
@@ -195,7 +196,7 @@
     def found(
         self, now: float, sender: str, message: Message
     ) -> tuple[dict[str, Value], list[tuple[str, Message]]]:
-        """A keeper's answer to a fetch, or a piece. Returns the values that are whole here now, which are to
+        """A replica's answer to a fetch, or a piece. Returns the values that are whole here now, which are to
         be held, and the questions for the next pieces."""
         told = {key: Value.of(wire) for key, wire in message.get("v", {}).items()}
         came: list[tuple[str, Value | Message | None]] = []
--- a/millfront/control/event_log.py
+++ b/millfront/control/event_log.py
@@ -1,4 +1,5 @@
-"""The daybook: what this process did lately and on which facts, kept for whoever asks why. No I/O, no clock.
+"""The event log: what this process did lately and on which facts, kept for whoever asks why. No I/O, no
+clock.
 
 One entry for each change of membership, duty, version or core; never one a request. Bounded.
 """
@@ -20,15 +21,15 @@
     facts: dict[str, Any] = field(default_factory=dict)
 
 
-class Daybook:
+class EventLog:
     """The last entries.
 
-    >>> book = Daybook(most=2)
+    >>> log = EventLog(most=2)
     >>> for number in range(3):
-    ...     book.write(number, "registry", f"entry {number}", epoch=2)
-    >>> [(page["text"], page["ago"], page["facts"]) for page in book.pages(3.0)]
+    ...     log.write(number, "register", f"entry {number}", epoch=2)
+    >>> [(page["text"], page["ago"], page["facts"]) for page in log.pages(3.0)]
     [('entry 1', 2.0, {'epoch': 2}), ('entry 2', 1.0, {'epoch': 2})]
-    >>> book.pages(3.0, part="rounds")
+    >>> log.pages(3.0, part="delivery")
     []
     """
 
--- a/millfront/control/hinted_handoff.py
+++ b/millfront/control/hinted_handoff.py
@@ -1,16 +1,16 @@
-"""Poste restante (hinted hand-off): what a process that is missing should have had is kept for it by the
+"""Hinted handoff (hinted handoff): what a process that is missing should have had is kept for it by the
 others, and handed over when it is heard of again. No I/O, no clock.
 
 Kept is not a second copy but from where on its own is stale: the stamps of the values when it was last heard
 of. One of its region, whose duty it is by key, hands over what has changed since; all of it to one that began
-a new life. Bounded by the roster, and forgotten with its card.
+a new life. Bounded by the roster, and forgotten with its record.
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 
-from millfront.membership.gossip import Card, Standing
+from millfront.membership.gossip import Liveness, MemberRecord
 from millfront.register.values import Value
 
 YOUNG_S = 5.0  # a process seen for the first time that is older has been running, and lacks nothing
@@ -18,7 +18,7 @@
 
 
 @dataclass(slots=True)
-class Shelf:
+class Hint:
     """Of one other process."""
 
     incarnation: int
@@ -26,46 +26,46 @@
     missing: bool = False
 
 
-class Restante:
+class HintedHandoff:
     """Shelves for all others.
 
-    >>> card, shelves = Card("n", 7, age=60.0), Restante()
+    >>> record, hints = MemberRecord("n", 7, age=60.0), HintedHandoff()
     >>> values = {"config": Value(1, "", "one")}
-    >>> shelves.look([card], values)
+    >>> hints.look([record], values)
     {}
-    >>> card.standing = Standing.LOST
-    >>> shelves.look([card], values), shelves.look([card], values | {"config": Value(2, "", "two")})
+    >>> record.liveness = Liveness.LOST
+    >>> hints.look([record], values), hints.look([record], values | {"config": Value(2, "", "two")})
     ({}, {})
-    >>> card.standing = Standing.UP
-    >>> {name: list(lacks) for name, lacks in shelves.look([card], {"config": Value(2, "", "two")}).items()}
+    >>> record.liveness = Liveness.UP
+    >>> {name: list(lacks) for name, lacks in hints.look([record], {"config": Value(2, "", "two")}).items()}
     {'n': ['config']}
     """
 
     def __init__(self) -> None:
-        self._shelves: dict[str, Shelf] = {}
+        self._hints: dict[str, Hint] = {}
 
-    def look(self, cards: Iterable[Card], values: dict[str, Value]) -> dict[str, dict[str, Value]]:
+    def look(self, records: Iterable[MemberRecord], values: dict[str, Value]) -> dict[str, dict[str, Value]]:
         """Who is back, and what each is to be handed; called each tick with all other processes."""
         due: dict[str, dict[str, Value]] = {}
-        shelves: dict[str, Shelf] = {}
-        for card in cards:
-            shelf = self._shelves.get(card.name)
-            up = card.standing is Standing.UP and not card.leaving
-            if shelf is None:
-                shelf = Shelf(
-                    card.incarnation, {} if card.age < YOUNG_S else _stamps(values), card.age < YOUNG_S
+        hints: dict[str, Hint] = {}
+        for record in records:
+            hint = self._hints.get(record.name)
+            up = record.liveness is Liveness.UP and not record.leaving
+            if hint is None:
+                hint = Hint(
+                    record.incarnation, {} if record.age < YOUNG_S else _stamps(values), record.age < YOUNG_S
                 )
-            elif card.incarnation != shelf.incarnation:
-                shelf.incarnation, shelf.had, shelf.missing = card.incarnation, {}, True
+            elif record.incarnation != hint.incarnation:
+                hint.incarnation, hint.had, hint.missing = record.incarnation, {}, True
             elif not up:
-                shelf.missing = True
-            if up and shelf.missing and card.incarnation >= 0:
-                due[card.name] = {k: v for k, v in values.items() if shelf.had.get(k) != v.stamp}
-                shelf.missing = False
-            if not shelf.missing:
-                shelf.had = _stamps(values)
-            shelves[card.name] = shelf
-        self._shelves = shelves
+                hint.missing = True
+            if up and hint.missing and record.incarnation >= 0:
+                due[record.name] = {k: v for k, v in values.items() if hint.had.get(k) != v.stamp}
+                hint.missing = False
+            if not hint.missing:
+                hint.had = _stamps(values)
+            hints[record.name] = hint
+        self._hints = hints
         return due
 
 
--- a/millfront/dataplane/admission.py
+++ b/millfront/dataplane/admission.py
@@ -1,16 +1,16 @@
-"""Franking (admission): what of a tenant's requests this process lets in. No I/O, no clock.
+"""Admission (admission): what of a tenant's requests this process lets in. No I/O, no clock.
 
 One price per tenant moves by the projected step on the sent total of all processes; the level comes from a
 concave utility under the room cap; what is above it is refused at once. There is no counter: each process's
-totals since its start travel on its card (`neighbours`), so that a total that comes late, twice or after
+totals since its start travel on its record (`members`), so that a total that comes late, twice or after
 others changes nothing and the next one makes up for it. Units are requests, rates requests a second, times
 seconds on the caller's clock.
 
 Each process also runs the tenant's whole allowance in its head (`store`: filled at Q up to what `burst` and a
 part of the rule's own slack allow, emptied by everybody's sent units), and its bucket never holds more than
 its share of that: whatever the prices do, what all let in is bounded by the store and by what they send while
-their cards are on the way (docs/design/franking.md). While the store is more than half full, a request that
-comes in a clump is let in beyond the level, on the store, and the card goes out at once.
+their records are on the way (docs/design/admission.md). While the store is more than half full, a request
+that comes in a clump is let in beyond the level, on the store, and the record goes out at once.
 """
 
 import random
@@ -34,7 +34,7 @@
 )
 LEAST_LEVEL = 0.02  # requests a second: a process that had no share yet admits something
 IDLE_S = 30.0
-QUIET_S = 1.6  # of a tenant nothing was told with that many seconds of a process's cards: nothing moved
+QUIET_S = 1.6  # of a tenant nothing was told with that many seconds of a process's records: nothing moved
 
 
 @dataclass(slots=True)
@@ -97,7 +97,7 @@
         peer.used, peer.since = rate, now
 
 
-class Franking:
+class Admission:
     """All tenants' accounts in one process."""
 
     def __init__(self, bounds: Bounds, now: float, seed: int = 0) -> None:
@@ -108,8 +108,8 @@
         self.ticked = now
         self.n = 1
         self.born = now
-        self.hurry = False  # the card is to go out before the next tick
-        self._heard: dict[str, float] = {}  # of whom a card came last when
+        self.flush = False  # the record is to go out before the next tick
+        self._heard: dict[str, float] = {}  # of whom a record came last when
         self._whole: dict[str, int] = {}  # of whom all totals were heard, and in which life
 
     def capacity(self, tenant: Tenant) -> float:
@@ -173,7 +173,7 @@
             if found.store < BORROW_ABOVE * found.capacity + 1.0 or not self._chosen(found):
                 found.refused_level += 1
                 return max(0.05, min(5.0, (1.0 - found.bucket) / max(found.level, 0.05)))
-            self.hurry = True
+            self.flush = True
         else:
             found.bucket -= 1.0
         found.sent += 1.0
@@ -214,7 +214,7 @@
         }
 
     def totals(self) -> dict[str, list[float]]:
-        """For this process's card."""
+        """For this process's record."""
         return {name: [a.sent, a.asked] for name, a in self.accounts.items()}
 
     def moved(self, now: float, within: float) -> dict[str, list[float]]:
@@ -224,7 +224,7 @@
     def heard(
         self, now: float, name: str, life: int, age: float, totals: dict[str, Any], whole: bool = True
     ) -> None:
-        """Another process's card.
+        """Another process's record.
 
         :param whole: its totals are all there are; else those that have moved lately
         """
--- a/millfront/dataplane/load_balancer.py
+++ b/millfront/dataplane/load_balancer.py
@@ -43,7 +43,7 @@
 
 
 @dataclass(slots=True)
-class Seen:
+class ServerState:
     """What this process has seen of one life of a server."""
 
     server: Server
@@ -64,15 +64,15 @@
     credited: float = 0.0
 
 
-class Sorting:
+class LoadBalancer:
     """All servers, by service."""
 
     def __init__(self, zone: str, zones: Mapping[str, str], seed: int) -> None:
         self.zone, self.zones = zone, zones
         self.region = zones.get(zone, "")
         self.random = random.Random(seed)
-        self.seen: dict[str, Seen] = {}
-        self.by_service: dict[str, list[Seen]] = {}
+        self.seen: dict[str, ServerState] = {}
+        self.by_service: dict[str, list[ServerState]] = {}
         self.work: dict[str, float] = {}  # by service: mean time in service
         self.mean_load: dict[str, float] = {}
         self.evacuated: frozenset[str] = frozenset()
@@ -89,7 +89,7 @@
             named.add(server.ident)
             seen = self.seen.get(server.ident)
             if seen is None or seen.server is not server:
-                seen = self.seen[server.ident] = Seen(server, slots=max(1, server.capacity))
+                seen = self.seen[server.ident] = ServerState(server, slots=max(1, server.capacity))
             if server.phase is Phase.READY:
                 self.by_service.setdefault(server.service, []).append(seen)
             else:
@@ -98,7 +98,7 @@
             del self.seen[ident]
         return stopped
 
-    def _become(self, now: float, seen: Seen, state: State) -> None:
+    def _become(self, now: float, seen: ServerState, state: State) -> None:
         """The one change of a server's state."""
         if state is State.EJECTED:
             seen.until = now + min(EJECT_S * 2.0**seen.ejections, EJECT_MOST_S)
@@ -118,7 +118,7 @@
         size: float,
         tried: Iterable[str] = (),
         most_out: int = 1 << 30,
-    ) -> Seen | None:
+    ) -> ServerState | None:
         """The server expected to answer first, or None.
 
         :param homes: regions that may serve it; empty: all
@@ -126,8 +126,8 @@
         :param most_out: requests of this process that one server may have
         """
         tried = set(tried)
-        near: list[Seen] = []
-        far: list[Seen] = []
+        near: list[ServerState] = []
+        far: list[ServerState] = []
         for seen in self.by_service.get(service.name, ()):
             server = seen.server
             if server.ident in tried or server.zone in self.evacuated:
@@ -145,7 +145,7 @@
                 best = other
         return best
 
-    def _best(self, now: float, among: list[Seen], size: float) -> Seen | None:
+    def _best(self, now: float, among: list[ServerState], size: float) -> ServerState | None:
         if len(among) > SAMPLE:
             among = self.random.sample(among, SAMPLE)
         best, least = None, math.inf
@@ -155,7 +155,7 @@
                 best, least = seen, cost
         return best
 
-    def _may(self, now: float, seen: Seen, service: Service, repeatable: bool) -> bool:
+    def _may(self, now: float, seen: ServerState, service: Service, repeatable: bool) -> bool:
         if seen.state is State.EJECTED:
             if now < seen.until:
                 return False
@@ -168,16 +168,16 @@
             return self.cold_mine.get(seen.server.ident, False) and self._credit(now, seen, service) >= 1.0
         return True
 
-    def cold(self, now: float, seen: Seen) -> bool:
+    def cold(self, now: float, seen: ServerState) -> bool:
         return now < seen.server.cold_until
 
-    def _credit(self, now: float, seen: Seen, service: Service) -> float:
+    def _credit(self, now: float, seen: ServerState, service: Service) -> float:
         rate = COLD_SHARE * service.warmup_rate
         seen.credit = min(seen.credit + rate * max(0.0, now - seen.credited), COLD_CREDIT)
         seen.credited = now
         return seen.credit
 
-    def _silent(self, now: float, seen: Seen) -> bool:
+    def _silent(self, now: float, seen: ServerState) -> bool:
         """Requests are out there for long and nothing has come back."""
         if not seen.out:
             return False
@@ -185,14 +185,14 @@
         since = max(min(seen.out.values()), seen.answered)
         return now - since > max(SILENT_S, SILENT_WORKS * work)
 
-    def expected_load(self, now: float, seen: Seen) -> float:
+    def expected_load(self, now: float, seen: ServerState) -> float:
         """Requests there over its slots."""
         fresh = math.exp(-max(0.0, now - seen.told) / REPORT_S)
         mean = self.mean_load.get(seen.server.service, 0.3)
         own = len(seen.out) / max(1, seen.slots)
         return max(own, fresh * seen.load + (1.0 - fresh) * mean + seen.sent_since / max(1, seen.slots))
 
-    def cost(self, now: float, seen: Seen, size: float) -> float:
+    def cost(self, now: float, seen: ServerState, size: float) -> float:
         """Seconds until the answer, and what the way is worth."""
         server = seen.server
         work = self.work.get(server.service, FIRST_WORK_S) * seen.slowness
@@ -210,17 +210,17 @@
 
     # ---- what becomes of requests --------------------------------------------------------------------
 
-    def sent(self, now: float, seen: Seen, flow: int) -> None:
+    def sent(self, now: float, seen: ServerState, flow: int) -> None:
         seen.out[flow] = now
         seen.sent_since += 1
         if self.cold(now, seen):
             seen.credit -= 1.0
 
-    def ended(self, now: float, seen: Seen, flow: int) -> float:
+    def ended(self, now: float, seen: ServerState, flow: int) -> float:
         """A request there is over; how long it took."""
         return now - seen.out.pop(flow, now)
 
-    def answered(self, now: float, seen: Seen, took: float, full: bool) -> None:
+    def answered(self, now: float, seen: ServerState, took: float, full: bool) -> None:
         """It answered: well, with an error of its own, or that it is full."""
         seen.answered = now
         seen.ejections = 0
@@ -234,7 +234,7 @@
         self.work[service] = work + 0.02 * (min(took, 10.0 * work) - work)
         seen.slowness += LATENCY_WEIGHT * (min(max(took / work, 0.2), 8.0) - seen.slowness)
 
-    def reported(self, now: float, seen: Seen, running: int, waiting: int, slots: int) -> None:
+    def reported(self, now: float, seen: ServerState, running: int, waiting: int, slots: int) -> None:
         """A server's own word on its load, from an answer."""
         seen.slots = max(1, slots)
         seen.load = (running + waiting) / seen.slots
@@ -243,7 +243,7 @@
         mean = self.mean_load.get(service, seen.load)
         self.mean_load[service] = mean + 0.05 * (seen.load - mean)
 
-    def failed(self, now: float, seen: Seen, fails: int) -> None:
+    def failed(self, now: float, seen: ServerState, fails: int) -> None:
         """It broke off, was silent, or could not be reached (which counts for all of EJECT_FAILS)."""
         seen.fails += fails
         if seen.state is State.TRIAL or (seen.fails >= EJECT_FAILS and seen.state is State.SOUND):
@@ -252,7 +252,7 @@
             if ejected < max(1.0, MOST_EJECTED * len(peers)):
                 self._become(now, seen, State.EJECTED)
 
-    def misdirected(self, seen: Seen) -> None:
+    def misdirected(self, seen: ServerState) -> None:
         """Another server has its address: it is gone, though the list doesn't say so yet."""
         seen.server.become(Phase.GONE, seen.answered)
         peers = self.by_service.get(seen.server.service, [])
--- a/millfront/dataplane/retries.py
+++ b/millfront/dataplane/retries.py
@@ -1,4 +1,5 @@
-"""Forwarding: what becomes of a request as its tries end, and the purse of further tries. No I/O, no clock.
+"""Forwarding: what becomes of a request as its tries end, and the retry budget of further tries. No I/O, no
+clock.
 
 The fate of a request is explicit; only what is known not to have run moves on, unless it may be repeated.
 Times are seconds on the caller's clock.
@@ -16,7 +17,7 @@
 COPY_LEAVES = 1.0  # tokens that copies of silent requests leave for tries after a failure
 
 
-class Fate(Enum):
+class Outcome(Enum):
     """What is known of a request."""
 
     NOT_SENT = "not sent"
@@ -31,25 +32,25 @@
 
 
 @dataclass(slots=True)
-class Course:
+class RequestProgress:
     """One client's request on its way through the servers."""
 
     repeatable: bool
     max_tries: int
-    fate: Fate = Fate.NOT_SENT
+    outcome: Outcome = Outcome.NOT_SENT
     arrivals: int = 0  # servers that it has reached, or may have
     out: int = 0
     may_have_run: bool = False
     tried: list[str] = field(default_factory=list)
 
-    def _turn(self, fate: Fate) -> None:
+    def _turn(self, outcome: Outcome) -> None:
         """The one change of fate."""
-        self.fate = fate
+        self.outcome = outcome
 
     def sending(self, ident: str) -> None:
         self.tried.append(ident)
         self.out += 1
-        self._turn(Fate.SENT)
+        self._turn(Outcome.SENT)
 
     def ended(self, ending: Ending) -> None:
         """One of its tries has ended."""
@@ -57,11 +58,11 @@
         if ending in ARRIVED:
             self.arrivals += 1
         if ending is Ending.SERVED:
-            self._turn(Fate.DONE)
+            self._turn(Outcome.DONE)
         elif ending not in NEVER_RAN:
             self.may_have_run = True
-        if self.out == 0 and self.fate is not Fate.DONE:
-            self._turn(Fate.UNKNOWN if self.may_have_run else Fate.NOT_RUN)
+        if self.out == 0 and self.outcome is not Outcome.DONE:
+            self._turn(Outcome.UNKNOWN if self.may_have_run else Outcome.NOT_RUN)
 
     def may_go_on(self) -> bool:
         """Whether another server may get it, as far as running twice and the route's `max_tries` go."""
@@ -72,7 +73,7 @@
         return not self.may_have_run and self.out == 0
 
 
-class Purse:
+class RetryBudget:
     """Further tries of one service that this process may make: its part of the budget of all.
 
     Over any window the spent tokens are at most what was held at its begin and what is earned in it: 2 x 0.45
--- a/millfront/discovery/server_list.py
+++ b/millfront/discovery/server_list.py
@@ -70,7 +70,7 @@
     return out
 
 
-class Addresses:
+class ServerList:
     """The servers as this process knows them."""
 
     def __init__(self) -> None:
--- a/millfront/gatekeeper/api.py
+++ b/millfront/gatekeeper/api.py
@@ -1,5 +1,5 @@
 """The counter: calls of operators, of the platform and of clients that ask where to go
-(docs/openapi/post.json)."""
+(docs/openapi/gatekeeper.json)."""
 
 import json
 from collections.abc import Callable
@@ -8,9 +8,9 @@
 
 from result import Result
 
-from millfront.control.configuration import Orders, OrdersFault
-from millfront.gatekeeper import status as statement
-from millfront.gatekeeper.node import Office
+from millfront.control.configuration import Configuration, ConfigurationError
+from millfront.gatekeeper import status
+from millfront.gatekeeper.node import Gatekeeper
 from millfront.node.bodies import Upload
 from millfront.node.clients import VirtualServer
 from millfront.node.config import Address
@@ -23,7 +23,7 @@
 EVACUATION = "/v1/evacuation/"
 CLIENTS = 400  # connections held at once
 SHORT = 16 * 1024  # of a configuration: a longer one is read beside the loop (1 ms a route that is new)
-Check = Callable[[str, Callable[[Result[Orders, OrdersFault]], None]], None]
+Check = Callable[[str, Callable[[Result[Configuration, ConfigurationError]], None]], None]
 
 
 class Gather:
@@ -57,14 +57,14 @@
             self.caller.give(Message(status, fields, fields, body))  # type: ignore[attr-defined]
 
 
-class Counter:
+class ControlApi:
     """One listening address and what it answers."""
 
     def __init__(
-        self, office: Office, now: Callable[[], float], serves: frozenset[str], check: Check
+        self, gatekeeper: Gatekeeper, now: Callable[[], float], serves: frozenset[str], check: Check
     ) -> None:
         """:param check: reads a long configuration beside the loop"""
-        self.office, self.now, self.serves, self.check = office, now, serves, check
+        self.gatekeeper, self.now, self.serves, self.check = gatekeeper, now, serves, check
         self.clock = Clock()
         self.server = VirtualServer(self.clock, self, lambda message, _: message, self.take, None, CLIENTS)
         self.server.partial_us = 5_000_000
@@ -88,31 +88,31 @@
         method, target = message.start[0].decode(), message.start[1].decode("latin-1")
         path, _, query = target.partition("?")
         call = Call(message, caller)
-        office, now = self.office, self.now()
+        gatekeeper, now = self.gatekeeper, self.now()
         if path == "/v1/readiness" and "readiness" in self.serves and method == "GET":
-            call.answer(200 if office.ready(now) else 503)
+            call.answer(200 if gatekeeper.ready(now) else 503)
         elif path == "/v1/resolve" and "lookup" in self.serves and method == "GET":
             self._resolve(call, now, parse_qs(query))
         elif path == "/v1/config" and "ctl" in self.serves and method == "PUT":
             self._body(message, lambda body: self._put(call, body))
         elif path == "/v1/config" and "ctl" in self.serves and method == "GET":
-            office.read(now, call.answer)
-        elif path == "/v1/office" and "ctl" in self.serves and method == "GET":
-            call.answer(200, json.dumps(statement.of(office, now)))
-        elif path == "/v1/office/daybook" and "ctl" in self.serves and method == "GET":
+            gatekeeper.read(now, call.answer)
+        elif path == "/v1/gatekeeper" and "ctl" in self.serves and method == "GET":
+            call.answer(200, json.dumps(status.of(gatekeeper, now)))
+        elif path == "/v1/gatekeeper/events" and "ctl" in self.serves and method == "GET":
             part = parse_qs(query).get("part", [""])[0]
-            call.answer(200, json.dumps({"pages": office.daybook.pages(now, part)}))
-        elif path == "/v1/office/tenants" and "ctl" in self.serves and method == "GET":
-            call.answer(200, json.dumps(statement.tenants(office)))
+            call.answer(200, json.dumps({"pages": gatekeeper.event_log.pages(now, part)}))
+        elif path == "/v1/gatekeeper/tenants" and "ctl" in self.serves and method == "GET":
+            call.answer(200, json.dumps(status.tenants(gatekeeper)))
         elif path == "/v1/register" and "ctl" in self.serves and method == "GET":
-            office.read_all(now, call.answer)
+            gatekeeper.read_all(now, call.answer)
         elif path == "/v1/register" and "ctl" in self.serves and method == "PUT":
-            self._body(message, lambda body: office.restore(self.now(), body, call.answer))
+            self._body(message, lambda body: gatekeeper.restore(self.now(), body, call.answer))
         elif path.startswith(EVACUATION) and "ctl" in self.serves and method in ("POST", "DELETE"):
             zone = path.removeprefix(EVACUATION)
-            if zone not in office.settings.zones:
+            if zone not in gatekeeper.settings.zones:
                 raise NotTaken(404, f"no zone {zone}")
-            office.evacuate(now, zone, method == "POST", call.answer, lambda: not call.over)
+            gatekeeper.evacuate(now, zone, method == "POST", call.answer, lambda: not call.over)
         else:
             raise NotTaken(404, "no such call")
         return None if call.over else call
@@ -124,14 +124,14 @@
             call.answer(400, "is not UTF-8")
             return
         if len(text) < SHORT:
-            self.office.put(self.now(), text, call.answer)
+            self.gatekeeper.put(self.now(), text, call.answer)
         else:
-            self.check(text, lambda read: self.office.put_checked(self.now(), read, call.answer))
+            self.check(text, lambda read: self.gatekeeper.put_checked(self.now(), read, call.answer))
 
     def _resolve(self, call: Call, now: float, query: dict[str, list[str]]) -> None:
         region = query.get("region", [""])[0]
-        if found := self.office.resolve(now, region):
-            valid = min(VALID_S, self.office.settings.bounds.ttl_max)
+        if found := self.gatekeeper.resolve(now, region):
+            valid = min(VALID_S, self.gatekeeper.settings.bounds.ttl_max)
             call.answer(200, json.dumps({"addresses": found, "valid": f"{valid:g}s"}))
         else:
             call.answer(503, "no gatekeeper is ready")
@@ -145,7 +145,7 @@
             upload.attach(Gather(message.body, done))
 
 
-def of(office: Office, now: Callable[[], float], bindings: Any, check: Check) -> list[Counter]:
+def of(gatekeeper: Gatekeeper, now: Callable[[], float], bindings: Any, check: Check) -> list[ControlApi]:
     """A counter for each address among the bindings; several names may share one."""
     by_address: dict[str, set[str]] = {}
     for name in ("readiness", "ctl", "lookup"):
@@ -153,7 +153,7 @@
             by_address.setdefault(bindings[name], set()).add(name)
     made = []
     for address, serves in by_address.items():
-        counter = Counter(office, now, frozenset(serves), check)
+        counter = ControlApi(gatekeeper, now, frozenset(serves), check)
         counter.listen(address)
         made.append(counter)
     return made
--- a/millfront/gatekeeper/process.py
+++ b/millfront/gatekeeper/process.py
@@ -1,4 +1,4 @@
-"""One office as a process: the loop, its connections and its disk round the pure parts, and its end."""
+"""One gatekeeper as a process: the loop, its connections and its disk round the pure parts, and its end."""
 
 import asyncio
 import gc
@@ -13,16 +13,16 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from millfront.control.configuration import Orders, OrdersFault, checked
-from millfront.dataplane.proxy import Carrier
+from millfront.control.configuration import Configuration, ConfigurationError, checked
+from millfront.dataplane.proxy import Proxy
 from millfront.discovery.platform_client import CloudFault, listed
 from millfront.environment import VARIABLE, Settings, load
-from millfront.gatekeeper import api as counter
-from millfront.gatekeeper.node import BEAT_S, Office
+from millfront.gatekeeper import api
+from millfront.gatekeeper.node import BEAT_S, Gatekeeper
 from millfront.node.config import Address
 from millfront.register.replica import Persist
 from millfront.register.values import Value
-from millfront.transport.connections import Line, Message, Wire
+from millfront.transport.connections import Line, Message, Transport
 
 if TYPE_CHECKING:
     from millfront.storage.disk import Disk
@@ -34,22 +34,22 @@
 LAST_LOOKS = 6
 
 
-class Service:
-    """Doors of one office."""
+class GatekeeperProcess:
+    """Doors of one gatekeeper."""
 
     def __init__(self, settings: Settings, kept: dict[str, Value] | None, disk: "Disk | None") -> None:
         self.settings, self.disk = settings, disk
         self.loop = asyncio.get_running_loop()
         seed = int.from_bytes(os.urandom(6))  # of this life alone: a clock may step back
-        self.office = Office(settings, self, kept, self.now(), time.time_ns() // 1_000_000, seed)
-        self.carrier = Carrier(self.office, seed, self.now)
-        self.wire = Wire(
-            lambda line, message: self.office.message(self.now(), line, message),
-            lambda back, message: self.office.datagram(self.now(), back, message),
+        self.gatekeeper = Gatekeeper(settings, self, kept, self.now(), time.time_ns() // 1_000_000, seed)
+        self.proxy = Proxy(self.gatekeeper, seed, self.now)
+        self.wire = Transport(
+            lambda line, message: self.gatekeeper.message(self.now(), line, message),
+            lambda back, message: self.gatekeeper.datagram(self.now(), back, message),
             settings.listen_ip,
         )
         self.threads, self.readers = ThreadPoolExecutor(1), ThreadPoolExecutor(1)
-        self.counters: list[counter.Counter] = []
+        self.control_apis: list[api.ControlApi] = []
         self.ending = asyncio.Event()
         self.file_of: int | None = None  # when the settings file was changed, as far as it was read
         self.tasks: set[asyncio.Task[None]] = set()
@@ -87,7 +87,7 @@
     def _done(self, task: "asyncio.Task[None]") -> None:
         self.tasks.discard(task)
         if not task.cancelled() and (wrong := task.exception()) is not None:
-            logger.opt(exception=wrong).error("service: a task failed")
+            logger.opt(exception=wrong).error("gatekeeper: a task failed")
 
     async def _persist(self, persist: Persist) -> None:
         from millfront.storage.disk import DiskFault
@@ -97,11 +97,11 @@
             await self.loop.run_in_executor(self.threads, self.disk.store, persist.values, persist.drop)
         except DiskFault as fault:
             logger.warning("disk: {}", fault)
-            self.office.synced(self.now(), persist, False)
+            self.gatekeeper.synced(self.now(), persist, False)
             return
-        self.office.synced(self.now(), persist, True)
+        self.gatekeeper.synced(self.now(), persist, True)
 
-    def check(self, text: str, then: Callable[[Result[Orders, OrdersFault]], None]) -> None:
+    def check(self, text: str, then: Callable[[Result[Configuration, ConfigurationError]], None]) -> None:
         """Read a long configuration in a thread, so that traffic goes on."""
 
         async def checking() -> None:
@@ -114,25 +114,25 @@
         try:
             entries = await listed(self.settings.cloud)
         except CloudFault as fault:
-            logger.info("addresses: the platform's list can't be had: {}", fault)
+            logger.info("discovery: the platform's list can't be had: {}", fault)
         finally:
-            self.office.polled(self.now(), number, entries)
+            self.gatekeeper.polled(self.now(), number, entries)
 
     # ---- a life ------------------------------------------------------------------------------------
 
     async def run(self) -> None:
         settings = self.settings
         await self.wire.listen(settings.listen_ip or settings.ip, settings.port)
-        self.counters = counter.of(self.office, self.now, settings.bindings, self.check)
+        self.control_apis = api.of(self.gatekeeper, self.now, settings.bindings, self.check)
         if "plain" in settings.bindings:
-            self.carrier.server.listen(Address.parse(settings.bindings["plain"], "plain"))
-        for made in (self.carrier.server, *(c.server for c in self.counters)):
+            self.proxy.server.listen(Address.parse(settings.bindings["plain"], "plain"))
+        for made in (self.proxy.server, *(c.server for c in self.control_apis)):
             self.start(made.sweep())
-        self.start(self.carrier.members.run())
+        self.start(self.proxy.members.run())
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.ending.set)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
-        logger.info("service: {} serves {}", settings.name, " ".join(settings.serves))
+        logger.info("gatekeeper: {} serves {}", settings.name, " ".join(settings.serves))
         beat = self.loop.create_task(self._beat())
         await self.ending.wait()
         await self._end()
@@ -142,12 +142,12 @@
         due = self.loop.time()
         while True:
             try:
-                self.office.beat(self.now())
-                self.carrier.share_cold()
-                if self.office.beats % LOOK_BEATS == 0:
+                self.gatekeeper.beat(self.now())
+                self.proxy.share_cold()
+                if self.gatekeeper.beats % LOOK_BEATS == 0:
                     self.look()
             except Exception:  # one beat's fault must not stop all others
-                logger.exception("service: a beat failed")
+                logger.exception("gatekeeper: a beat failed")
             due = max(due + BEAT_S, self.loop.time() - BEAT_S)
             await asyncio.sleep(max(0.01, due - self.loop.time()))
 
@@ -168,7 +168,7 @@
             case Err(fault):
                 logger.warning("settings: the file stays unread: {}", fault)
             case Ok(told):
-                self.office.reseed(told.seeds)
+                self.gatekeeper.reseed(told.seeds)
                 logger.info("settings: read anew")
 
     async def _end(self) -> None:
@@ -176,9 +176,9 @@
         core, and vote, until it is given up."""
         grace = self.settings.bounds.grace_period
         end = self.now() + grace - LAST_S
-        logger.info("service: ends")
-        self.office.postings.leave(self.now())
-        server = self.carrier.server
+        logger.info("gatekeeper: ends")
+        self.gatekeeper.reconfiguration.leave(self.now())
+        server = self.proxy.server
         await asyncio.sleep(LEAVE_S * grace * 0.5)
         server.send_away(True)
         await asyncio.sleep(LEAVE_S * grace * 0.3)
@@ -191,10 +191,10 @@
 
     def _under_way(self) -> bool:
         """Whether something is open that is to end before this process does."""
-        server = self.carrier.server
-        if self.carrier.open > 0 or server.unanswered() or server.untaken():
+        server = self.proxy.server
+        if self.proxy.open > 0 or server.unanswered() or server.untaken():
             return True
-        return not self.office.postings.may_go(self.now())
+        return not self.gatekeeper.reconfiguration.may_go(self.now())
 
 
 def run(environment: Mapping[str, str]) -> int:
@@ -224,7 +224,7 @@
     gc.freeze()
 
     async def serve() -> None:
-        await Service(settings, kept, disk).run()
+        await GatekeeperProcess(settings, kept, disk).run()
 
     asyncio.run(serve())
     return 0
--- a/millfront/gatekeeper/start.py
+++ b/millfront/gatekeeper/start.py
@@ -12,11 +12,11 @@
 SPARED = ("ssl", "_hashlib")
 
 
-def office(environment: Mapping[str, str]) -> int:
-    """The role `office`; returns the exit code."""
+def run(environment: Mapping[str, str]) -> int:
+    """The role `gatekeeper`; returns the exit code."""
     modules: dict[str, Any] = sys.modules
     for name in SPARED:
         modules.setdefault(name, None)
-    from millfront.gatekeeper import process as service
+    from millfront.gatekeeper import process
 
-    return service.run(environment)
+    return process.run(environment)
--- a/millfront/register/chunks.py
+++ b/millfront/register/chunks.py
@@ -1,7 +1,7 @@
-"""Pieces (chunked state transfer): how a long text gets from a keeper to a process that lacks it without
+"""Pieces (chunked state transfer): how a long text gets from a replica to a process that lacks it without
 holding up anything. No I/O, no clock.
 
-Who holds an earlier version says which, and is answered with differences from there on where the keeper has
+Who holds an earlier version says which, and is answered with differences from there on where the replica has
 them, else with the text's stamp, length and digest, and asks for its pieces one by one. A text counts only
 once its digest is right; a difference that does not give it ends in asking for the whole. Lengths are
 characters. Bounds: docs/design/catching-up.md.
@@ -14,7 +14,7 @@
 from result import Err, Ok
 
 from millfront.control.configuration import digest_of
-from millfront.register import deltas as differences
+from millfront.register import deltas
 from millfront.register.values import Message, Value
 
 SHORT = 4096  # goes whole in any answer
@@ -35,7 +35,7 @@
     tie: str
     length: int
     digest: str
-    chain: list[differences.Steps] | None
+    chain: list[deltas.Steps] | None
 
     @property
     def stamp(self) -> Stamp:
@@ -56,7 +56,7 @@
     """One version before, and the difference to the one after it."""
 
     stamp: Stamp
-    steps: differences.Steps
+    steps: deltas.Steps
     size: int
 
 
@@ -67,7 +67,7 @@
 
 
 class Archive:
-    """What a keeper tells of long texts beyond those that it holds. In memory; bounded by CHAIN and PINNED.
+    """What a replica tells of long texts beyond those that it holds. In memory; bounded by CHAIN and PINNED.
 
     >>> archive, one, two = Archive(), Value(1, "a", "x" * 5000), Value(2, "b", "x" * 5000 + "y")
     >>> archive.replaced("k", one, two)
@@ -88,11 +88,11 @@
         chain = self._chains.setdefault(key, deque())
         steps = None
         if len(new.data) > SHORT:
-            steps = differences.difference(old.data, new.data, min(CHAIN, len(new.data) // 2))
+            steps = deltas.difference(old.data, new.data, min(CHAIN, len(new.data) // 2))
         if steps is None:  # nothing earlier leads here
             del self._chains[key]
             return
-        chain.append(_Earlier((old.version, old.tie), steps, differences.size(steps)))
+        chain.append(_Earlier((old.version, old.tie), steps, deltas.size(steps)))
         while sum(earlier.size for earlier in chain) > CHAIN or len(chain) * len(new.data) > COPIED:
             chain.popleft()
 
@@ -185,7 +185,7 @@
         :returns: the text, or the question for its next piece
         """
         if offer.chain is not None and held is not None:
-            match differences.followed(held.data, offer.chain, offer.length, offer.digest):
+            match deltas.followed(held.data, offer.chain, offer.length, offer.digest):
                 case Ok(text):
                     self._coming.pop(key, None)
                     return Value(offer.version, offer.tie, text)
--- a/millfront/register/coordinator.py
+++ b/millfront/register/coordinator.py
@@ -1,8 +1,8 @@
-"""A clerk (coordinator): writes to and reads from a majority of the keepers, in any process. No log, no
-leader, no I/O, no clock.
+"""A coordinator (coordinator): writes to and reads from a majority of the replicas, in any process. No log,
+no leader, no I/O, no clock.
 
-It writes to all keepers and is done with a majority; it reads from a majority and writes back what it found
-before it answers. Who the keepers of the next core are, and which document has a revision number, it
+It writes to all replicas and is done with a majority; it reads from a majority and writes back what it found
+before it answers. Who the replicas of the next core are, and which document has a revision number, it
 *decides* by a ballot over a majority of the present one (Paxos, one decree for each).
 """
 
@@ -14,7 +14,7 @@
 
 
 class Phase(Enum):
-    """Of one round of a clerk: a read (and its write-back), a write, or a decision on the next core."""
+    """Of one round of a coordinator: a read (and its write-back), a write, or a decision on the next core."""
 
     PROMISING = "promising"
     ACCEPTING = "accepting"
@@ -26,7 +26,7 @@
 
 @dataclass(slots=True)
 class Round:
-    """One write, one read with its write-back or one decision, over the keepers of one core.
+    """One write, one read with its write-back or one decision, over the replicas of one core.
 
     `ballot`, `decides`, `wish` and `proposal` are a decision's: once DONE, `proposal` is what was chosen.
     """
@@ -40,22 +40,22 @@
     answered: dict[str, int] = field(default_factory=dict)  # who, and in which of its lives
     lives: dict[str, int] = field(default_factory=dict)  # the newest that any answer has told of
     sent: dict[str, float] = field(default_factory=dict)
-    stale: bool = False  # a read found keepers that differ
+    stale: bool = False  # a read found replicas that differ
     ballot: tuple[int, str] = (0, "")
     decides: str = CORE  # the key of what is decided
     wish: str = ""  # what is proposed if nothing may have been chosen before
     proposal: str = ""
-    won: str | None = None  # whose a number is, as a keeper that holds its document has told
-    old: bool = False  # a claim of a number so low that a keeper has forgotten whose it was
+    won: str | None = None  # whose a number is, as a replica that holds its document has told
+    old: bool = False  # a claim of a number so low that a replica has forgotten whose it was
     found: Value | None = None  # the highest that was accepted before
     promised: dict[str, int] = field(default_factory=dict)  # who did, and in which life
     highest: int = 0  # a ballot's number that stood in the way
 
 
-AGAIN_S = 0.7  # to a keeper that has not answered
+AGAIN_S = 0.7  # to a replica that has not answered
 
 
-class Clerk:
+class Coordinator:
     """Writes to and reads from a majority. Each call is a round that ends once, with DONE or FAILED."""
 
     def __init__(self, name: str) -> None:
@@ -134,7 +134,7 @@
         return round if round is not None and round.phase.value == phase else None
 
     def take(self, now: float, sender: str, message: Message) -> Round | None:
-        """A keeper's answer; the round it belongs to, which may have turned."""
+        """A replica's answer; the round it belongs to, which may have turned."""
         round = self.round_of(message.get("r"))
         if round is None or sender not in round.core.all:
             return None
@@ -153,7 +153,7 @@
         return round
 
     def _decided(self, round: Round, sender: str, message: Message) -> None:
-        """A keeper's word on a ballot. Whose a stored number is, is beyond doubt, and counts like all else
+        """A replica's word on a ballot. Whose a stored number is, is beyond doubt, and counts like all else
         once a majority has answered."""
         kind = message["t"]
         if kind == "no" and message.get("old"):
@@ -190,7 +190,7 @@
 
     @staticmethod
     def _count(round: Round, sender: str, lives: dict[str, int]) -> None:
-        """Count an answer, and no longer what was answered in a life that has ended: a keeper that recovered
+        """Count an answer, and no longer what was answered in a life that has ended: a replica that recovered
         asked so many others that one of any majority beside it can tell."""
         for name, life in lives.items():
             round.lives[name] = max(life, round.lives.get(name, 0))
@@ -199,8 +199,8 @@
             del round.answered[name]
 
     def _found(self, round: Round, wire: dict[str, Any]) -> None:
-        """A keeper's values; of a read of all neither the core, which has a way of its own, nor what is each
-        keeper's own."""
+        """A replica's values; of a read of all neither the core, which has a way of its own, nor what is each
+        replica's own."""
         found = {key: Value.of(value) for key, value in wire.items()}
         if round.keys is None:
             found = {k: value for k, value in found.items() if k != CORE and not k.startswith(OWN)}
--- a/millfront/register/placement.py
+++ b/millfront/register/placement.py
@@ -1,4 +1,4 @@
-"""Seats: whom the next core is to have. No I/O, no clock. Derivation: docs/design/registered-mail.md.
+"""Seats: whom the next core is to have. No I/O, no clock. Derivation: docs/design/register.md.
 
 A core of N bears that `hosts_lost` of its members are away as long as N >= 2 * hosts_lost + 1: the others are
 a majority W, and W > hosts_lost disks have what was acknowledged.
--- a/millfront/register/reconfiguration.py
+++ b/millfront/register/reconfiguration.py
@@ -1,4 +1,4 @@
-"""Postings (reconfiguration): who keeps the registry. No I/O, no clock.
+"""Reconfiguration (reconfiguration): who keeps the registry. No I/O, no clock.
 
 At the first start the core is *founded* over all processes with a disk. Later it *changes* through the
 registry itself: a machine with a disk that has joined is posted to it, one that is lost for good is relieved.
@@ -8,9 +8,9 @@
 
 What e+1 is, is decided by a ballot over a majority of e, so that there is one; e+2 follows from e+1, so that
 whoever finds the one may bring about the other. Between them all that is held is read from, and written back
-to, majorities of both. The derivation is in docs/design/registered-mail.md.
+to, majorities of both. The derivation is in docs/design/register.md.
 
-A keeper that lost its disk *recovers* (recovery.py). Who the next core is to have is chosen in
+A replica that lost its disk *recovers* (recovery.py). Who the next core is to have is chosen in
 `seats`. Times are seconds on the caller's clock.
 """
 
@@ -19,13 +19,13 @@
 from enum import Enum
 from typing import Any, Protocol
 
-from millfront.control.delivery import Follower
+from millfront.control.delivery import Subscriber
 from millfront.environment import Settings
-from millfront.membership.gossip import SUSPECT_TICKS, Neighbours, Standing, holders
-from millfront.register.coordinator import Clerk, Phase, Round
+from millfront.membership.gossip import SUSPECT_TICKS, Liveness, Membership, holders
+from millfront.register.coordinator import Coordinator, Phase, Round
 from millfront.register.placement import Choice, Seat, chosen
 from millfront.register.recovery import SELF, Recovery
-from millfront.register.replica import Keeper, Persist, Voting
+from millfront.register.replica import Persist, Replica, Voting
 from millfront.register.values import CORE, FOUNDED, Core, Value
 
 SETTLED_S = 1.2  # the roster unchanged for so long, the core is founded
@@ -41,15 +41,15 @@
 Message = dict[str, Any]
 
 
-class Doors(Protocol):
-    """What postings ask of their process's I/O."""
+class NodeIO(Protocol):
+    """What reconfiguration ask of their process's I/O."""
 
     def datagram(self, address: str, message: Message) -> None: ...
     def persist(self, persist: Persist) -> None: ...
 
 
 class Desk(Protocol):
-    """What postings ask of the process that they belong to."""
+    """What reconfiguration ask of the process that they belong to."""
 
     name: str
     settings: Settings
@@ -57,19 +57,19 @@
     now: float
     beats: int
     seeds_ctl: list[str]
-    keeper: Keeper | None
-    clerk: Clerk
-    follower: Follower
-    neighbours: Neighbours
+    replica: Replica | None
+    coordinator: Coordinator
+    subscriber: Subscriber
+    membership: Membership
 
     @property
     def post_address(self) -> str: ...
     @property
-    def doors(self) -> Doors: ...
+    def io(self) -> NodeIO: ...
     def trusted(self, now: float) -> bool: ...
     def note(self, part: str, text: str, **facts: Any) -> None: ...
     def start(self, now: float, round: Round, then: Callable[[Round], None]) -> None: ...
-    def to_keeper(self, now: float, name: str, address: str, message: Message) -> None: ...
+    def to_replica(self, now: float, name: str, address: str, message: Message) -> None: ...
 
 
 class Change(Enum):
@@ -90,15 +90,15 @@
     sent: float = -1e9
 
 
-class Postings:
+class Reconfiguration:
     """One process's part in who keeps the registry."""
 
-    def __init__(self, office: Desk) -> None:
-        self.office = office
+    def __init__(self, gatekeeper: Desk) -> None:
+        self.gatekeeper = gatekeeper
         self.change = Change.NONE
         self.founding: Founding | None = None
         self._tried = -1e9  # when a change failed
-        self._since = office.born  # when the core in force came into force here
+        self._since = gatekeeper.born  # when the core in force came into force here
         self._left: set[str] = set()  # members that were heard to end in order
         self._left_at: float | None = None  # since when this process ends in order
         self._waits: tuple[str, ...] = ()  # whose seats can't be given up, as last noted
@@ -106,17 +106,17 @@
         self._known: dict[str, float] = {}  # processes with a disk, and since when they are heard of
         self._missed: dict[str, float] = {}  # members, and since when they are not
         self._roster: frozenset[str] = frozenset()
-        self._roster_since = office.born
-        self.recovery = Recovery(office)
+        self._roster_since = gatekeeper.born
+        self.recovery = Recovery(gatekeeper)
 
     def beat(self, now: float) -> None:
-        """Every beat of the office."""
-        keeper = self.office.keeper
-        if keeper is not None and keeper.votes:
+        """Every beat of the gatekeeper."""
+        replica = self.gatekeeper.replica
+        if replica is not None and replica.votes:
             self.recovery.keep_up(now)
-        elif keeper is not None:
-            self._grow_up(now, keeper)
-        if keeper is not None and (core := self.office.follower.core) is not None:
+        elif replica is not None:
+            self._grow_up(now, replica)
+        if replica is not None and (core := self.gatekeeper.subscriber.core) is not None:
             self._look(now, core)
             if self._due(now, core):
                 self._begin(now, core)
@@ -124,59 +124,72 @@
                 self._say_waits(now, core)
 
     def tick(self, now: float) -> None:
-        """Every tick of the office: look at who there is; change the core where that is this one's duty."""
-        office = self.office
-        roster = frozenset(card.name for card in office.neighbours.others() if card.still is not None)
+        """Every tick of the gatekeeper: look at who there is; change the core where that is this one's
+        duty."""
+        gatekeeper = self.gatekeeper
+        roster = frozenset(
+            record.name for record in gatekeeper.membership.others() if record.identity is not None
+        )
         if roster != self._roster:
             self._roster, self._roster_since = roster, now
-        if office.follower.core is None or not office.trusted(now):
-            for seed in office.neighbours.seeds:
-                if seed != office.post_address:
-                    office.doors.datagram(seed, {"t": "core?"})
-        if (core := office.follower.core) is not None and office.keeper is None:
+        if gatekeeper.subscriber.core is None or not gatekeeper.trusted(now):
+            for seed in gatekeeper.membership.seeds:
+                if seed != gatekeeper.post_address:
+                    gatekeeper.io.datagram(seed, {"t": "core?"})
+        if (core := gatekeeper.subscriber.core) is not None and gatekeeper.replica is None:
             self._look(now, core)
 
     def core_changed(self) -> None:
         """Another core is in force here: what was gathered for the one before is not for this one."""
         self.founding = None
-        self._since = self.office.now
+        self._since = self.gatekeeper.now
         self.recovery.core_changed()
 
     # ---- copies, and an end in order ----------------------------------------------------------------
 
     def keeps(self) -> bool:
-        """Whether this process's disk has a copy of what was acknowledged: its keeper has caught up, in the
+        """Whether this process's disk has a copy of what was acknowledged: its replica has caught up, in the
         core that is in force here, and has a seat in it."""
-        office, keeper = self.office, self.office.keeper
-        core = office.follower.core
-        if keeper is None or core is None or office.name not in core.all or not self.recovery.caught_up():
+        gatekeeper, replica = self.gatekeeper, self.gatekeeper.replica
+        core = gatekeeper.subscriber.core
+        if (
+            replica is None
+            or core is None
+            or gatekeeper.name not in core.all
+            or not self.recovery.caught_up()
+        ):
             return False
-        return keeper.values.get(CORE) == office.follower.values[CORE]
+        return replica.values.get(CORE) == gatekeeper.subscriber.values[CORE]
 
     def leave(self, now: float) -> None:
-        """This process ends in order: its card tells all, and one of those who stay changes the core."""
-        office = self.office
-        office.now = self._left_at = now
+        """This process ends in order: its record tells all, and one of those who stay changes the core."""
+        gatekeeper = self.gatekeeper
+        gatekeeper.now = self._left_at = now
         self._waits = ()
-        for address, message in office.neighbours.bye():
-            office.doors.datagram(address, message)
+        for address, message in gatekeeper.membership.bye():
+            gatekeeper.io.datagram(address, message)
 
     def may_go(self, now: float) -> bool:
         """Whether it keeps no seat that somebody who stays might still take from it."""
-        office, core = self.office, self.office.follower.core
-        if self._left_at is None or core is None or office.keeper is None or office.name not in core.all:
+        gatekeeper, core = self.gatekeeper, self.gatekeeper.subscriber.core
+        if (
+            self._left_at is None
+            or core is None
+            or gatekeeper.replica is None
+            or gatekeeper.name not in core.all
+        ):
             return True
-        cards = office.neighbours.cards  # nobody tells one that leaves its card any more
-        return not any(name in cards and not cards[name].leaving for name in core.all)  # nobody stays
+        records = gatekeeper.membership.records  # nobody tells one that leaves its record any more
+        return not any(name in records and not records[name].leaving for name in core.all)  # nobody stays
 
     def _say_waits(self, now: float, core: Core) -> None:
         """Once, of one that leaves."""
         if self._left_at is None or now - self._left_at < WAITS_S or self._waits:
             return
-        self._waits = (self.office.name,)
+        self._waits = (self.gatekeeper.name,)
         seats = {name: seat.name.lower() for name, seat in self._seats(now, core).items()}
         text = "its seat waits for a successor before it ends"
-        self.office.note("registry", text, seats=seats, hosts_lost=self.office.settings.hosts_lost)
+        self.gatekeeper.note("register", text, seats=seats, hosts_lost=self.gatekeeper.settings.hosts_lost)
 
     # ---- changes -----------------------------------------------------------------------------------
 
@@ -186,39 +199,39 @@
 
     def _failed(self) -> None:
         self._turn(Change.NONE)
-        self._tried = self.office.now
+        self._tried = self.gatekeeper.now
 
     def _look(self, now: float, core: Core) -> None:
         """Who with a disk is heard of since when and stays, and which members are not, or have left."""
-        cards, me = self.office.neighbours.cards, self.office.neighbours.me
+        records, me = self.gatekeeper.membership.records, self.gatekeeper.membership.me
         stay = {
-            card.name
-            for card in self.office.neighbours.live()
-            if card.still is not None and card.still["core"] and card.standing is Standing.UP
-            if not (card is me and me.leaving)
+            record.name
+            for record in self.gatekeeper.membership.live()
+            if record.identity is not None and record.identity["core"] and record.liveness is Liveness.UP
+            if not (record is me and me.leaving)
         }
         self._known = {name: self._known.get(name, now) for name in stay}
         self._missed = {
             name: self._missed.get(name, now)
             for name in core.members
-            if name not in stay and (name not in cards or cards[name].standing is Standing.LOST)
+            if name not in stay and (name not in records or records[name].liveness is Liveness.LOST)
         }
-        ending = {name for name in core.members if name in cards and cards[name].leaving}
+        ending = {name for name in core.members if name in records and records[name].leaving}
         self._left = (self._left | ending) & (core.members.keys() - stay)
 
     def _seats(self, now: float, core: Core) -> dict[str, Seat]:
         """How the members stand, as far as this process knows."""
-        others, me = self.office.neighbours, self.office.neighbours.me
-        cards = others.cards
+        others, me = self.gatekeeper.membership, self.gatekeeper.membership.me
+        records = others.records
 
         def seat(name: str) -> Seat:
             if name in self._left:
-                there = name in cards and cards[name].standing is not Standing.LOST
+                there = name in records and records[name].liveness is not Liveness.LOST
                 return Seat.LEAVING if there else Seat.LEFT
             if name == me.name:
                 return Seat.SOUND if me.keeps else Seat.BEHIND
-            if name in self._known and others.silent(now, cards[name]) <= SUSPECT_TICKS:
-                return Seat.SOUND if cards[name].keeps else Seat.BEHIND
+            if name in self._known and others.silent(now, records[name]) <= SUSPECT_TICKS:
+                return Seat.SOUND if records[name].keeps else Seat.BEHIND
             lost = name in self._missed and now - self._missed[name] >= RELIEVED_S
             return Seat.LOST if lost else Seat.DARK
 
@@ -226,8 +239,8 @@
 
     def holder(self, core: Core) -> str:
         """Whose duty the core's changes are: cut by key over the members that are up, stay, and say that
-        their keepers have caught up; nobody's where there is none."""
-        keep = {card.name for card in self.office.neighbours.live() if card.keeps}
+        their replicas have caught up; nobody's where there is none."""
+        keep = {record.name for record in self.gatekeeper.membership.live() if record.keeps}
         return "".join(holders("core", [name for name in core.all if name in self._known and name in keep]))
 
     def _due(self, now: float, core: Core) -> bool:
@@ -235,21 +248,21 @@
             return False
         if core.old and now - self._since < BETWEEN_S:
             return False  # whoever brought it about goes on with it
-        return self.holder(core) == self.office.name
+        return self.holder(core) == self.gatekeeper.name
 
     def _begin(self, now: float, core: Core) -> None:
         if core.old:  # somebody's, perhaps this one's, that is not whole yet
             self._carry(core)
             return
-        cards = self.office.neighbours.cards
+        records = self.gatekeeper.membership.records
         joined = {
-            name: cards[name].still["post"]  # type: ignore[index]
+            name: records[name].identity["post"]  # type: ignore[index]
             for name, since in self._known.items()
             if name not in core.members and now - since >= JOINED_S
         }
         seats = self._seats(now, core)
         young = {name for name in joined if now - self._known[name] < SETTLED_IN_S}
-        choice = chosen(core.members, seats, joined, young, self.office.settings.hosts_lost)
+        choice = chosen(core.members, seats, joined, young, self.gatekeeper.settings.hosts_lost)
         told = {name: seat.name.lower() for name, seat in seats.items()}
         self._note_waits(choice, told)
         to = choice.members
@@ -258,17 +271,19 @@
         self._turn(Change.DECIDING)
         self._number += 1
         facts = {"epoch": core.epoch, "joined": sorted(joined), "seats": told, "ballot": self._number}
-        self.office.note("registry", f"proposes a core of {' '.join(sorted(to))}", **facts)
+        self.gatekeeper.note("register", f"proposes a core of {' '.join(sorted(to))}", **facts)
         proposal = Core(core.epoch + 1, to, core.members).value().data
-        round = self.office.clerk.decide(now, core, self._number, proposal, DECIDE_S)
-        self.office.start(now, round, self._decided)
+        round = self.gatekeeper.coordinator.decide(now, core, self._number, proposal, DECIDE_S)
+        self.gatekeeper.start(now, round, self._decided)
 
     def _note_waits(self, choice: Choice, seats: dict[str, str]) -> None:
         if choice.waits != self._waits:
             self._waits = choice.waits
             if choice.waits:
                 text = f"the seats of {' '.join(choice.waits)} wait for successors"
-                self.office.note("registry", text, seats=seats, hosts_lost=self.office.settings.hosts_lost)
+                self.gatekeeper.note(
+                    "register", text, seats=seats, hosts_lost=self.gatekeeper.settings.hosts_lost
+                )
 
     def _decided(self, round: Round) -> None:
         if round.phase is not Phase.DONE:
@@ -280,8 +295,10 @@
         self._write(Core.of(value), value, self._opened)
 
     def _write(self, core: Core, value: Value, then: Callable[[Round], None]) -> None:
-        office = self.office
-        office.start(office.now, office.clerk.write(office.now, core, {CORE: value}, CARRY_S), then)
+        gatekeeper = self.gatekeeper
+        gatekeeper.start(
+            gatekeeper.now, gatekeeper.coordinator.write(gatekeeper.now, core, {CORE: value}, CARRY_S), then
+        )
 
     def _opened(self, round: Round) -> None:
         if round.phase is Phase.DONE:
@@ -292,8 +309,10 @@
     def _carry(self, core: Core) -> None:
         """Read all from majorities of both sets, and write back what they lack."""
         self._turn(Change.CARRYING)
-        office = self.office
-        office.start(office.now, office.clerk.read(office.now, core, None, CARRY_S), self._carried)
+        gatekeeper = self.gatekeeper
+        gatekeeper.start(
+            gatekeeper.now, gatekeeper.coordinator.read(gatekeeper.now, core, None, CARRY_S), self._carried
+        )
 
     def _carried(self, round: Round) -> None:
         core = round.core
@@ -311,66 +330,76 @@
             self._failed()
 
     def _spread(self, core: Value) -> None:
-        for card in self.office.neighbours.others():
-            if card.still is not None:
-                self.office.doors.datagram(card.still["post"], {"t": "core", "v": core.wire()})
+        for record in self.gatekeeper.membership.others():
+            if record.identity is not None:
+                self.gatekeeper.io.datagram(record.identity["post"], {"t": "core", "v": core.wire()})
 
     # ---- the first start, and a lost disk ------------------------------------------------------------
 
-    def _grow_up(self, now: float, keeper: Keeper) -> None:
-        """A keeper that does not vote yet: found a core, or recover what the disk had."""
-        office, core = self.office, self.office.follower.core
-        if keeper.state is Voting.NEW and core is None:
+    def _grow_up(self, now: float, replica: Replica) -> None:
+        """A replica that does not vote yet: found a core, or recover what the disk had."""
+        gatekeeper, core = self.gatekeeper, self.gatekeeper.subscriber.core
+        if replica.state is Voting.NEW and core is None:
             self._found(now)
-        elif core is not None and office.name in core.all:
-            if keeper.state is Voting.NEW:  # it never answered anybody: it has only missed what there was
-                value = office.follower.values[CORE]
-                office.doors.persist(Persist({CORE: value}, (SELF, {"t": "stored", "r": ""})))
+        elif core is not None and gatekeeper.name in core.all:
+            if replica.state is Voting.NEW:  # it never answered anybody: it has only missed what there was
+                value = gatekeeper.subscriber.values[CORE]
+                gatekeeper.io.persist(Persist({CORE: value}, (SELF, {"t": "stored", "r": ""})))
                 return
             self.recovery.beat(now, core)
 
     def _found(self, now: float) -> None:
-        office = self.office
-        seeds = office.seeds_ctl
-        cards = [c for c in office.neighbours.live() if c.still is not None and c.still["core"]]
+        gatekeeper = self.gatekeeper
+        seeds = gatekeeper.seeds_ctl
+        records = [c for c in gatekeeper.membership.live() if c.identity is not None and c.identity["core"]]
 
-        def rank(card: Any) -> tuple[int, str]:
-            ctl = card.still["ctl"]
-            return (seeds.index(ctl) if ctl in seeds else len(seeds), card.name)
+        def rank(record: Any) -> tuple[int, str]:
+            ctl = record.identity["ctl"]
+            return (seeds.index(ctl) if ctl in seeds else len(seeds), record.name)
 
-        first = min(cards, key=rank)
-        heard = {card.still["ctl"] for card in office.neighbours.live() if card.still is not None}
+        first = min(records, key=rank)
+        heard = {
+            record.identity["ctl"] for record in gatekeeper.membership.live() if record.identity is not None
+        }
         known = len(heard.intersection(seeds))
-        if first is not office.neighbours.me or 2 * known <= len(seeds):
+        if first is not gatekeeper.membership.me or 2 * known <= len(seeds):
             return  # two parts of a fleet that is cut can't both see most of the seeds
-        if known < len(seeds) and now - office.born < PATIENT_S:
+        if known < len(seeds) and now - gatekeeper.born < PATIENT_S:
             return
         founding = self.founding
         if founding is None:
-            if now - self._roster_since < SETTLED_S or now - office.born < FOUNDING_S:
+            if now - self._roster_since < SETTLED_S or now - gatekeeper.born < FOUNDING_S:
                 return
-            members = {card.name: card.still["post"] for card in cards if card.still is not None}
+            members = {
+                record.name: record.identity["post"] for record in records if record.identity is not None
+            }
             core = Core(FOUNDED - 1, members)
             founding = self.founding = Founding(core.value(f"{99 - rank(first)[0]:02d}"), members, set())
-            office.note("registry", f"founds a core of {len(members)}")
+            gatekeeper.note("register", f"founds a core of {len(members)}")
         if now - founding.sent < AGAIN_S:
             return
         founding.sent = now
         for name, address in founding.members.items():
             if name not in founding.agreed:
-                message = {"t": "found?", "r": f"found {office.clerk.name}", "v": founding.core.wire()}
-                office.to_keeper(now, name, address, message)
+                message = {
+                    "t": "found?",
+                    "r": f"found {gatekeeper.coordinator.name}",
+                    "v": founding.core.wire(),
+                }
+                gatekeeper.to_replica(now, name, address, message)
 
     def agreed(self, now: float, sender: str, ref: str) -> None:
         """A process agrees to the core that this one founds."""
-        founding, office = self.founding, self.office
-        if founding is None or ref != f"found {office.clerk.name}":
+        founding, gatekeeper = self.founding, self.gatekeeper
+        if founding is None or ref != f"found {gatekeeper.coordinator.name}":
             return
         founding.agreed.add(sender)
-        if founding.agreed >= set(founding.members) and office.follower.core is None:
+        if founding.agreed >= set(founding.members) and gatekeeper.subscriber.core is None:
             self.founding = None
             core = Core(FOUNDED, founding.members)
-            office.start(now, office.clerk.write(now, core, {CORE: core.value()}, 10.0), self._founded)
+            gatekeeper.start(
+                now, gatekeeper.coordinator.write(now, core, {CORE: core.value()}, 10.0), self._founded
+            )
 
     def _founded(self, round: Round) -> None:
         if round.phase is Phase.DONE:
--- a/millfront/register/replica.py
+++ b/millfront/register/replica.py
@@ -1,12 +1,12 @@
-"""A keeper (replica): the part of the registry that stands on one core machine. No I/O, no clock.
+"""A replica (replica): the part of the registry that stands on one core machine. No I/O, no clock.
 
-A keeper answers from what its disk has synced. Calls name the epoch of the core that they are meant for, and
-a keeper answers none of another epoch than its own (the fence). On who the next core's are, and on which
+A replica answers from what its disk has synced. Calls name the epoch of the core that they are meant for, and
+a replica answers none of another epoch than its own (the fence). On who the next core's are, and on which
 document has a revision number (its claim), it votes by ballot: a promise, then an acceptance, so that of an
 epoch there is one core, and of a number one document.
 
-A keeper whose disk was found empty though the system is not starting for the first time has forgotten what it
-may have acknowledged: it recovers from R others before it answers anybody (docs/design/system.md has the
+A replica whose disk was found empty though the system is not starting for the first time has forgotten what
+it may have acknowledged: it recovers from R others before it answers anybody (docs/design/system.md has the
 bound).
 """
 
@@ -36,7 +36,7 @@
 
 
 class Voting(Enum):
-    """Whether a keeper's word counts."""
+    """Whether a replica's word counts."""
 
     NEW = "new: the system starts for the first time"
     RECOVERING = "recovering: its disk was lost"
@@ -45,7 +45,7 @@
 
 @dataclass(slots=True)
 class Persist:
-    """To be synced to the disk; then the keeper is told by `synced`."""
+    """To be synced to the disk; then the replica is told by `synced`."""
 
     values: dict[str, Value]
     then: tuple[Any, Message]  # whom to answer, and what
@@ -54,7 +54,7 @@
     ballot: tuple[str, Value] | None = None  # a promise or an acceptance: its key, and how high
 
 
-class Keeper:
+class Replica:
     """The part of the registry that stands on one core machine."""
 
     def __init__(self, kept: dict[str, Value], fresh: bool) -> None:
@@ -75,14 +75,14 @@
         return self.state is Voting.VOTING
 
     def lives(self) -> dict[str, int]:
-        """Of keepers that have lost a disk, as far as this one was told; the first life is 0."""
+        """Of replicas that have lost a disk, as far as this one was told; the first life is 0."""
         return {key[len(LIFE) :]: held.version for key, held in self.values.items() if key.startswith(LIFE)}
 
     def stamps(self) -> dict[str, list[Any]]:
         return {key: value.stamp for key, value in self.values.items() if not inner(key)}
 
     def handle(self, back: Any, message: Message) -> tuple[list[tuple[Any, Message]], list[Persist]]:
-        """A clerk's, a follower's or a founder's call; answers go to `back`."""
+        """A coordinator's, a subscriber's or a founder's call; answers go to `back`."""
         ref, kind = message.get("r"), message["t"]
         held = self.values.get(CORE)
         if kind == "found?":
@@ -195,7 +195,7 @@
     def _heir(
         self, back: Any, ref: Any, name: str, life: int, held: dict[str, Any] | None
     ) -> tuple[list[tuple[Any, Message]], list[Persist]]:
-        """A keeper begins a new life: whoever asks here from now on learns that what it answered in an
+        """A replica begins a new life: whoever asks here from now on learns that what it answered in an
         earlier one is worth nothing; then it is told all that is held here."""
         if self.lives().get(name, 0) >= life:
             return [(back, self._told(ref, None, held, True))], []
--- a/millfront/register/snapshot.py
+++ b/millfront/register/snapshot.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from millfront.control import configuration as orders
+from millfront.control import configuration
 from millfront.register.values import CONFIG, CORE, LIFE, Value, inner
 
 FORMAT = 1
@@ -40,7 +40,7 @@
     except (ValueError, KeyError, TypeError, AttributeError) as wrong:
         return Err(SnapshotFault(f"is no snapshot: {wrong!r}"))
     if CONFIG in values:
-        match orders.checked(values[CONFIG].data):
+        match configuration.checked(values[CONFIG].data):
             case Err(fault):
                 return Err(SnapshotFault(f"its configuration: {fault}"))
             case Ok(made):
--- a/millfront/register/values.py
+++ b/millfront/register/values.py
@@ -1,6 +1,6 @@
 """What the registry holds: versioned values, and the core that keeps them. No I/O, no clock.
 
-A value is (version, tie, data); of two the higher (version, tie) holds, wherever it is. Of N keepers a
+A value is (version, tie, data); of two the higher (version, tie) holds, wherever it is. Of N replicas a
 majority W = N // 2 + 1 acknowledges, and of any R = N - W + 1 one knows what was acknowledged, since
 W + R > N (docs/design/system.md, "The core").
 """
@@ -12,20 +12,20 @@
 
 Message = dict[str, Any]
 CORE = "core"  # the key of the core itself
-LIFE = "life/"  # and a keeper's name: the key of its life, which ends with its disk
+LIFE = "life/"  # and a replica's name: the key of its life, which ends with its disk
 FOUNDED = 2  # the first epoch that all members have agreed to
-# What this keeper has promised and accepted of the next core, by epoch and ballot: each keeper's own
+# What this replica has promised and accepted of the next core, by epoch and ballot: each replica's own
 PROMISED, ACCEPTED = "own/promised", "own/accepted"
 OWN = "own/"
 CONFIG = "config"  # the key of the configuration
-CLAIM = "claim/"  # and a revision number: which document has it (docs/design/sealed-orders.md)
+CLAIM = "claim/"  # and a revision number: which document has it (docs/design/control-faults.md)
 TURN = "turn/"  # and a zone: how many orders to evacuate it or take that back were begun
 CLAIMS = 512  # numbers that are kept, the newest: 20 h of 620 changes a day
 BALLOTS = 1_000_000  # of one epoch
 
 
 def write_quorum(core: int) -> int:
-    """W: acknowledged is what so many keepers have synced.
+    """W: acknowledged is what so many replicas have synced.
 
     >>> [(n, write_quorum(n), read_quorum(n)) for n in (1, 3, 4, 6, 8)]
     [(1, 1, 1), (3, 2, 2), (4, 3, 2), (6, 4, 3), (8, 5, 4)]
@@ -81,7 +81,7 @@
 
 
 def inner(key: str) -> bool:
-    """Whether a key is the keepers' own affair: followers are not told of it."""
+    """Whether a key is the replicas' own affair: subscribers are not told of it."""
     return key.startswith((OWN, CLAIM, TURN))
 
 
--- a/millfront/rehearsal/system.py
+++ b/millfront/rehearsal/system.py
@@ -1,6 +1,7 @@
 """A whole system of real processes on loopback, with doors on every link between them (`links.py`).
 
-Each process is `python -m millfront office` with a disk in the run's folder. Its `ctl` and `plain` addresses
+Each process is `python -m millfront gatekeeper` with a disk in the run's folder. Its `ctl` and `plain`
+addresses
 are called directly, so that a process that is cut off from the others can still be asked. Waiting is until a
 condition holds, with a deadline.
 """
@@ -124,7 +125,7 @@
 
 
 class System:
-    """Offices 0 to `count` - 1, all of the core, zones in two regions; `with` ends what it started."""
+    """Gatekeepers 0 to `count` - 1, all of the core, zones in two regions; `with` ends what it started."""
 
     def __init__(self, folder: Path, count: int = 4, seed: int = 0, bounds: Mapping[str, str] = {}) -> None:
         """:param bounds: times of the rules, in the settings' form (``{"revoke_within": "5s"}``)"""
@@ -166,7 +167,7 @@
         return self.folder / self.names[number]
 
     def settings(self, number: int, fresh: bool) -> Path:
-        """The settings file of one office."""
+        """The settings file of one gatekeeper."""
         ip, zone = self.links.front(number), self.names[number]
         seeds = [f"{self.links.front(other)}:{self.ctl}" for other in range(min(3, self.count))]
         bound = dict.fromkeys(("ctl", "lookup", "readiness"), f"{ip}:{self.ctl}")
@@ -189,7 +190,7 @@
 
     def start(self, number: int, fresh: bool = False) -> None:
         given = os.environ | {"MILLFRONT_CONFIG": str(self.settings(number, fresh))}
-        command = [sys.executable, "-B", "-m", "millfront", "office"]
+        command = [sys.executable, "-B", "-m", "millfront", "gatekeeper"]
         with (self.folder / f"{self.names[number]}.log").open("ab") as log:
             self.running[number] = subprocess.Popen(command, cwd=ROOT, env=given, stdout=log, stderr=log)
 
@@ -263,8 +264,8 @@
         raise Late(f"office {number}: {last.status} {last.text} for {within:g} s")
 
     def statement(self, number: int) -> dict[str, Any]:
-        """What the office says of itself; empty where it does not answer."""
-        answer = self.call(number, "GET", "/v1/office", within=2.0)
+        """What the gatekeeper says of itself; empty where it does not answer."""
+        answer = self.call(number, "GET", "/v1/gatekeeper", within=2.0)
         told = answer.json() if answer.status == 200 else {}
         assert isinstance(told, dict)
         return told
@@ -274,12 +275,12 @@
         return int(self.statement(number).get("version", "0"), 16)
 
     def held(self, number: int) -> int:
-        """The configuration's version that its keeper has synced, if it votes."""
-        keeper = self.statement(number).get("keeper") or {"state": "", "held": {}}
-        return int(keeper["held"].get("config", 0)) if keeper["state"] == "voting" else 0
+        """The configuration's version that its replica has synced, if it votes."""
+        replica = self.statement(number).get("replica") or {"state": "", "held": {}}
+        return int(replica["held"].get("config", 0)) if replica["state"] == "voting" else 0
 
     def votes(self, number: int) -> bool:
-        return (self.statement(number).get("keeper") or {}).get("state") == "voting"
+        return (self.statement(number).get("replica") or {}).get("state") == "voting"
 
     def ready(self, number: int) -> int:
         """The status of readiness."""
--- a/millfront/storage/disk.py
+++ b/millfront/storage/disk.py
@@ -2,7 +2,7 @@
 
 Layout: key ``format`` holds the format's number; each other key a value: its stamp as JSON, a line's end,
 ``t`` and the text or ``z`` and the text packed (zlib), in UTF-8. Format 1 had a value as one JSON list, which
-is still read. What can't be read is set aside, never deleted, and the keeper recovers from the others.
+is still read. What can't be read is set aside, never deleted, and the replica recovers from the others.
 
 The map: lmdb writes a changed value beside the old one and uses the old one's pages again two syncs later, so
 three versions of the longest value must fit (docs/design/catching-up.md).
@@ -22,15 +22,24 @@
 PACKED_FROM = 4096  # characters
 MAP_BYTES = 24 * 1024 * 1024
 FOLDER = "registry"
+EARLIER_ROLE = "office"  # what the role was called: the platform names a role's folder after it
 
 
 class DiskFault(Exception):
     """The disk can't be used, or what is on it can't be read."""
 
 
+def _folder(state_dir: Path) -> Path:
+    """Where the data lies: a role that was renamed and has none yet finds it under its earlier name."""
+    folder, earlier = state_dir / FOLDER, state_dir.parent / EARLIER_ROLE / FOLDER
+    return earlier if earlier.exists() and not folder.exists() else folder
+
+
 class Disk:
+    """The register's values on the disk of one machine."""
+
     def __init__(self, state_dir: str) -> None:
-        self.folder = Path(state_dir) / FOLDER
+        self.folder = _folder(Path(state_dir))
         self._env: lmdb.Environment | None = None
 
     def load(self) -> tuple[dict[str, Value], str]:
--- a/millfront/transport/connections.py
+++ b/millfront/transport/connections.py
@@ -56,7 +56,7 @@
 class Line(asyncio.Protocol):
     """One held connection, whoever opened it."""
 
-    def __init__(self, wire: "Wire", address: str = "") -> None:
+    def __init__(self, wire: "Transport", address: str = "") -> None:
         self.wire = wire
         self.address = address  # of the peer, where this end opened it
         self.transport: asyncio.Transport | None = None
@@ -113,7 +113,7 @@
 
 
 class Datagrams(asyncio.DatagramProtocol):
-    def __init__(self, wire: "Wire") -> None:
+    def __init__(self, wire: "Transport") -> None:
         self.wire = wire
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
@@ -128,7 +128,7 @@
         pass  # a port that nobody listens on yet
 
 
-class Wire:
+class Transport:
     """All connections of one process to others of the system."""
 
     def __init__(
--- a/tests/post_register.py
+++ b/tests/register_model.py
@@ -11,14 +11,14 @@
 
 import pytest
 
-from millfront.register.coordinator import Clerk, Phase, Round
+from millfront.register.coordinator import Coordinator, Phase, Round
 from millfront.register.recovery import Recovery as Part
 from millfront.register.recovery import Stage
-from millfront.register.replica import Keeper, Persist
+from millfront.register.replica import Persist, Replica
 from millfront.register.values import CONFIG, CORE, Core, Message, Value, claim_key
 
 FETCHED = "fetched"
-WIPED = "a"  # the keeper that may lose its disk
+WIPED = "a"  # the replica that may lose its disk
 T = TypeVar("T")
 
 
@@ -43,18 +43,18 @@
     return tuple((key, frozen(value)) for key, value in sorted(vars(found).items()))
 
 
-class Replica:
-    """A keeper with its disk, and what it asked to be synced and is not yet."""
+class StoredReplica:
+    """A replica with its disk, and what it asked to be synced and is not yet."""
 
     def __init__(self, core: Core) -> None:
         self.core = core
         self.disk = {CORE: core.value()}
-        self.keeper = Keeper(self.disk, False)
+        self.replica = Replica(self.disk, False)
         self.unsynced: list[Persist] = []
 
     def call(self, back: str, message: Message) -> list[tuple[str, Message]]:
         """A call; the same one twice waits for one sync."""
-        answers, persists = self.keeper.handle(back, message)
+        answers, persists = self.replica.handle(back, message)
         for persist in persists:
             if frozen(persist) not in [frozen(other) for other in self.unsynced]:
                 self.unsynced.append(persist)
@@ -70,41 +70,41 @@
             self.disk[key] = max(value, self.disk.get(key, value))
         for key in persist.drop:
             self.disk.pop(key, None)
-        return self.keeper.synced(persist, True)
+        return self.replica.synced(persist, True)
 
     def kill(self) -> None:
         """And started again: what was synced is there."""
-        self.keeper, self.unsynced = Keeper(self.disk, False), []
+        self.replica, self.unsynced = Replica(self.disk, False), []
 
     def wipe(self) -> None:
         self.disk = {}
         self.kill()
 
     def recovered(self, persist: Persist) -> None:
-        """What a recovery asked for is synced (as `Office.synced` does it)."""
+        """What a recovery asked for is synced (as `Gatekeeper.synced` does it)."""
         self._synced(persist)
-        self.keeper.recovered()
+        self.replica.recovered()
 
     def held(self) -> Hashable:
         """What it goes by: texts that were replaced are of no consequence here."""
-        keeper = {key: value for key, value in vars(self.keeper).items() if key != "archive"}
-        return frozen((self.disk, keeper))
+        replica = {key: value for key, value in vars(self.replica).items() if key != "archive"}
+        return frozen((self.disk, replica))
 
     def state(self) -> Hashable:
         return self.held(), frozen(self.unsynced)
 
     def told(self) -> int | None:
         """The version that a reader is told; None: it is told nothing."""
-        held = self.keeper.values.get(CORE)
+        held = self.replica.values.get(CORE)
         call = {"t": "fetch", "r": "look", "e": held.version if held else 0, "k": [CONFIG]}
-        for _, answer in self.keeper.handle("reader", call)[0]:
+        for _, answer in self.replica.handle("reader", call)[0]:
             if answer["t"] == "found":
                 return Value.of(answer["v"].get(CONFIG, [0, "", ""])).version
         return None
 
 
 class Recovery:
-    """The part of an office that gets a keeper whose disk was lost to vote again."""
+    """The part of a gatekeeper that gets a replica whose disk was lost to vote again."""
 
     def __init__(self, name: str, core: Core, life: int = 0) -> None:
         """:param life: of the process"""
@@ -112,30 +112,30 @@
         self.core = core
         self.calls: list[tuple[str, Message]] = []
         self.persists: list[Persist] = []
-        office: Any = SimpleNamespace(name=name, keeper=Keeper({}, False))
-        office.follower = SimpleNamespace(core=core, values={CORE: core.value()}, fetch=self._fetch)
-        self.follower = office.follower
-        office.clerk = SimpleNamespace(name=f"{name}.{life}")
-        office.note = _nothing
-        office.to_keeper = self._call
-        office.doors = SimpleNamespace(persist=self._persist)
-        self.part = Part(office)
+        gatekeeper: Any = SimpleNamespace(name=name, replica=Replica({}, False))
+        gatekeeper.subscriber = SimpleNamespace(core=core, values={CORE: core.value()}, fetch=self._fetch)
+        self.subscriber = gatekeeper.subscriber
+        gatekeeper.coordinator = SimpleNamespace(name=f"{name}.{life}")
+        gatekeeper.note = _nothing
+        gatekeeper.to_replica = self._call
+        gatekeeper.io = SimpleNamespace(persist=self._persist)
+        self.part = Part(gatekeeper)
 
     def _call(self, now: float, name: str, address: str, message: Message) -> None:
         self.calls.append((name, message))
 
     def _fetch(self, now: float, teller: str, keys: list[str]) -> list[tuple[str, Message]]:
-        """What a follower asks for long values, without differences and pieces."""
+        """What a subscriber asks for long values, without differences and pieces."""
         return [(teller, {"t": "fetch", "r": FETCHED, "e": self.core.epoch, "k": keys})]
 
     def _persist(self, persist: Persist) -> None:
         self.persists.append(persist)
 
     def state(self) -> Hashable:
-        """Without whom it asks for long values: any keeper may be asked."""
+        """Without whom it asks for long values: any replica may be asked."""
         left_out = ("office", "_beats", "_tellers")
         part = {key: value for key, value in vars(self.part).items() if key not in left_out}
-        return frozen((part, self.follower.values))
+        return frozen((part, self.subscriber.values))
 
     def beat(self) -> list[tuple[str, Message]]:
         """Whom it calls now: that it is not time yet is left out."""
@@ -145,16 +145,16 @@
         return list(self.calls)
 
     def take(self, sender: str, message: Message) -> list[Persist]:
-        """An answer; what is to be synced before its keeper votes."""
+        """An answer; what is to be synced before its replica votes."""
         self.persists.clear()
-        if message["t"] == "found":  # as `Office._reply` has it
+        if message["t"] == "found":  # as `Gatekeeper._reply` has it
             if message["r"] != FETCHED:
                 self.part.take(0.0, sender, message)
                 return list(self.persists)
             if self.part.stage is Stage.FETCHING:
-                for key, wire in message["v"].items():  # as `Follower.hold` has it
+                for key, wire in message["v"].items():  # as `Subscriber.hold` has it
                     value = Value.of(wire)
-                    self.follower.values[key] = max(value, self.follower.values.get(key, value))
+                    self.subscriber.values[key] = max(value, self.subscriber.values.get(key, value))
                 self.beat()
         return list(self.persists)
 
@@ -164,14 +164,14 @@
 
 
 class Order:
-    """A clerk with one order: a write, or a claim that is tried again with a higher ballot."""
+    """A coordinator with one order: a write, or a claim that is tried again with a higher ballot."""
 
     def __init__(
-        self, name: str, core: Core, begin: Callable[[Clerk, Core, int], Round], tries: int = 1
+        self, name: str, core: Core, begin: Callable[[Coordinator, Core, int], Round], tries: int = 1
     ) -> None:
         self.core, self.begin, self.tries = core, begin, tries
-        self.clerk = Clerk(name)
-        self.round = begin(self.clerk, core, 1)
+        self.coordinator = Coordinator(name)
+        self.round = begin(self.coordinator, core, 1)
 
     def state(self) -> Hashable:
         """Without what is of no consequence: when what was sent, and promises of those that lose no disk."""
@@ -182,31 +182,31 @@
 
     def beat(self) -> list[tuple[str, Message]]:
         self.round.sent.clear()
-        return self.clerk.drive(0.0, self.round)
+        return self.coordinator.drive(0.0, self.round)
 
     def take(self, sender: str, message: Message) -> list[Any]:
         """:return: what it came to, if it did"""
-        round = self.clerk.take(0.0, sender, message)
+        round = self.coordinator.take(0.0, sender, message)
         if round is not None and round.phase is Phase.FAILED and round.highest and self.tries > 1:
             self.tries -= 1
-            self.round = self.begin(self.clerk, self.core, round.highest + 1)
+            self.round = self.begin(self.coordinator, self.core, round.highest + 1)
         return [round.proposal] if round is not None and round.phase is Phase.DONE else []
 
 
-def writes(version: int) -> Callable[[Clerk, Core, int], Round]:
+def writes(version: int) -> Callable[[Coordinator, Core, int], Round]:
     return partial(_write, version)
 
 
-def claims(digest: str) -> Callable[[Clerk, Core, int], Round]:
+def claims(digest: str) -> Callable[[Coordinator, Core, int], Round]:
     return partial(_claim, digest)
 
 
-def _write(version: int, clerk: Clerk, core: Core, height: int) -> Round:
-    return clerk.write(0.0, core, {CONFIG: Value(version, "", "x")}, 9.0)
+def _write(version: int, coordinator: Coordinator, core: Core, height: int) -> Round:
+    return coordinator.write(0.0, core, {CONFIG: Value(version, "", "x")}, 9.0)
 
 
-def _claim(digest: str, clerk: Clerk, core: Core, height: int) -> Round:
-    return clerk.decide(0.0, core, height, digest, 9.0, claim_key(7))
+def _claim(digest: str, coordinator: Coordinator, core: Core, height: int) -> Round:
+    return coordinator.decide(0.0, core, height, digest, 9.0, claim_key(7))
 
 
 class Steps(Generic[T]):
@@ -246,11 +246,11 @@
 
 def hasty(monkeypatch: pytest.MonkeyPatch) -> None:
     """A lost disk votes at once."""
-    whole = Replica.wipe
+    whole = StoredReplica.wipe
 
-    def wipe(self: Replica) -> None:
+    def wipe(self: StoredReplica) -> None:
         whole(self)
         self.disk = {CORE: self.core.value()}
         self.kill()
 
-    monkeypatch.setattr(Replica, "wipe", wipe)
+    monkeypatch.setattr(StoredReplica, "wipe", wipe)
--- a/tests/post_world.py
+++ b/tests/system_world.py
@@ -1,5 +1,5 @@
-"""A world in simulated time for the offices of the whole system: the very `Office` that the daemon runs,
-between links with delay, loss and cuts, processes that are killed, and disks that sync, refuse and are
+"""A world in simulated time for the gatekeepers of the whole system: the very `Gatekeeper` that the daemon
+runs, between links with delay, loss and cuts, processes that are killed, and disks that sync, refuse and are
 wiped."""
 
 import json
@@ -10,7 +10,7 @@
 import simpy
 
 from millfront.environment import Bounds, Settings
-from millfront.gatekeeper.node import BEAT_S, Office
+from millfront.gatekeeper.node import BEAT_S, Gatekeeper
 from millfront.register.replica import Persist
 from millfront.register.values import Value
 
@@ -61,7 +61,7 @@
         self.address, self.plain = f"{self.ip}:{PORT}", f"{self.ip}:80"
         self.disk: dict[str, Value] | None = {} if disk else None
         self.refuses = False  # its disk
-        self.office: Office | None = None
+        self.gatekeeper: Gatekeeper | None = None
         self.life = 0
         self.versions: list[int] = []  # that were in force, in this life
         self.slow_by = 0.0  # its clock is behind
@@ -77,10 +77,14 @@
         to = self.world.by_address.get(address)
         if to is None or self.world.cut(self, to) or self.world.random.random() < self.world.loss:
             return
-        self.world.carry(self, address, lambda to, m: to.office.datagram(to.now(), self.address, m), message)
+        self.world.carry(
+            self, address, lambda to, m: to.gatekeeper.datagram(to.now(), self.address, m), message
+        )
 
     def line(self, address: str, message: dict[str, Any]) -> None:
-        self.world.carry(self, address, lambda to, m: to.office.message(to.now(), self.address, m), message)
+        self.world.carry(
+            self, address, lambda to, m: to.gatekeeper.message(to.now(), self.address, m), message
+        )
 
     def back(self, via: Any, message: dict[str, Any]) -> None:
         if self.world.random.random() >= self.world.lost_answers:
@@ -94,13 +98,13 @@
             self.goes_on(synced)
 
         def synced() -> None:
-            if self.office is not None and self.life == life and self.disk is not None:
+            if self.gatekeeper is not None and self.life == life and self.disk is not None:
                 if not self.refuses:
                     for key, value in persist.values.items():
                         self.disk[key] = max(value, self.disk.get(key, value))
                     for key in persist.drop:
                         self.disk.pop(key, None)
-                self.office.synced(self.now(), persist, not self.refuses)
+                self.gatekeeper.synced(self.now(), persist, not self.refuses)
 
         self.world.env.process(syncing())
 
@@ -113,9 +117,9 @@
             self.goes_on(lambda: polled(told))
 
         def polled(told: Any) -> None:
-            if self.office is not None and self.life == life:
+            if self.gatekeeper is not None and self.life == life:
                 self.world.polls += 1
-                self.office.polled(self.now(), number, told)
+                self.gatekeeper.polled(self.now(), number, told)
 
         self.world.env.process(asking())
 
@@ -136,33 +140,35 @@
         )  # fmt: skip
         kept = dict(self.disk) if self.disk is not None else None
         incarnation = int(self.world.env.now * 1000) + 1
-        self.office = Office(settings, self, kept, self.now(), incarnation, self.number * 1000 + self.life)
-        office = self.office
+        self.gatekeeper = Gatekeeper(
+            settings, self, kept, self.now(), incarnation, self.number * 1000 + self.life
+        )
+        gatekeeper = self.gatekeeper
 
         def changed() -> None:
-            if office.orders is not None:
-                self.versions.append(office.orders.version)
+            if gatekeeper.configuration is not None:
+                self.versions.append(gatekeeper.configuration.version)
 
-        office.changed = changed
+        gatekeeper.changed = changed
         self.world.env.process(self._beats(self.life))
 
     def _beats(self, life: int) -> Generator[Any, Any, None]:
-        while self.office is not None and self.life == life:
+        while self.gatekeeper is not None and self.life == life:
             if self.backlog is None:
-                self.office.beat(self.now())
+                self.gatekeeper.beat(self.now())
             yield self.world.env.timeout(BEAT_S * (0.97 + 0.06 * self.world.random.random()))
 
     def leave(self, end: float = 5.7) -> None:
         """SIGTERM: it ends in order, after what the daemon waits for at least, and at most until `end`."""
-        office, life = self.office, self.life
-        assert office is not None
-        office.postings.leave(self.now())
+        gatekeeper, life = self.gatekeeper, self.life
+        assert gatekeeper is not None
+        gatekeeper.reconfiguration.leave(self.now())
 
         def ending() -> Generator[Any, Any, None]:
             began = self.world.env.now
             yield self.world.env.timeout(LEAVE_S)
-            while self.life == life and self.world.env.now < began + end and self.office is not None:
-                if self.office.postings.may_go(self.now()):
+            while self.life == life and self.world.env.now < began + end and self.gatekeeper is not None:
+                if self.gatekeeper.reconfiguration.may_go(self.now()):
                     break
                 yield self.world.env.timeout(0.05)
             if self.life == life:
@@ -171,7 +177,7 @@
         self.world.env.process(ending())
 
     def kill(self) -> None:
-        self.office, self.life = None, self.life + 1
+        self.gatekeeper, self.life = None, self.life + 1
         self.backlog = None
 
     def freeze(self) -> None:
@@ -232,7 +238,7 @@
                 to.goes_on(come)
 
         def come() -> None:
-            if to.office is not None and to.life == life:
+            if to.gatekeeper is not None and to.life == life:
                 give(to, json.loads(text))
 
         if sender.life == sender_life:
@@ -249,31 +255,31 @@
         self.env.run(until=self.env.now + seconds)
         return self
 
-    def offices(self) -> list[Office]:
-        return [node.office for node in self.nodes if node.office is not None]
+    def gatekeepers(self) -> list[Gatekeeper]:
+        return [node.gatekeeper for node in self.nodes if node.gatekeeper is not None]
 
     def call(
-        self, number: int, does: Callable[[Office, float, Callable[[int, str], None]], None]
+        self, number: int, does: Callable[[Gatekeeper, float, Callable[[int, str], None]], None]
     ) -> list[Any]:
-        """A call to one office; the list holds (status, text, when) once it is answered."""
+        """A call to one gatekeeper; the list holds (status, text, when) once it is answered."""
         node = self.nodes[number]
         answers: list[Any] = []
-        assert node.office is not None
+        assert node.gatekeeper is not None
 
         def come() -> None:
-            if node.office is not None:
-                does(node.office, node.now(), lambda *told: answers.append((*told, self.env.now)))
+            if node.gatekeeper is not None:
+                does(node.gatekeeper, node.now(), lambda *told: answers.append((*told, self.env.now)))
 
         node.goes_on(come)
         return answers
 
     def put(self, number: int, text: str) -> list[Any]:
-        return self.call(number, lambda office, now, done: office.put(now, text, done))
+        return self.call(number, lambda gatekeeper, now, done: gatekeeper.put(now, text, done))
 
     def read(self, number: int) -> Any:
         """What GET answers, asked again as an operator does."""
         for _ in range(8):
-            answers = self.call(number, lambda office, now, done: office.read(now, done))
+            answers = self.call(number, lambda gatekeeper, now, done: gatekeeper.read(now, done))
             self.run(2.5)
             if answers and answers[0][0] == 200:
                 return json.loads(answers[0][1])
@@ -292,7 +298,7 @@
 def members(world: World) -> set[tuple[int, ...]]:
     """The cores in force, by their machines' numbers; one that still changes is told with its old members."""
     numbers = {node.name: node.number for node in world.nodes}
-    cores = [office.follower.core for office in world.offices()]
+    cores = [gatekeeper.subscriber.core for gatekeeper in world.gatekeepers()]
     return {tuple(sorted(numbers[name] for name in core.all)) for core in cores if core is not None}
 
 
@@ -303,4 +309,6 @@
 
 
 def voting(node: Node) -> bool:
-    return node.office is not None and node.office.keeper is not None and node.office.keeper.votes
+    return (
+        node.gatekeeper is not None and node.gatekeeper.replica is not None and node.gatekeeper.replica.votes
+    )
--- a/tests/test_post_franking.py
+++ b/tests/test_admission.py
@@ -9,9 +9,9 @@
 import pytest
 
 from millfront.control.configuration import Tenant
-from millfront.dataplane.admission import Franking
+from millfront.dataplane.admission import Admission
 from millfront.environment import Bounds
-from tests.post_world import Node, World, document
+from tests.system_world import Node, World, document
 
 RATE = 30.0
 
@@ -22,22 +22,22 @@
 
     def clients(node: Node) -> Generator[Any, Any, None]:
         end = world.env.now + seconds
-        hurries = False
+        flushing = False
         while world.env.now < end:
             rate = max(load(world.env.now, node), 0.01)
             yield world.env.timeout(min(world.random.expovariate(rate), 1.0))
-            office = node.office
+            gatekeeper = node.gatekeeper
             if (
-                office is None
-                or office.orders is None
+                gatekeeper is None
+                or gatekeeper.configuration is None
                 or world.random.random() > load(world.env.now, node) / rate
             ):
                 continue
-            tenant = office.orders.by_name["t"]
-            wait = office.franking.admit(node.now(), tenant)
+            tenant = gatekeeper.configuration.by_name["t"]
+            wait = gatekeeper.admission.admit(node.now(), tenant)
             told.append((float(world.env.now), wait == 0.0))
-            if office.franking.hurry and not hurries:
-                office.hurry(node.now())
+            if gatekeeper.admission.flush and not flushing:
+                gatekeeper.flush(node.now())
 
     for node in world.nodes:
         world.env.process(clients(node))
@@ -104,7 +104,7 @@
 
     def load(now: float, node: Node) -> float:
         hot = now > begin + 6.0
-        if name == "cut" and hot and node.office is not None and not node.office.trusted(node.now()):
+        if name == "cut" and hot and node.gatekeeper is not None and not node.gatekeeper.trusted(node.now()):
             return 0.0  # it refuses what has a key
         return (5.0 if hot else 0.6) * RATE / 11
 
@@ -122,7 +122,7 @@
 def test_what_others_sent_is_charged_exactly_whatever_the_phase_of_their_cards() -> None:
     """A rate that is charged or refunded for time in which it did not hold lets the store drift."""
     tenant, random_ = limited(10.0, 500.0), random.Random(3)
-    admission = Franking(Bounds(), 0.0)
+    admission = Admission(Bounds(), 0.0)
     admission.tenants = {"t": tenant}
     account = admission.account(1000.0, tenant)  # born long ago: its store is full
     account.store -= 300.0
@@ -131,11 +131,11 @@
         admission.heard(1000.0, name, 1, 1000.0, {})  # all its totals: it has sent nothing yet
     begin = account.store
     for second in range(120):
-        cards = [
+        records = [
             (phase, name, 0.0) for name, phase in (("p", 0.05), ("q", 0.85))
         ]  # at its own phase of the tick
-        cards += [(random_.random(), name, 5.0) for name in sent]  # in a hurry, with what it let in
-        for at, name, units in sorted(cards):
+        records += [(random_.random(), name, 5.0) for name in sent]  # in a hurry, with what it let in
+        for at, name, units in sorted(records):
             sent[name] += units
             now = 1000.0 + second + at
             admission.heard(now, name, 1, now, {"t": [sent[name], sent[name]]})
@@ -151,7 +151,7 @@
 
 def test_a_process_that_was_asked_nothing_for_long_counts_what_others_sent_meanwhile() -> None:
     tenant = limited(10.0, 10.0)
-    admission = Franking(Bounds(), 0.0)
+    admission = Admission(Bounds(), 0.0)
     admission.tenants = {"t": tenant}
     assert admission.admit(100.0, tenant) == 0.0
     admission.tick(101.0, {"me", "p"}, set())
@@ -163,7 +163,7 @@
 
 def test_what_others_sent_counts_before_the_first_request_here() -> None:
     tenant = limited(10.0, 10.0)
-    admission = Franking(Bounds(), 0.0)
+    admission = Admission(Bounds(), 0.0)
     admission.tenants = {"t": tenant}
     admission.heard(100.0, "p", 1, 50.0, {})  # all its totals: it has sent nothing yet
     admission.heard(200.0, "p", 1, 150.0, {"t": [admission.capacity(tenant) + 5.0, 400.0]})
@@ -171,31 +171,31 @@
 
 
 def poisson(world: World, total: Callable[[float], float], seconds: float) -> list[tuple[float, bool]]:
-    """Requests of one tenant, `total` a second, each at a process drawn at random; cards go out as the daemon
-    sends them."""
+    """Requests of one tenant, `total` a second, each at a process drawn at random; records go out as the
+    daemon sends them."""
     told: list[tuple[float, bool]] = []
-    hurries: set[int] = set()
+    flushing: set[int] = set()
 
-    def hurry(node: Node) -> Generator[Any, Any, None]:
-        office = node.office
+    def flush(node: Node) -> Generator[Any, Any, None]:
+        gatekeeper = node.gatekeeper
         yield world.env.timeout(0.06)
-        hurries.discard(node.number)
-        if office is not None and node.office is office:
-            office.hurry(node.now())
+        flushing.discard(node.number)
+        if gatekeeper is not None and node.gatekeeper is gatekeeper:
+            gatekeeper.flush(node.now())
 
     def clients() -> Generator[Any, Any, None]:
         end = world.env.now + seconds
         while world.env.now < end:
             yield world.env.timeout(world.random.expovariate(total(float(world.env.now))))
             node = world.random.choice(world.nodes)
-            office = node.office
-            if office is None or office.orders is None:
+            gatekeeper = node.gatekeeper
+            if gatekeeper is None or gatekeeper.configuration is None:
                 continue
-            wait = office.franking.admit(node.now(), office.orders.by_name["t"])
+            wait = gatekeeper.admission.admit(node.now(), gatekeeper.configuration.by_name["t"])
             told.append((float(world.env.now), wait == 0.0))
-            if office.franking.hurry and node.number not in hurries:
-                hurries.add(node.number)
-                world.env.process(hurry(node))
+            if gatekeeper.admission.flush and node.number not in flushing:
+                flushing.add(node.number)
+                world.env.process(flush(node))
 
     world.env.process(clients())
     world.run(seconds)
@@ -211,8 +211,8 @@
     told = poisson(world, lambda now: (12.0 if now > begin + 2.0 else 0.6) * rate, 12.0)
     views = []
     for node in world.nodes:
-        assert node.office is not None
-        account = node.office.franking.accounts["t"]
+        assert node.gatekeeper is not None
+        account = node.gatekeeper.admission.accounts["t"]
         account.advance(node.now())
         views.append(account.store)
     bounds = world.bounds
