--- a/tests/test_post_call_once.py
+++ b/tests/test_call_once.py
@@ -18,18 +18,18 @@
 
 import pytest
 
-from millfront.dataplane import load_balancer as sorting
+from millfront.dataplane import load_balancer
 from millfront.dataplane.load_balancer import State
-from millfront.dataplane.proxy import Carrier, Letter
-from millfront.dataplane.retries import Course
+from millfront.dataplane.proxy import ClientRequest, Proxy
+from millfront.dataplane.retries import RequestProgress
 from millfront.node.endings import Ending
 from millfront.node.http import Message
 from millfront.node.link import Link
 from millfront.node.members import MemberConnection, Wear
 from millfront.node.stages import send
-from millfront.register import reconfiguration as postings
-from tests import test_post_calls as calls
-from tests.post_world import document
+from millfront.register import reconfiguration
+from tests import test_gatekeeper_calls as calls
+from tests.system_world import document
 
 KINDS = {
     "idempotent": b"",
@@ -69,7 +69,7 @@
 
 
 class History(calls.Stage):
-    """An office between scripted servers, and what happened."""
+    """A gatekeeper between scripted servers, and what happened."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -141,7 +141,7 @@
         if fault == "leaves":
             await self.left[name].wait()
         if point == "office":
-            self.service.carrier.server.send_away(True)
+            self.service.proxy.server.send_away(True)
         if point == "run" and fault in ("turned", "misdirected"):
             said.turned += 1
             how = (
@@ -283,27 +283,27 @@
 def quick(monkeypatch: pytest.MonkeyPatch) -> None:
     """Short times of what else takes seconds."""
     for name in ("FOUNDING_S", "SETTLED_S"):
-        monkeypatch.setattr(postings, name, 0.0)
-    monkeypatch.setattr(sorting, "REST_S", 0.0)
+        monkeypatch.setattr(reconfiguration, name, 0.0)
+    monkeypatch.setattr(load_balancer, "REST_S", 0.0)
     monkeypatch.setattr(send, "LOOK_S", 0.05)
     monkeypatch.setattr(send, "STALL_US", 100_000)
     monkeypatch.setattr(send, "BEGIN_S", 0.01)
 
 
 class Pays:
-    """A purse that has enough: what is looked at here is not the budget."""
+    """A retry budget that has enough: what is looked at here is not the budget."""
 
     def request(self, *_: Any) -> None: ...
     def spend(self, *_: Any) -> bool:
         return True
 
 
-def prepared(made: History, monkeypatch: pytest.MonkeyPatch) -> Carrier:
-    carrier = made.service.carrier
-    carrier.send.rest_s, carrier.server.partial_us = 0.1, 100_000
-    monkeypatch.setattr(carrier, "purse", lambda _: Pays())
+def prepared(made: History, monkeypatch: pytest.MonkeyPatch) -> Proxy:
+    proxy = made.service.proxy
+    proxy.send.rest_s, proxy.server.partial_us = 0.1, 100_000
+    monkeypatch.setattr(proxy, "retry_budget", lambda _: Pays())
     for word in ("failed", "misdirected"):  # servers stay in, whatever they do
-        monkeypatch.setattr(carrier.sorting, word, lambda *_: None)
+        monkeypatch.setattr(proxy.load_balancer, word, lambda *_: None)
     asked = MemberConnection.request
     whole = Link.send
     doomed: set[int] = set()
@@ -337,14 +337,14 @@
     keep: list[Link] = []  # so that no id comes twice
     monkeypatch.setattr(MemberConnection, "request", request)
     monkeypatch.setattr(Link, "send", sending)
-    return carrier
+    return proxy
 
 
-def rested(carrier: Carrier) -> None:
+def rested(proxy: Proxy) -> None:
     """Servers that are well thought of again."""
-    carrier.sorting.work["shop"] = 0.004
-    carrier.members.wear = Wear()
-    for seen in carrier.sorting.seen.values():
+    proxy.load_balancer.work["shop"] = 0.004
+    proxy.members.wear = Wear()
+    for seen in proxy.load_balancer.seen.values():
         seen.fails, seen.state, seen.rests_until, seen.slowness, seen.slots = 0, State.SOUND, 0.0, 1.0, 50
         seen.server.cold_until = 0.0
 
@@ -371,26 +371,26 @@
     made = History()
     async with calls.stage(tmp_path, [], servers=3, made=made):
         assert await made.put(routes()) == 200
-        carrier = prepared(made, patch)
+        proxy = prepared(made, patch)
         todo = list(product(cases, KINDS, (False, True)))
         chance.shuffle(todo)
         todo.sort(key=lambda each: (each[2], each[0][0] == "accepted"))
         while todo:
             batch = [todo.pop() for _ in range(min(6, len(todo)))]
-            rested(carrier)
+            rested(proxy)
             if batch[0][2]:
                 warm = [made.open("idempotent") for _ in batch]
                 await asyncio.gather(*(made.client([name], chance) for name in warm))
-                rested(carrier)
+                rested(proxy)
             else:
-                for member in list(carrier.members._by_id.values()):
-                    carrier.members.close_idle(member)
+                for member in list(proxy.members._by_id.values()):
+                    proxy.members.close_idle(member)
             pairs = [
                 [made.open(kind, case), made.open(chance.choice(list(KINDS)))] for case, kind, _ in batch
             ]
             await asyncio.gather(*(made.client(names, chance) for names in pairs))
             made.dead.clear()
-            carrier.server.send_away(False)
+            proxy.server.send_away(False)
     return made
 
 
@@ -427,22 +427,22 @@
 
 def run_again(patch: pytest.MonkeyPatch) -> None:
     """What may have run goes to another server."""
-    patch.setattr(Course, "may_go_on", lambda self: self.arrivals + self.out < self.max_tries)
+    patch.setattr(RequestProgress, "may_go_on", lambda self: self.arrivals + self.out < self.max_tries)
 
 
 def ids_not_compared(patch: pytest.MonkeyPatch) -> None:
-    whole = Carrier.judge
+    whole = Proxy.judge
 
-    def judge(self: Carrier, flow: Any, answer: Message) -> Ending:
+    def judge(self: Proxy, flow: Any, answer: Message) -> Ending:
         fields = [(b"millfront-attempt-id", flow.opened.attempt)]
         fields += [(name, value) for name, value in answer.fields if name != b"millfront-attempt-id"]
         return whole(self, flow, Message(answer.start, fields, answer.raw, answer.body))
 
-    patch.setattr(Carrier, "judge", judge)
+    patch.setattr(Proxy, "judge", judge)
 
 
 def always_promised(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Course, "promises", lambda self: True)
+    patch.setattr(RequestProgress, "promises", lambda self: True)
 
 
 def promises_passed_on(patch: pytest.MonkeyPatch) -> None:
@@ -450,28 +450,28 @@
 
 
 def long_ones_copied(patch: pytest.MonkeyPatch) -> None:
-    whole = Carrier._copy
+    whole = Proxy._copy
 
-    def copy(self: Carrier, letter: Letter) -> None:
-        if letter.arrival.message.upload is not None and not letter.over and letter.course.out == 1:
-            letter.timer = None
-            self.go(letter)
+    def copy(self: Proxy, request: ClientRequest) -> None:
+        if request.arrival.message.upload is not None and not request.over and request.progress.out == 1:
+            request.timer = None
+            self.go(request)
         else:
-            whole(self, letter)
+            whole(self, request)
 
-    patch.setattr(Carrier, "_copy", copy)
+    patch.setattr(Proxy, "_copy", copy)
 
 
 def streams_mixed(patch: pytest.MonkeyPatch) -> None:
     """An answer under way to the client keeps no other from it."""
-    whole = Carrier.book
+    whole = Proxy.book
 
-    def book(self: Carrier, flow: Any, ending: Ending, answer: Message | None) -> None:
+    def book(self: Proxy, flow: Any, ending: Ending, answer: Message | None) -> None:
         if ending is Ending.SERVED and flow.opened.streams >= 0:
             flow.opened.streams = flow.number
         whole(self, flow, ending, answer)
 
-    patch.setattr(Carrier, "book", book)
+    patch.setattr(Proxy, "book", book)
 
 
 @pytest.mark.parametrize(
@@ -519,9 +519,9 @@
         made = calls.Stage()
         async with calls.stage(tmp_path, [first, second, calls.well], made=made):
             assert await made.put(routes()) == 200
-            carrier = made.service.carrier
-            monkeypatch.setattr(carrier, "purse", lambda _: Pays())
-            carrier.sorting.work["shop"] = 0.004
+            proxy = made.service.proxy
+            monkeypatch.setattr(proxy, "retry_budget", lambda _: Pays())
+            proxy.load_balancer.work["shop"] = 0.004
             host, _, port = made.plain.rpartition(":")
             reader, writer = await asyncio.open_connection(host, int(port))
             ask = f"GET /idempotent/x HTTP/1.1\r\nHost: a.example\r\n{calls.KEY}Millfront-Attempt-Id: "
@@ -530,7 +530,7 @@
                 head = await reader.readuntil(b"\r\n\r\n")
                 got = await reader.readexactly(1000)
                 begun.set()
-                seen = carrier.sorting.seen.values()
+                seen = proxy.load_balancer.seen.values()
                 await made.until(lambda: sum(len(server.out) for server in seen) == 1)
                 writer.write(f"{ask}2\r\n\r\n".encode())
                 for _ in range(3):  # another's, so that the second had its time
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,14 +1,14 @@
 """The capacity benchmark's parts at tiny sizes: that its fleets found a core, carry what they are given, and
-that a measured office is charged for it."""
+that a measured gatekeeper is charged for it."""
 
 import pytest
 
 from benchmarks import capacity, capacity_state
 from benchmarks.hollow import Fleet, settled
-from millfront.control import configuration as orders
+from millfront.control import configuration
 
 
-def test_a_hollow_fleet_works_and_a_measured_office_is_charged() -> None:
+def test_a_hollow_fleet_works_and_a_measured_gatekeeper_is_charged() -> None:
     fleet = settled(Fleet(6, 4), capacity_state.document(0.002).text, but=1).run(3.0)
     meter = fleet.nodes[4].measure()
     fleet.put(1, capacity_state.document(0.002).at(2))
@@ -20,7 +20,7 @@
 
 
 def test_a_share_of_the_target_is_a_valid_configuration() -> None:
-    made = orders.checked(capacity_state.document(0.01).text).unwrap()
+    made = configuration.checked(capacity_state.document(0.01).text).unwrap()
     assert (len(made.by_name), len(made.services)) == (300, 3)
 
 
--- a/tests/test_post_catching_up.py
+++ b/tests/test_catching_up.py
@@ -12,20 +12,17 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from millfront.control import configuration as orders
+from millfront.control import configuration
 from millfront.control.configuration import digest_of
-from millfront.register import chunks as pieces
-from millfront.register import deltas as differences
-from millfront.register import reconfiguration as postings
-from millfront.register import recovery
+from millfront.register import chunks, deltas, reconfiguration, recovery
 from millfront.register.chunks import Archive, Arrivals, Offer
 from millfront.register.reconfiguration import Change
 from millfront.register.recovery import Recovery, Stage
-from millfront.register.replica import Keeper
+from millfront.register.replica import Replica
 from millfront.register.values import Value
 from millfront.storage import disk
 from millfront.transport.connections import encoded
-from tests.post_world import Node, World, document
+from tests.system_world import Node, World, document
 
 CAUGHT_UP_S = 4.0  # from its start or from the end of the cut, on lines without a limit
 ROUTES = 350
@@ -33,8 +30,8 @@
 
 @pytest.fixture(autouse=True)
 def compiled_once(monkeypatch: pytest.MonkeyPatch) -> None:
-    """A text is compiled once for all offices of a world: it is the same in each."""
-    monkeypatch.setattr(orders, "compiled", lru_cache(4)(orders.compiled))
+    """A text is compiled once for all gatekeepers of a world: it is the same in each."""
+    monkeypatch.setattr(configuration, "compiled", lru_cache(4)(configuration.compiled))
 
 
 @cache
@@ -82,15 +79,19 @@
             yield self.env.timeout(0.02)
             for number, (version, since) in list(self.back.items()):
                 node = self.nodes[number]
-                office = node.office
-                if office is None or office.keeper is None:
+                gatekeeper = node.gatekeeper
+                if gatekeeper is None or gatekeeper.replica is None:
                     continue
-                if held_by(node) >= version and office.orders is not None and office.keeper.votes:
+                if (
+                    held_by(node) >= version
+                    and gatekeeper.configuration is not None
+                    and gatekeeper.replica.votes
+                ):
                     self.took[number] = self.env.now - since
                     del self.back[number]
-                elif office.neighbours.me.keeps or office.postings.change is not Change.NONE:
+                elif gatekeeper.membership.me.keeps or gatekeeper.reconfiguration.change is not Change.NONE:
                     self.fallen = f"{node.name} holds a duty with {held_by(node)} of {version}"
-                elif number in self.wiped and office.keeper.votes:
+                elif number in self.wiped and gatekeeper.replica.votes:
                     self.fallen = f"{node.name} votes with {held_by(node)} of {version}"
 
     def carry(self, sender: Node, address: str, give: Any, message: Any) -> None:
@@ -112,7 +113,7 @@
     def changes(self, count: int, number: int, apart: float = 0.3) -> None:
         for _ in range(count):
             version = self.acknowledged + 1
-            made = orders.compiled(long(version))
+            made = configuration.compiled(long(version))
             answers = self.call(number, lambda o, now, done, made=made: o.put_checked(now, made, done))  # type: ignore[misc]
             for _ in range(200):
                 if answers:
@@ -124,7 +125,7 @@
 
     def returns(self, number: int) -> None:
         self.back[number] = (self.acknowledged, self.env.now)
-        if self.nodes[number].office is None:
+        if self.nodes[number].gatekeeper is None:
             self.nodes[number].start()
 
     def wipe(self, number: int) -> None:
@@ -150,7 +151,7 @@
 @pytest.fixture
 def in_pieces(monkeypatch: pytest.MonkeyPatch) -> None:
     """A document of 350 routes has a dozen pieces."""
-    monkeypatch.setattr(pieces, "PIECE", 8192)
+    monkeypatch.setattr(chunks, "PIECE", 8192)
 
 
 # ---- stories ---------------------------------------------------------------------------------------
@@ -174,7 +175,7 @@
     world.returns(apart)
     world.caught_up()
     assert {held_by(node) for node in world.nodes[:6]} == {world.acknowledged}
-    assert {o.orders.version for o in world.offices() if o.orders} == {world.acknowledged}
+    assert {o.configuration.version for o in world.gatekeepers() if o.configuration} == {world.acknowledged}
 
 
 def killed_among_the_pieces() -> None:
@@ -185,11 +186,11 @@
     world.wipe(4)
     for kills in range(3):
         world.returns(4)
-        office = fetching(world, node)
+        gatekeeper = fetching(world, node)
         if kills < 2:
             node.kill()
             assert not node.disk, "a disk that holds anything counts as whole at the next start"
-    teller = next(n for n in world.nodes if n.name == office.postings.recovery._tellers[0])
+    teller = next(n for n in world.nodes if n.name == gatekeeper.reconfiguration.recovery._tellers[0])
     teller.kill()
     world.caught_up(within=8.0)
 
@@ -198,25 +199,29 @@
     """Run until some of its pieces have come."""
     for _ in range(1000):
         world.run(0.01)
-        office = node.office
-        assert office is not None and office.keeper is not None
-        if office.postings.recovery.stage is Stage.FETCHING:
-            coming = office.follower._arrivals._coming.get("config")
+        gatekeeper = node.gatekeeper
+        assert gatekeeper is not None and gatekeeper.replica is not None
+        if gatekeeper.reconfiguration.recovery.stage is Stage.FETCHING:
+            coming = gatekeeper.subscriber._arrivals._coming.get("config")
             if coming is not None and len(coming.parts) > 2:
-                assert not office.keeper.votes
-                return office
+                assert not gatekeeper.replica.votes
+                return gatekeeper
     raise AssertionError(world.fallen or "no pieces come")
 
 
 def a_disk_that_takes_nothing_meanwhile() -> None:
-    """What was fetched can't be synced at first: the keeper stays silent, and tries again."""
+    """What was fetched can't be synced at first: the replica stays silent, and tries again."""
     world = founded()
     node = world.nodes[4]
     world.wipe(4)
     node.refuses = True
     world.returns(4)
     world.run(5.0)
-    assert node.office is not None and node.office.keeper is not None and not node.office.keeper.votes
+    assert (
+        node.gatekeeper is not None
+        and node.gatekeeper.replica is not None
+        and not node.gatekeeper.replica.votes
+    )
     node.refuses = False
     world.caught_up(within=6.0)
 
@@ -244,17 +249,23 @@
     world.piece_s = 1.5  # so slow that others are asked for the same piece
     world.wipe(4)
     world.returns(4)
-    office = fetching(world, world.nodes[4])
+    gatekeeper = fetching(world, world.nodes[4])
     world.nodes[7].start()
-    before = office.follower.core.epoch
-    while office.follower.core.epoch == before and not office.keeper.votes:
+    before = gatekeeper.subscriber.core.epoch
+    while gatekeeper.subscriber.core.epoch == before and not gatekeeper.replica.votes:
         world.run(0.02)
-    assert not office.keeper.votes, "it was too quick for this story"
-    assert office.postings.recovery.stage is Stage.LIVES, "what members of another core told goes on to count"
+    assert not gatekeeper.replica.votes, "it was too quick for this story"
+    assert gatekeeper.reconfiguration.recovery.stage is Stage.LIVES, (
+        "what members of another core told goes on to count"
+    )
     world.caught_up(within=14.0)
     world.run(6.0)
-    cores = {(o.follower.core.epoch, len(o.follower.core.all)) for o in world.offices() if o.follower.core}
-    assert cores == {(before + 2, 7)} and office.keeper.values["core"].version == before + 2
+    cores = {
+        (o.subscriber.core.epoch, len(o.subscriber.core.all))
+        for o in world.gatekeepers()
+        if o.subscriber.core
+    }
+    assert cores == {(before + 2, 7)} and gatekeeper.replica.values["core"].version == before + 2
 
 
 def a_difference_is_enough() -> None:
@@ -263,8 +274,12 @@
     world.changes(2, 5)
     world.received[5] = 0
     world.changes(4, 4, 1.2)
-    office = world.nodes[5].office
-    assert office is not None and office.orders is not None and office.orders.version == world.acknowledged
+    gatekeeper = world.nodes[5].gatekeeper
+    assert (
+        gatekeeper is not None
+        and gatekeeper.configuration is not None
+        and gatekeeper.configuration.version == world.acknowledged
+    )
     whole, a_change = len(encoded({"t": "", "v": long(1)})), world.received[5] / 4
     assert a_change < 0.5 * whole, f"{a_change} bytes a change; whole {whole}"
 
@@ -285,7 +300,7 @@
 )
 @pytest.mark.usefixtures("in_pieces")
 def test_among_the_pieces(story: Callable[[], None], monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(postings, "JOINED_S", 2.0)
+    monkeypatch.setattr(reconfiguration, "JOINED_S", 2.0)
     story()
 
 
@@ -293,7 +308,7 @@
 
 
 def hasty(monkeypatch: pytest.MonkeyPatch) -> None:
-    """A keeper that recovers does not wait for the long values."""
+    """A replica that recovers does not wait for the long values."""
     whole = Recovery.take
 
     def take(self: Recovery, now: float, sender: str, message: dict[str, Any]) -> None:
@@ -314,7 +329,7 @@
 
 def forgetful(monkeypatch: pytest.MonkeyPatch) -> None:
     """A text whose pieces are handed out is not kept when it changes."""
-    monkeypatch.setattr(pieces, "PIN_CHANGES", -1)
+    monkeypatch.setattr(chunks, "PIN_CHANGES", -1)
 
 
 def wholesale(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -351,7 +366,7 @@
     said: str,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(postings, "JOINED_S", 2.0)
+    monkeypatch.setattr(reconfiguration, "JOINED_S", 2.0)
     fault(monkeypatch)
     with pytest.raises(AssertionError, match=said):
         story()
@@ -366,7 +381,7 @@
 
 
 def fetched(before: Value, value: Value, held: Value, spoil: Callable[[Offer], Offer]) -> Any:
-    """What a process ends with that has `held` under the stamp of `before`, which the keeper had."""
+    """What a process ends with that has `held` under the stamp of `before`, which the replica had."""
     archive, arrivals = Archive(), Arrivals()
     archive.replaced("k", before, value)
     offer = archive.offer("k", value, held.stamp)
@@ -380,12 +395,12 @@
 @given(TEXTS, TEXTS)
 @settings(max_examples=150, deadline=None)
 def test_a_difference_gives_the_later_text_and_nothing_else(old: str, new: str) -> None:
-    steps = differences.difference(old, new, 10**6)
+    steps = deltas.difference(old, new, 10**6)
     assert steps is not None
     steps = json.loads(json.dumps(steps))
-    assert differences.followed(old, [steps], len(new), digest_of(new)) == Ok(new)
+    assert deltas.followed(old, [steps], len(new), digest_of(new)) == Ok(new)
     if old != new:
-        match differences.followed(new + "x", [steps], len(new), digest_of(new)):
+        match deltas.followed(new + "x", [steps], len(new), digest_of(new)):
             case Ok(text):
                 assert text == new  # it took from a wrong base what is the same there
             case Err(_):
@@ -409,21 +424,21 @@
 
 
 def test_a_digest_that_is_not_looked_at_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(differences, "digest_of", lambda text: "same")
-    monkeypatch.setattr(pieces, "digest_of", lambda text: "same")
+    monkeypatch.setattr(deltas, "digest_of", lambda text: "same")
+    monkeypatch.setattr(chunks, "digest_of", lambda text: "same")
     with pytest.raises(AssertionError):
         test_a_garbled_difference_ends_in_the_whole()
 
 
-def test_what_a_keeper_keeps_of_earlier_texts_is_bounded() -> None:
-    made = Keeper({"core": Value(2, "", "{}"), "config": Value(1, "", long(1))}, False)
+def test_what_a_replica_keeps_of_earlier_texts_is_bounded() -> None:
+    made = Replica({"core": Value(2, "", "{}"), "config": Value(1, "", long(1))}, False)
     for version in range(2, 400):
         made._keep({"config": Value(version, "", long(version))})
         asked = {"t": "piece?", "r": "f", "e": 2, "k": "config", "s": [version, ""], "o": 0}
         made.handle("somebody", asked)  # and never for the next
     (chain,) = made.archive._chains.values()
-    assert sum(earlier.size for earlier in chain) <= pieces.CHAIN and len(chain) > 100
-    assert len(made.archive._pins) <= pieces.PINNED
+    assert sum(earlier.size for earlier in chain) <= chunks.CHAIN and len(chain) > 100
+    assert len(made.archive._pins) <= chunks.PINNED
 
 
 # ---- the disk --------------------------------------------------------------------------------------
--- a/tests/test_post_claim_search.py
+++ b/tests/test_claim_search.py
@@ -1,5 +1,5 @@
 """Claims of one number while the core changes and a disk is lost, in every order that chance brings: the very
-keepers, clerks, postings and recovery on the table of test_post_core_search.py.
+replicas, coordinators, reconfiguration and recovery on the table of test_core_search.py.
 """
 
 from collections.abc import Callable
@@ -8,11 +8,11 @@
 
 import pytest
 
-from millfront.register.coordinator import Clerk, Phase, Round
-from millfront.register.replica import Keeper, Voting
+from millfront.register.coordinator import Coordinator, Phase, Round
+from millfront.register.replica import Replica, Voting
 from millfront.register.values import CLAIM, CORE, Core, Message, Value, claim_key
-from tests.post_register import Recovery
-from tests.test_post_core_search import OLD, Table, found
+from tests.register_model import Recovery
+from tests.test_core_search import OLD, Table, found
 
 KEY = claim_key(7)
 
@@ -28,12 +28,14 @@
         self.lives = 0
 
     def claim(self, name: str, tries: int = 6) -> None:
-        clerk = Clerk(name)
+        coordinator = Coordinator(name)
 
         def ballot(core: Core, height: int) -> None:
             nonlocal tries
             tries -= 1
-            self.start(clerk, clerk.decide(self.now, core, height, f"digest {name}", 30.0, KEY), ended)
+            self.start(
+                coordinator, coordinator.decide(self.now, core, height, f"digest {name}", 30.0, KEY), ended
+            )
 
         def ended(round: Round) -> None:
             if round.phase is Phase.DONE:
@@ -43,24 +45,24 @@
 
         ballot(OLD, 1)
 
-    def answer(self, clerk: Any, name: str, message: Message) -> None:
+    def answer(self, coordinator: Any, name: str, message: Message) -> None:
         newer = Core.of(Value.of(message["core"])) if "core" in message else None
-        if isinstance(clerk, Recovery):
-            if clerk is self.recovery:
-                self.told(clerk, name, message, newer)
+        if isinstance(coordinator, Recovery):
+            if coordinator is self.recovery:
+                self.told(coordinator, name, message, newer)
             return
-        for _, round, _ in [entry for entry in self.open if entry[0] is clerk]:
+        for _, round, _ in [entry for entry in self.open if entry[0] is coordinator]:
             if (
                 newer and round.decides != CORE and round.core.epoch < newer.epoch
-            ):  # as `Office._move` does it
-                clerk.renew(round, newer)
-                self.drive(clerk, round)
-        super().answer(clerk, name, message)
+            ):  # as `Gatekeeper._move` does it
+                coordinator.renew(round, newer)
+                self.drive(coordinator, round)
+        super().answer(coordinator, name, message)
 
     # ---- a lost disk -----------------------------------------------------------------------------
 
     def wipe(self, name: str) -> None:
-        self.keepers[name], self.syncs[name] = Keeper({}, False), []
+        self.replicas[name], self.syncs[name] = Replica({}, False), []
         self.lost = name
         self.recover(OLD)
 
@@ -73,9 +75,9 @@
             self.recover(newer)
             return
         for persist in recovery.take(name, message):
-            keeper = self.keepers[self.lost]
-            keeper.synced(persist, True)
-            keeper.recovered()
+            replica = self.replicas[self.lost]
+            replica.synced(persist, True)
+            replica.recovered()
             self.recovery = None
 
     def ask(self) -> None:
@@ -90,19 +92,19 @@
     # ---- what is played --------------------------------------------------------------------------
 
     def check(self) -> None:
-        whole, self.keepers = (
-            self.keepers,
-            {n: k for n, k in self.keepers.items() if k.state is Voting.VOTING},
+        whole, self.replicas = (
+            self.replicas,
+            {n: k for n, k in self.replicas.items() if k.state is Voting.VOTING},
         )
         super().check()
-        self.keepers = whole
+        self.replicas = whole
         assert len({digest for _, digest in self.chosen}) <= 1, "two documents of one number"
 
     def play(self) -> None:
         wiped_at, wiped = self.chance.randrange(400), self.chance.choice("abc")
         for step in range(700):
             if step in (10, 80):
-                self.office("pq"[step > 10], "bcd" if step == 10 else "acd")
+                self.gatekeeper("pq"[step > 10], "bcd" if step == 10 else "acd")
             if step == wiped_at:
                 self.wipe(wiped)
             if step in (3, 4, 150, 420):
@@ -121,24 +123,24 @@
 
 def uncarried(monkeypatch: pytest.MonkeyPatch) -> None:
     """Claims are not carried over to the new core."""
-    whole = Clerk._found
+    whole = Coordinator._found
 
-    def found(self: Clerk, round: Round, wire: dict[str, Any]) -> None:
+    def found(self: Coordinator, round: Round, wire: dict[str, Any]) -> None:
         whole(self, round, {key: value for key, value in wire.items() if not key.startswith(CLAIM)})
 
-    monkeypatch.setattr(Clerk, "_found", found)
+    monkeypatch.setattr(Coordinator, "_found", found)
 
 
 def unsure(monkeypatch: pytest.MonkeyPatch) -> None:
     """A claim that the core changed under goes on with what it was told by the old one."""
-    whole = Clerk.renew
+    whole = Coordinator.renew
 
-    def renew(self: Clerk, round: Round, core: Core) -> None:
+    def renew(self: Coordinator, round: Round, core: Core) -> None:
         before = round.phase, round.proposal, round.found, round.promised
         whole(self, round, core)
         round.phase, round.proposal, round.found, round.promised = before
 
-    monkeypatch.setattr(Clerk, "renew", renew)
+    monkeypatch.setattr(Coordinator, "renew", renew)
 
 
 @pytest.mark.parametrize("fault", [uncarried, unsure])
--- a/tests/test_post_claims.py
+++ b/tests/test_claims.py
@@ -8,13 +8,12 @@
 import pytest
 
 from millfront.control.configuration import digest_of
-from millfront.register import replica as keeper
-from millfront.register import values
-from millfront.register.coordinator import Clerk, Phase
-from millfront.register.replica import Keeper
+from millfront.register import replica, values
+from millfront.register.coordinator import Coordinator, Phase
+from millfront.register.replica import Replica
 from millfront.register.values import CLAIM, CONFIG, Core, Value, claim_key
 from millfront.storage.disk import Disk
-from tests.post_world import World, document
+from tests.system_world import World, document
 
 
 def founded(seed: int = 1, spares: int = 0) -> World:
@@ -47,7 +46,9 @@
         assert Counter(told) == {200: 1, 409: 1}
         won = told.index(200)
         assert digest_of(texts[won]) in calls[1 - won][0][1] and f"{version:08x}" in calls[1 - won][0][1]
-        held = {office.orders.text for office in world.offices() if office.orders}
+        held = {
+            gatekeeper.configuration.text for gatekeeper in world.gatekeepers() if gatekeeper.configuration
+        }
         assert held == {texts[won]}, "the refused one is in force somewhere"
         assert put(world, (version + 5) % 7, texts[won], 5.0) == 200, "sent again and not confirmed"
         assert put(world, (version + 5) % 7, texts[1 - won], 5.0) == 409
@@ -75,7 +76,7 @@
     world.nodes[1].start()
     world.nodes[7].start()
     world.run(14.0)
-    core = world.nodes[5].office.follower.core  # type: ignore[union-attr]
+    core = world.nodes[5].gatekeeper.subscriber.core  # type: ignore[union-attr]
     assert core is not None and world.nodes[7].name in core.members
     world.nodes[0].wipe()
     world.power_off().run(8.0)
@@ -103,28 +104,28 @@
 
 
 def test_a_promise_that_is_not_kept_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
-    whole = Keeper._ballot
+    whole = Replica._ballot
 
-    def faithless(self: Keeper, *how: Any) -> Any:
+    def faithless(self: Replica, *how: Any) -> Any:
         for key in [key for key in self.values if key.startswith(CLAIM)]:
             del self.values[key]  # whose a number is is forgotten at once
         return whole(self, *how)
 
-    monkeypatch.setattr(Keeper, "_ballot", faithless)
-    monkeypatch.setattr(Keeper, "_accepted", lambda self, key: None)
-    monkeypatch.setattr(Keeper, "_won", lambda self, key: None)
+    monkeypatch.setattr(Replica, "_ballot", faithless)
+    monkeypatch.setattr(Replica, "_accepted", lambda self, key: None)
+    monkeypatch.setattr(Replica, "_won", lambda self, key: None)
     with pytest.raises(AssertionError):
         test_of_two_operators_under_one_number_one_is_confirmed_and_the_other_is_told_who_won()
 
 
 def test_whose_a_number_is_is_told_once_a_majority_has_answered_and_no_acceptance_counts_against_it() -> None:
-    clerk = Clerk("x")
+    coordinator = Coordinator("x")
     core = Core(2, {name: name for name in "abcd"})
-    round = clerk.decide(0.0, core, 1, "mine", 4.0, claim_key(7))
+    round = coordinator.decide(0.0, core, 1, "mine", 4.0, claim_key(7))
 
     def hear(sender: str, kind: str, **more: str) -> Phase:
         ref = f"{round.ref}/{round.phase.value}"
-        clerk.take(0.0, sender, {"t": kind, "r": ref, "l": {}} | more)
+        coordinator.take(0.0, sender, {"t": kind, "r": ref, "l": {}} | more)
         return round.phase
 
     assert [hear(name, "promised") for name in "abc"][-1] is Phase.ACCEPTING
@@ -134,7 +135,7 @@
 
 
 def test_claims_are_bounded_and_a_forgotten_number_is_acknowledged(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(keeper, "CLAIMS", 16)
+    monkeypatch.setattr(replica, "CLAIMS", 16)
     world = founded()
     for version in range(2, 60):
         assert put(world, version % 7, document(version), 0.7) == 200
--- a/tests/test_post_control_calls.py
+++ b/tests/test_control_calls.py
@@ -1,5 +1,5 @@
 """An answer counts for the call that it answers alone: none of another life of this process, of another
-round, phase or core, or of a sender who is no member. The very clerks and offices."""
+round, phase or core, or of a sender who is no member. The very coordinators and gatekeepers."""
 
 from collections.abc import Callable
 from itertools import count
@@ -8,20 +8,20 @@
 import pytest
 
 from millfront.control.delivery import LEASE_SHARE
-from millfront.gatekeeper.node import Office
-from millfront.register.coordinator import Clerk, Phase, Round
+from millfront.gatekeeper.node import Gatekeeper
+from millfront.register.coordinator import Coordinator, Phase, Round
 from millfront.register.reconfiguration import Founding
 from millfront.register.replica import Voting
 from millfront.register.values import CONFIG, CORE, Core, Value
-from tests.post_world import Node, World, document
+from tests.system_world import Node, World, document
 
 OLD, NEW = (Core(epoch, dict.fromkeys("abc", "")) for epoch in (2, 3))
 Message = dict[str, Any]
 
 
-def asked(clerk: Clerk, round: Round, now: float = 0.0) -> Message:
+def asked(coordinator: Coordinator, round: Round, now: float = 0.0) -> Message:
     """What the round sends to everybody now."""
-    out = clerk.drive(now, round)
+    out = coordinator.drive(now, round)
     assert {name for name, _ in out} == set("abc")
     return out[0][1]
 
@@ -34,12 +34,13 @@
     return {CONFIG: Value(version, "", "").wire()}
 
 
-# ---- a clerk's rounds ----------------------------------------------------------------------------------
+# ---- a coordinator's rounds
+# ----------------------------------------------------------------------------------
 
 
 def another_life() -> bool:
     """Two lives of one process: their rounds have no reference in common."""
-    first, second = (Clerk(f"n.7.{seed}") for seed in (1, 2))
+    first, second = (Coordinator(f"n.7.{seed}") for seed in (1, 2))
     call = asked(first, first.read(0.0, OLD, None, 9.0))
     round = second.read(0.0, OLD, None, 9.0)
     asked(second, round)
@@ -48,66 +49,66 @@
 
 
 def another_round() -> bool:
-    clerk = Clerk("n")
-    call = asked(clerk, clerk.write(0.0, OLD, {CONFIG: Value(1, "", "")}, 9.0))
-    round = clerk.write(0.0, OLD, {CONFIG: Value(2, "", "")}, 9.0)
-    asked(clerk, round)
-    clerk.take(0.0, "a", told(call, "stored"))
+    coordinator = Coordinator("n")
+    call = asked(coordinator, coordinator.write(0.0, OLD, {CONFIG: Value(1, "", "")}, 9.0))
+    round = coordinator.write(0.0, OLD, {CONFIG: Value(2, "", "")}, 9.0)
+    asked(coordinator, round)
+    coordinator.take(0.0, "a", told(call, "stored"))
     return round.answered == {}
 
 
 def another_epoch() -> bool:
-    clerk = Clerk("n")
-    round = clerk.write(0.0, OLD, {CONFIG: Value(1, "", "")}, 9.0)
-    call = asked(clerk, round)
-    clerk.renew(round, NEW)
-    asked(clerk, round, 1.0)
+    coordinator = Coordinator("n")
+    round = coordinator.write(0.0, OLD, {CONFIG: Value(1, "", "")}, 9.0)
+    call = asked(coordinator, round)
+    coordinator.renew(round, NEW)
+    asked(coordinator, round, 1.0)
     for sender in "abc":
-        clerk.take(1.0, sender, told(call, "stored"))
+        coordinator.take(1.0, sender, told(call, "stored"))
     return round.answered == {} and round.phase is Phase.WRITING
 
 
 def a_read_in_its_write_back() -> bool:
-    clerk = Clerk("n")
-    round = clerk.read(0.0, OLD, None, 9.0)
-    call = asked(clerk, round)
-    clerk.take(0.0, "a", told(call, "found", v=values(1)))
-    clerk.take(0.0, "b", told(call, "found", v=values(2)))
-    asked(clerk, round, 1.0)
-    clerk.take(1.0, "c", told(call, "found", v=values(3)))
-    clerk.take(1.0, "c", told(call, "stored"))
+    coordinator = Coordinator("n")
+    round = coordinator.read(0.0, OLD, None, 9.0)
+    call = asked(coordinator, round)
+    coordinator.take(0.0, "a", told(call, "found", v=values(1)))
+    coordinator.take(0.0, "b", told(call, "found", v=values(2)))
+    asked(coordinator, round, 1.0)
+    coordinator.take(1.0, "c", told(call, "found", v=values(3)))
+    coordinator.take(1.0, "c", told(call, "stored"))
     return round.phase is Phase.WRITING and round.answered == {} and round.values[CONFIG].version == 2
 
 
 def a_promise_among_acceptances() -> bool:
-    clerk = Clerk("n")
-    round = clerk.decide(0.0, OLD, 1, "x", 9.0)
-    call = asked(clerk, round)
+    coordinator = Coordinator("n")
+    round = coordinator.decide(0.0, OLD, 1, "x", 9.0)
+    call = asked(coordinator, round)
     for sender in "ab":
-        clerk.take(0.0, sender, told(call, "promised"))
-    asked(clerk, round, 1.0)
+        coordinator.take(0.0, sender, told(call, "promised"))
+    asked(coordinator, round, 1.0)
     for sender in "abc":
-        clerk.take(1.0, sender, told(call, "promised"))
-        clerk.take(1.0, sender, told(call, "accepted"))
-    clerk.take(1.0, "c", told(call, "no", b=5))  # to the promise: of the acceptances it says nothing
+        coordinator.take(1.0, sender, told(call, "promised"))
+        coordinator.take(1.0, sender, told(call, "accepted"))
+    coordinator.take(1.0, "c", told(call, "no", b=5))  # to the promise: of the acceptances it says nothing
     return round.phase is Phase.ACCEPTING and round.answered == {}
 
 
 def no_member() -> bool:
-    clerk = Clerk("n")
-    round = clerk.write(0.0, OLD, {CONFIG: Value(1, "", "")}, 9.0)
-    call = asked(clerk, round)
+    coordinator = Coordinator("n")
+    round = coordinator.write(0.0, OLD, {CONFIG: Value(1, "", "")}, 9.0)
+    call = asked(coordinator, round)
     for sender in "xyz":
-        clerk.take(0.0, sender, told(call, "stored"))
+        coordinator.take(0.0, sender, told(call, "stored"))
     return round.answered == {} and round.phase is Phase.WRITING
 
 
 def one_member_twice() -> bool:
-    clerk = Clerk("n")
-    round = clerk.write(0.0, OLD, {CONFIG: Value(1, "", "")}, 9.0)
-    call = asked(clerk, round)
+    coordinator = Coordinator("n")
+    round = coordinator.write(0.0, OLD, {CONFIG: Value(1, "", "")}, 9.0)
+    call = asked(coordinator, round)
     for _ in range(2):
-        clerk.take(0.0, "a", told(call, "stored"))
+        coordinator.take(0.0, "a", told(call, "stored"))
     return round.phase is Phase.WRITING
 
 
@@ -129,28 +130,30 @@
 
 def any_ref(patch: pytest.MonkeyPatch) -> None:
     """Whatever comes is for the round that is open."""
-    patch.setattr(Clerk, "round_of", lambda self, _: [*self.rounds.values()][-1] if self.rounds else None)
+    patch.setattr(
+        Coordinator, "round_of", lambda self, _: [*self.rounds.values()][-1] if self.rounds else None
+    )
 
 
 def any_phase(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Clerk, "round_of", lambda self, ref: self.rounds.get(str(ref).rpartition("/")[0]))
+    patch.setattr(Coordinator, "round_of", lambda self, ref: self.rounds.get(str(ref).rpartition("/")[0]))
 
 
 def same_ref(patch: pytest.MonkeyPatch) -> None:
     """A round that begins anew keeps its reference."""
 
-    def renew(self: Clerk, round: Round, core: Core) -> None:
+    def renew(self: Coordinator, round: Round, core: Core) -> None:
         round.core, round.answered, round.sent = core, {}, {}
 
-    patch.setattr(Clerk, "renew", renew)
+    patch.setattr(Coordinator, "renew", renew)
 
 
 def anybody(patch: pytest.MonkeyPatch) -> None:
     """Whoever answers is a member."""
-    whole = Clerk.take
+    whole = Coordinator.take
     senders = count()
     patch.setattr(
-        Clerk, "take", lambda self, now, _, message: whole(self, now, "abc"[next(senders) % 3], message)
+        Coordinator, "take", lambda self, now, _, message: whole(self, now, "abc"[next(senders) % 3], message)
     )
 
 
@@ -173,7 +176,8 @@
     assert not drops()
 
 
-# ---- offices: what they follow, recover and found --------------------------------------------------------
+# ---- gatekeepers: what they follow, recover and found
+# --------------------------------------------------------
 
 
 class Ear:
@@ -197,18 +201,18 @@
 
 
 def settled() -> tuple[World, Node]:
-    """Three machines with a disk and one without, whose member or follower is looked at."""
+    """Three machines with a disk and one without, whose member or subscriber is looked at."""
     world = World(4, 3, 3).start().run(5.0)
     assert world.put(0, document(4)) is not None
     world.run(3.0)
     return world, world.nodes[0]
 
 
-def hear(node: Node, sender: str, message: Message) -> Office:
-    office = node.office
-    assert office is not None
-    office.message(node.now(), "10.0.0.9:1", message | {"m": sender})
-    return office
+def hear(node: Node, sender: str, message: Message) -> Gatekeeper:
+    gatekeeper = node.gatekeeper
+    assert gatekeeper is not None
+    gatekeeper.message(node.now(), "10.0.0.9:1", message | {"m": sender})
+    return gatekeeper
 
 
 def alone(world: World, node: Node) -> None:
@@ -221,37 +225,40 @@
     world, node = settled()
     ear = Ear(node, monkeypatch)
     refs = ear.refs("ask") if world.run(3.0) else []
-    assert node.office is not None
-    stamps = {key: value.stamp for key, value in node.office.follower.values.items()}
+    assert node.gatekeeper is not None
+    stamps = {key: value.stamp for key, value in node.gatekeeper.subscriber.values.items()}
     node.slow_by += 50.0
     node.kill()
     alone(world, node)
     node.start()
     world.run(0.4)
-    assert node.office is not None and node.office.follower.core is not None
+    assert node.gatekeeper is not None and node.gatekeeper.subscriber.core is not None
     mine = ear.refs("ask")[-1]
-    office, epoch = node.office, node.office.follower.core.epoch
-    said = node.office.follower.keepers["ba-02"]
+    gatekeeper, epoch = node.gatekeeper, node.gatekeeper.subscriber.core.epoch
+    said = node.gatekeeper.subscriber.replicas["ba-02"]
     before = said.asked
     for ref in (*refs, mine.replace(f"{epoch} ", f"{epoch - 1} ", 1)):
         hear(node, "ba-02", {"t": "newest", "r": ref, "s": stamps})
-    assert said.asked == before and office.follower.lease_until() <= node.now() + office.follower.lease_s
-    assert office.follower.lease_s == LEASE_SHARE * world.bounds.revoke_within
+    assert (
+        said.asked == before
+        and gatekeeper.subscriber.lease_until() <= node.now() + gatekeeper.subscriber.lease_s
+    )
+    assert gatekeeper.subscriber.lease_s == LEASE_SHARE * world.bounds.revoke_within
     hear(node, "bb-03", {"t": "newest", "r": mine, "s": stamps})  # no member
-    assert "bb-03" not in office.follower.keepers
+    assert "bb-03" not in gatekeeper.subscriber.replicas
     hear(node, "ba-02", {"t": "newest", "r": mine, "s": stamps})
     assert said.asked > before  # and its own does
 
 
 def test_what_was_fetched_is_held_if_it_was_asked_for_here_and_now() -> None:
     world, node = settled()
-    assert node.office is not None
-    core = node.office.follower.core
+    assert node.gatekeeper is not None
+    core = node.gatekeeper.subscriber.core
     assert core is not None
-    higher = node.office.follower.values[CONFIG].version + 1
+    higher = node.gatekeeper.subscriber.values[CONFIG].version + 1
     found = {CONFIG: Value(higher, "", document(higher)).wire()}
     alone(world, node)
-    life = node.office.follower.name
+    life = node.gatekeeper.subscriber.name
     good = f"f {core.epoch} {life}"
     for sender, ref in (
         ("ba-02", "f"),
@@ -259,57 +266,61 @@
         ("ba-02", f"f {core.epoch} {life}0"),
         ("bb-03", good),
     ):
-        office = hear(node, sender, {"t": "found", "r": ref, "v": found, "l": {}})
-        assert office.follower.values[CONFIG].version < higher
+        gatekeeper = hear(node, sender, {"t": "found", "r": ref, "v": found, "l": {}})
+        assert gatekeeper.subscriber.values[CONFIG].version < higher
     hear(node, "ba-02", {"t": "found", "r": good, "v": found, "l": {}})
-    assert office.follower.values[CONFIG].version == higher
+    assert gatekeeper.subscriber.values[CONFIG].version == higher
 
 
-def test_a_keeper_recovers_from_answers_to_its_own_calls(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_replica_recovers_from_answers_to_its_own_calls(monkeypatch: pytest.MonkeyPatch) -> None:
     """A late answer would tell of the lives before one that was begun meanwhile: it would be begun twice."""
     world, node = settled()
     ear = Ear(node, monkeypatch)
 
-    def begin() -> Office:
+    def begin() -> Gatekeeper:
         world.cut = lambda a, b: False
         node.wipe()
         node.start()
         world.run(0.2)
         alone(world, node)
         world.run(2.0)
-        office = node.office
-        assert office is not None and office.keeper is not None and office.follower.core is not None
-        assert office.keeper.state is Voting.RECOVERING
-        return office
+        gatekeeper = node.gatekeeper
+        assert (
+            gatekeeper is not None
+            and gatekeeper.replica is not None
+            and gatekeeper.subscriber.core is not None
+        )
+        assert gatekeeper.replica.state is Voting.RECOVERING
+        return gatekeeper
 
     begin()
     before = ear.refs("fetch", "lives ")
-    office = begin()
+    gatekeeper = begin()
     mine = ear.refs("fetch", "lives ")
     assert not set(mine) & set(before)
-    held = {CORE: office.follower.values[CORE].wire()}
-    assert office.follower.core is not None
-    stale = mine[-1].replace(f"lives {office.follower.core.epoch} ", "lives 1 ", 1)
+    held = {CORE: gatekeeper.subscriber.values[CORE].wire()}
+    assert gatekeeper.subscriber.core is not None
+    stale = mine[-1].replace(f"lives {gatekeeper.subscriber.core.epoch} ", "lives 1 ", 1)
     for sender, ref in (("ab-01", before[-1]), ("ba-02", before[-1]), ("ab-01", stale), ("bb-03", mine[-1])):
         hear(node, sender, {"t": "found", "r": ref, "v": held, "l": {}})
-        assert office.postings.recovery._told == {}
+        assert gatekeeper.reconfiguration.recovery._told == {}
     for sender in ("ab-01", "ba-02"):
         hear(node, sender, {"t": "found", "r": mine[-1], "v": held, "l": {}})
-    assert office.postings.recovery.life == 1
+    assert gatekeeper.reconfiguration.recovery.life == 1
     ear.said = []
     world.run(2.0)
     heirs = ear.refs("recover", "heir ")
     hear(node, "ab-01", {"t": "found", "r": mine[-1], "v": held, "l": {}})  # to the step before
-    assert office.postings.recovery._told == {} and not set(heirs) & set(mine)
+    assert gatekeeper.reconfiguration.recovery._told == {} and not set(heirs) & set(mine)
 
 
 def test_a_core_is_founded_by_those_who_agreed_to_it() -> None:
     _, node = settled()
-    office = node.office
-    assert office is not None
-    office.postings.founding = Founding(OLD.value(), dict.fromkeys("abc", ""), set())
+    gatekeeper = node.gatekeeper
+    assert gatekeeper is not None
+    gatekeeper.reconfiguration.founding = Founding(OLD.value(), dict.fromkeys("abc", ""), set())
     for ref in ("found", "found another.1.2"):
         hear(node, "a", {"t": "agreed", "r": ref})
-    assert office.postings.founding.agreed == set()
-    hear(node, "a", {"t": "agreed", "r": f"found {office.clerk.name}"})
-    assert office.postings.founding.agreed == {"a"}
+    assert gatekeeper.reconfiguration.founding.agreed == set()
+    hear(node, "a", {"t": "agreed", "r": f"found {gatekeeper.coordinator.name}"})
+    assert gatekeeper.reconfiguration.founding.agreed == {"a"}
--- a/tests/test_post_core_changes.py
+++ b/tests/test_core_changes.py
@@ -6,16 +6,16 @@
 
 import pytest
 
-from millfront.register import reconfiguration as postings
+from millfront.register import reconfiguration
 from millfront.register.replica import Voting
 from millfront.register.values import CORE, Core
-from tests.post_world import World, acknowledged, document, members, voting
+from tests.system_world import World, acknowledged, document, members, voting
 
 
 @pytest.fixture(autouse=True)
 def soon(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(postings, "JOINED_S", 2.0)
-    monkeypatch.setattr(postings, "RELIEVED_S", 8.0)
+    monkeypatch.setattr(reconfiguration, "JOINED_S", 2.0)
+    monkeypatch.setattr(reconfiguration, "RELIEVED_S", 8.0)
 
 
 def founded(n: int = 7, disks: int = 4, seed: int = 1, spares: int = 1) -> World:
@@ -60,11 +60,11 @@
     world.run(18.0)
     assert (0, 1, 3) in members(world) and acknowledged(world, 5, 6)
     node = world.nodes[2]
-    assert node.office is not None and not node.office.trusted(node.now())
+    assert node.gatekeeper is not None and not node.gatekeeper.trusted(node.now())
     dark = False
     world.run(14.0)
     assert members(world) == {(0, 1, 2, 3)}
-    assert node.office.orders is not None and node.office.orders.version == 6
+    assert node.gatekeeper.configuration is not None and node.gatekeeper.configuration.version == 6
 
 
 def test_a_core_without_a_majority_relieves_nobody() -> None:
@@ -83,16 +83,16 @@
     for number in (7, 8):
         world.nodes[number].start()
     world.run(1.0)
-    core = world.nodes[0].office.follower.core  # type: ignore[union-attr]
+    core = world.nodes[0].gatekeeper.subscriber.core  # type: ignore[union-attr]
     assert core is not None
     for number, joins in ((0, 7), (3, 8)):
-        office, node = world.nodes[number].office, world.nodes[joins]
-        assert office is not None
+        gatekeeper, node = world.nodes[number].gatekeeper, world.nodes[joins]
+        assert gatekeeper is not None
         to = core.members | {node.name: node.address}
-        round = office.clerk.decide(
-            office.now, core, 1, Core(core.epoch + 1, to, core.members).value().data, 3.0
+        round = gatekeeper.coordinator.decide(
+            gatekeeper.now, core, 1, Core(core.epoch + 1, to, core.members).value().data, 3.0
         )
-        office.start(office.now, round, office.postings._decided)
+        gatekeeper.start(gatekeeper.now, round, gatekeeper.reconfiguration._decided)
     world.run(14.0)
     assert members(world) == {(0, 1, 2, 3, 7, 8)}
     assert acknowledged(world, 5, 3)
@@ -103,18 +103,22 @@
     world.nodes[7].start()
     for _ in range(400):
         world.run(0.02)
-        busy = [n for n in world.nodes if n.office and n.office.postings.change is postings.Change.CARRYING]
+        busy = [
+            n
+            for n in world.nodes
+            if n.gatekeeper and n.gatekeeper.reconfiguration.change is reconfiguration.Change.CARRYING
+        ]
         if busy:
             break
     busy[0].kill()
     world.run(14.0)
     assert len(members(world)) == 1 and all(
-        not o.follower.core.old for o in world.offices() if o.follower.core
+        not o.subscriber.core.old for o in world.gatekeepers() if o.subscriber.core
     )
     assert acknowledged(world, 5, 3)
 
 
-def test_a_keeper_that_recovers_and_is_killed_meanwhile_still_does_not_vote() -> None:
+def test_a_replica_that_recovers_and_is_killed_meanwhile_still_does_not_vote() -> None:
     world = founded(spares=0)
     node = world.nodes[2]
     node.wipe()
@@ -122,8 +126,8 @@
     for _ in range(3):
         node.start()
         world.run(2.0)
-        assert node.office is not None and node.office.keeper is not None
-        assert node.office.keeper.state is Voting.RECOVERING
+        assert node.gatekeeper is not None and node.gatekeeper.replica is not None
+        assert node.gatekeeper.replica.state is Voting.RECOVERING
         node.kill()
 
 
@@ -138,7 +142,7 @@
     seen: dict[int, set[str]] = defaultdict(set)
     disks = [node for node in world.nodes if node.disk is not None]
     for _ in range(30):
-        up = [node for node in world.nodes if node.office]
+        up = [node for node in world.nodes if node.gatekeeper]
         match chance.choice(("put", "put", "cut", "join", "kill", "spare", "spare", "wipe", "all")):
             case "put":
                 version += chance.randrange(1, 4)
@@ -154,18 +158,18 @@
                 node.start()
             case "spare":  # one with a disk comes, or goes for as long as it may
                 node = world.nodes[chance.choice((3, 7, 8))]
-                if node.office is None:
+                if node.gatekeeper is None:
                     node.start()
                 elif sum(voting(other) for other in disks) >= 4:
                     node.kill()
             case "wipe":
-                if all(voting(node) for node in disks if node.office):
-                    node = chance.choice([node for node in disks if node.office])
+                if all(voting(node) for node in disks if node.gatekeeper):
+                    node = chance.choice([node for node in disks if node.gatekeeper])
                     node.wipe()
                     world.run(0.3)
                     node.start()
             case "all":
-                down = [node for node in disks if node.office]
+                down = [node for node in disks if node.gatekeeper]
                 for node in down:
                     node.kill()
                 world.run(0.5)
@@ -183,9 +187,12 @@
     island = set()
     world.loss = world.lost_answers = 0.0
     for node in world.nodes:
-        if node.office is None:
+        if node.gatekeeper is None:
             node.start()
     world.run(16.0)
     assert int(world.read(6)["revision"], 16) >= held
     assert len(members(world)) == 1
-    assert all(office.orders and office.orders.version >= held for office in world.offices())
+    assert all(
+        gatekeeper.configuration and gatekeeper.configuration.version >= held
+        for gatekeeper in world.gatekeepers()
+    )
--- a/tests/test_post_core_search.py
+++ b/tests/test_core_search.py
@@ -1,5 +1,7 @@
-"""A change of the core in every order that chance brings: the very keepers, clerks and postings, whose calls,
-answers and syncs come late, twice or never, while orders are written and two offices propose other members.
+"""A change of the core in every order that chance brings: the very replicas, coordinators and
+reconfiguration, whose calls,
+answers and syncs come late, twice or never, while orders are written and two gatekeepers propose other
+members.
 """
 
 import random
@@ -10,10 +12,9 @@
 
 import pytest
 
-from millfront.register import reconfiguration as postings
-from millfront.register import values
-from millfront.register.coordinator import Clerk, Phase, Round
-from millfront.register.replica import Keeper, Persist
+from millfront.register import reconfiguration, values
+from millfront.register.coordinator import Coordinator, Phase, Round
+from millfront.register.replica import Persist, Replica
 from millfront.register.values import CORE, Core, Value
 
 CONFIG = "config"
@@ -21,27 +22,28 @@
 
 
 class Table:
-    """Keepers a, b and c of the old core, and d, which was of an earlier one and holds nothing else."""
+    """Replicas a, b and c of the old core, and d, which was of an earlier one and holds nothing else."""
 
     def __init__(self, seed: int) -> None:
         self.chance = random.Random(seed)
         self.now = 0.0
-        self.keepers = {name: Keeper({CORE: OLD.value()}, False) for name in "abcd"}
+        self.replicas = {name: Replica({CORE: OLD.value()}, False) for name in "abcd"}
         self.cores = {2: OLD}
         self.acknowledged = 0
         self.pool: list[Callable[[], None]] = []  # calls and answers on their way
-        self.syncs: dict[str, list[Persist]] = {name: [] for name in self.keepers}
-        self.open: list[tuple[Clerk, Round, Callable[[Round], None]]] = []
+        self.syncs: dict[str, list[Persist]] = {name: [] for name in self.replicas}
+        self.open: list[tuple[Coordinator, Round, Callable[[Round], None]]] = []
 
-    # ---- what an office does for its clerk ---------------------------------------------------------
+    # ---- what a gatekeeper does for its coordinator
+    # ---------------------------------------------------------
 
-    def start(self, clerk: Clerk, round: Round, then: Callable[[Round], None]) -> None:
-        self.open.append((clerk, round, then))
-        self.drive(clerk, round)
+    def start(self, coordinator: Coordinator, round: Round, then: Callable[[Round], None]) -> None:
+        self.open.append((coordinator, round, then))
+        self.drive(coordinator, round)
 
-    def drive(self, clerk: Clerk, round: Round) -> None:
-        for name, message in clerk.drive(self.now, round):
-            self.send(partial(self.call, clerk, name, message))
+    def drive(self, coordinator: Coordinator, round: Round) -> None:
+        for name, message in coordinator.drive(self.now, round):
+            self.send(partial(self.call, coordinator, name, message))
         for entry in [entry for entry in self.open if entry[1] is round]:
             if round.phase in (Phase.DONE, Phase.FAILED):
                 self.open.remove(entry)
@@ -51,67 +53,67 @@
         copies = self.chance.choices((1, 0, 2), (8, 1, 1))[0]
         self.pool += [step] * copies
 
-    def call(self, clerk: Clerk, name: str, message: dict[str, Any]) -> None:
-        answers, persists = self.keepers[name].handle((clerk, name), dict(message))
+    def call(self, coordinator: Coordinator, name: str, message: dict[str, Any]) -> None:
+        answers, persists = self.replicas[name].handle((coordinator, name), dict(message))
         self.syncs[name] += persists
         for to, answer in answers:
             self.send(partial(self.answer, to[0], to[1], answer))
 
     def sync(self, name: str) -> None:
         persist = self.syncs[name].pop(0)
-        keeper = self.keepers[name]
-        for to, answer in keeper.synced(persist, True):
+        replica = self.replicas[name]
+        for to, answer in replica.synced(persist, True):
             self.send(partial(self.answer, to[0], to[1], answer))
-        core = Core.of(keeper.values[CORE])
+        core = Core.of(replica.values[CORE])
         assert self.cores.setdefault(core.epoch, core) == core, "two cores in one epoch"
 
-    def answer(self, clerk: Clerk, name: str, message: dict[str, Any]) -> None:
+    def answer(self, coordinator: Coordinator, name: str, message: dict[str, Any]) -> None:
         if "core" in message:
             newer = Core.of(Value.of(message["core"]))
-            for _, round, _ in [entry for entry in self.open if entry[0] is clerk]:
+            for _, round, _ in [entry for entry in self.open if entry[0] is coordinator]:
                 if CONFIG in round.values and round.core.epoch < newer.epoch and CORE not in round.values:
-                    clerk.renew(round, newer)
-                    self.drive(clerk, round)
-        if (turned := clerk.take(self.now, name, message)) is not None:
-            self.drive(clerk, turned)
+                    coordinator.renew(round, newer)
+                    self.drive(coordinator, round)
+        if (turned := coordinator.take(self.now, name, message)) is not None:
+            self.drive(coordinator, turned)
 
     # ---- what is played --------------------------------------------------------------------------
 
-    def office(self, name: str, to: str) -> None:
-        """One whose postings try to change the core to these."""
-        clerk = Clerk(name)
+    def gatekeeper(self, name: str, to: str) -> None:
+        """One whose reconfiguration try to change the core to these."""
+        coordinator = Coordinator(name)
         table, tries = self, 0
 
         class Stub:
-            born, doors = 0.0, SimpleNamespace(say=lambda *_: None)
-            neighbours = SimpleNamespace(others=list)
+            born, io = 0.0, SimpleNamespace(say=lambda *_: None)
+            membership = SimpleNamespace(others=list)
 
             def __init__(self) -> None:
-                self.clerk = clerk
+                self.coordinator = coordinator
 
             @property
             def now(self) -> float:
                 return table.now
 
             def start(self, now: float, round: Round, then: Callable[[Round], None]) -> None:
-                table.start(clerk, round, then)
+                table.start(coordinator, round, then)
 
-        mine = postings.Postings(Stub())  # type: ignore[arg-type]
+        mine = reconfiguration.Reconfiguration(Stub())  # type: ignore[arg-type]
 
         def decide() -> None:
             nonlocal tries
             tries += 1
             mine._number += 1
-            mine._turn(postings.Change.DECIDING)
+            mine._turn(reconfiguration.Change.DECIDING)
             proposal = Core(3, dict.fromkeys(to, ""), OLD.members).value().data
-            round = clerk.decide(self.now, OLD, mine._number, proposal, 9.0)
+            round = coordinator.decide(self.now, OLD, mine._number, proposal, 9.0)
 
             def decided(round: Round) -> None:
                 mine._decided(round)
-                if mine.change is postings.Change.NONE and tries < 3:
+                if mine.change is reconfiguration.Change.NONE and tries < 3:
                     decide()
 
-            self.start(clerk, round, decided)
+            self.start(coordinator, round, decided)
 
         decide()
 
@@ -121,9 +123,9 @@
         for epoch, core in self.cores.items():
             behind = [
                 name
-                for name, keeper in self.keepers.items()
-                if keeper.values[CORE].version == epoch
-                and keeper.values.get(CONFIG, none).version < self.acknowledged
+                for name, replica in self.replicas.items()
+                if replica.values[CORE].version == epoch
+                and replica.values.get(CONFIG, none).version < self.acknowledged
             ]
             assert not core.covers(behind), "acknowledged, and a reader is not told"
 
@@ -135,14 +137,14 @@
         elif steps:
             self.chance.choice(steps)()
         self.now += 0.02
-        for clerk, round, _ in list(self.open):
-            self.drive(clerk, round)
+        for coordinator, round, _ in list(self.open):
+            self.drive(coordinator, round)
         self.check()
 
     def play(self) -> None:
-        self.office("p", "bcd")
-        self.office("q", "acd")
-        writer = Clerk("w")
+        self.gatekeeper("p", "bcd")
+        self.gatekeeper("q", "acd")
+        writer = Coordinator("w")
 
         def written(round: Round) -> None:
             if round.phase is Phase.DONE:
@@ -173,45 +175,45 @@
 
 
 def loose(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Keepers answer calls of any epoch."""
-    whole = Keeper.handle
+    """Replicas answer calls of any epoch."""
+    whole = Replica.handle
 
-    def handle(self: Keeper, back: Any, message: dict[str, Any]) -> Any:
+    def handle(self: Replica, back: Any, message: dict[str, Any]) -> Any:
         return whole(self, back, message | {"e": self.values[CORE].version} if "e" in message else message)
 
-    monkeypatch.setattr(Keeper, "handle", handle)
+    monkeypatch.setattr(Replica, "handle", handle)
 
 
 def uncarried(monkeypatch: pytest.MonkeyPatch) -> None:
     """The new core begins without what the old one held."""
 
-    def carry(self: postings.Postings, core: Core) -> None:
+    def carry(self: reconfiguration.Reconfiguration, core: Core) -> None:
         self._write(core, Core(core.epoch + 1, core.members).value(), self._closed)
 
-    monkeypatch.setattr(postings.Postings, "_carry", carry)
+    monkeypatch.setattr(reconfiguration.Reconfiguration, "_carry", carry)
 
 
 def faithless(monkeypatch: pytest.MonkeyPatch) -> None:
     """Promises are not kept."""
-    whole = Keeper._ballot
+    whole = Replica._ballot
 
-    def ballot(self: Keeper, *how: Any) -> Any:
+    def ballot(self: Replica, *how: Any) -> Any:
         self.values.pop(values.PROMISED, None)
         return whole(self, *how)
 
-    monkeypatch.setattr(Keeper, "_ballot", ballot)
-    monkeypatch.setattr(Keeper, "_still", lambda self, key, ballot: True)
+    monkeypatch.setattr(Replica, "_ballot", ballot)
+    monkeypatch.setattr(Replica, "_still", lambda self, key, ballot: True)
 
 
 def late(monkeypatch: pytest.MonkeyPatch) -> None:
     """A store that was synced after the core changed is counted all the same."""
-    whole = Keeper.synced
+    whole = Replica.synced
 
-    def synced(self: Keeper, persist: Persist, well: bool) -> Any:
+    def synced(self: Replica, persist: Persist, well: bool) -> Any:
         persist.epoch = 0
         return whole(self, persist, well)
 
-    monkeypatch.setattr(Keeper, "synced", synced)
+    monkeypatch.setattr(Replica, "synced", synced)
 
 
 @pytest.mark.parametrize("fault", [loose, uncarried, faithless, late])
--- a/tests/test_post_calls.py
+++ b/tests/test_gatekeeper_calls.py
@@ -1,5 +1,5 @@
-"""One office on loopback between a stand-in platform, scripted servers and raw clients: what goes over each
-wire."""
+"""One gatekeeper on loopback between a stand-in platform, scripted servers and raw clients: what goes over
+each wire."""
 
 import asyncio
 import json
@@ -14,14 +14,14 @@
 
 from millfront.cli import gatekeeper as cli
 from millfront.discovery.platform_client import CloudFault, listed
-from millfront.discovery.server_list import Addresses
+from millfront.discovery.server_list import ServerList
 from millfront.environment import Bounds, Settings
-from millfront.gatekeeper import process as service
-from millfront.gatekeeper.process import Service
-from millfront.register import reconfiguration as postings
-from tests.post_world import document
+from millfront.gatekeeper import process
+from millfront.gatekeeper.process import GatekeeperProcess
+from millfront.register import reconfiguration
+from tests.system_world import document
 
-OPENAPI = Path(__file__).parent.parent / "docs" / "openapi" / "post.json"
+OPENAPI = Path(__file__).parent.parent / "docs" / "openapi" / "gatekeeper.json"
 Script = Callable[[bytes, asyncio.StreamWriter, int], Awaitable[None]]
 
 
@@ -51,7 +51,7 @@
     """The stand-ins, and what servers have seen."""
 
     def __init__(self) -> None:
-        self.service: Service
+        self.service: GatekeeperProcess
         self.seen: list[tuple[int, bytes, bytes]] = []  # server, head, body
         self.scripts: list[Script] = []
         self.instances: dict[str, Any] = {}
@@ -109,7 +109,7 @@
     async def until(self, condition: Callable[[], bool]) -> None:
         async with asyncio.timeout(5):
             while not condition():
-                self.service.office.beat(self.service.now())
+                self.service.gatekeeper.beat(self.service.now())
                 await asyncio.sleep(0)
 
 
@@ -142,26 +142,26 @@
                                          "warm_left": "0ms"}  # fmt: skip
     cloud, port = await made.platform(), free_port()
     made.plain, made.ctl = (f"127.0.0.1:{free_port()}" for _ in range(2))
-    counters = dict.fromkeys(("ctl", "lookup", "readiness"), made.ctl)
+    control_apis = dict.fromkeys(("ctl", "lookup", "readiness"), made.ctl)
     settings = Settings(
         name="n", ip="127.0.0.1", zone="aa", region="a", fresh=True, counts_loss=True,
         state_dir=str(tmp_path),
         serves=("edge", "control", "directory"), ram_mb=100, fd_limit=1000, port=port,
-        seeds=(made.ctl,), bindings={"plain": made.plain} | counters,
+        seeds=(made.ctl,), bindings={"plain": made.plain} | control_apis,
         zones={"aa": "a", "ba": "b"}, cloud=cloud, cloud_rate=9.0, cloud_lag=0.5, bounds=Bounds(),
     )  # fmt: skip
     from millfront.storage.disk import Disk
 
     disk = Disk(str(tmp_path))
     kept, _ = disk.load()
-    made.service = Service(settings, kept, disk)
+    made.service = GatekeeperProcess(settings, kept, disk)
     running = asyncio.get_running_loop().create_task(made.service.run())
     try:
         await asyncio.sleep(0)
-        made.service.office.neighbours.heard_any = True  # nobody else is there to be waited for
-        await made.until(lambda: made.service.office.follower.core is not None)
+        made.service.gatekeeper.membership.heard_any = True  # nobody else is there to be waited for
+        await made.until(lambda: made.service.gatekeeper.subscriber.core is not None)
         assert await made.put(document(1)) == 200
-        await made.until(lambda: made.service.office.ready(made.service.now()))
+        await made.until(lambda: made.service.gatekeeper.ready(made.service.now()))
         yield made
     finally:
         running.cancel()
@@ -173,8 +173,8 @@
 @pytest.fixture(autouse=True)
 def quick(monkeypatch: pytest.MonkeyPatch) -> None:
     """A core of one needs not wait for others."""
-    monkeypatch.setattr(postings, "FOUNDING_S", 0.0)
-    monkeypatch.setattr(postings, "SETTLED_S", 0.0)
+    monkeypatch.setattr(reconfiguration, "FOUNDING_S", 0.0)
+    monkeypatch.setattr(reconfiguration, "SETTLED_S", 0.0)
 
 
 async def well(head: bytes, writer: asyncio.StreamWriter, _: int) -> None:
@@ -235,12 +235,12 @@
         async with stage(tmp_path / "one", [well]) as made:
             code, told = await asyncio.to_thread(asked, made.ctl, "show", "--json")
             assert (code, json.loads(told)["roster"][0]["version"]) == (0, "00000001")
-            assert json.loads(told)["keeper"]["held"]["config"] == 1
-            code, told = await asyncio.to_thread(asked, made.ctl, "why", "--part", "registry")
+            assert json.loads(told)["replica"]["held"]["config"] == 1
+            code, told = await asyncio.to_thread(asked, made.ctl, "why", "--part", "register")
             assert code == 0 and "configuration 00000001 is in force" in told and "founds a core of 1" in told
             assert await made.put(document(8, {"t": ["key-1"]}, rate=1.0)) == 200
             assert (await made.ask("POST", "/p/a1", b"x", more=KEY))[0] == 200
-            made.service.office.franking.accounts["t"].store = -0.5  # others have let in all there was
+            made.service.gatekeeper.admission.accounts["t"].store = -0.5  # others have let in all there was
             assert (await made.ask("POST", "/p/a2", b"x", more=KEY))[0] == 429
             code, told = await asyncio.to_thread(asked, made.ctl, "tenant", "t")
             assert code == 0 and "1 with nothing left to let in" in told
@@ -249,7 +249,7 @@
             assert (await asyncio.to_thread(asked, made.ctl, "export", str(file)))[0] == 0
         async with stage(tmp_path / "two", [well]) as made:
             assert (await asyncio.to_thread(asked, made.ctl, "import", str(file)))[0] == 0
-            await made.until(lambda: made.service.office.orders.version == 9)  # type: ignore[union-attr]
+            await made.until(lambda: made.service.gatekeeper.configuration.version == 9)  # type: ignore[union-attr]
             file.write_text(file.read_text().replace("0000000", "0000001", 1))
             assert (await asyncio.to_thread(asked, made.ctl, "import", str(file)))[0] == 2
             assert (await made.ask("PUT", "/v1/register", file.read_bytes(), made.ctl))[0] == 400
@@ -292,7 +292,7 @@
             told["resources"][-1]["meta"]["name"] = "open"
             told["resources"][-1]["spec"] |= {"path_prefix": "/open/", "public": True}
             assert await made.put(json.dumps(told)) == 200
-            made.service.office.follower.keepers.clear()  # nobody confirms that this is the newest
+            made.service.gatekeeper.subscriber.replicas.clear()  # nobody confirms that this is the newest
             unknown = KEY.replace("key-1", "key-2")
             for path, key in (("/other/a1", KEY), ("/p/a1", unknown), ("/p/a1", ""), ("/p/a1", KEY)):
                 status, head, _ = await made.ask("GET", path, more=key)
@@ -316,14 +316,14 @@
             writer.write(b"POST /v1/evacuation/ba HTTP/1.1\r\nHost: a\r\n\r\n")
             await made.until(lambda: bool(held))
             writer.close()
-            await made.until(lambda: not any(counter.server.unanswered() for counter in service.counters))
+            await made.until(lambda: not any(api.server.unanswered() for api in service.control_apis))
             service.persist = sync  # type: ignore[method-assign]
             for persist in held:
                 service.persist(persist)
-            await made.until(lambda: not service.office.waiting)
-            assert not service.office.evacuated
+            await made.until(lambda: not service.gatekeeper.waiting)
+            assert not service.gatekeeper.evacuated
             assert (await made.ask("POST", "/v1/evacuation/ba", b"", made.ctl))[0] == 200
-            assert sorted(service.office.evacuated) == ["ba"]
+            assert sorted(service.gatekeeper.evacuated) == ["ba"]
 
     play(story)
 
@@ -392,7 +392,7 @@
         places = range(1, len(whole), 7)
         async with stage(tmp_path, [cut_at(at) for at in places], servers=1) as made:
             for _ in places:
-                made.service.carrier.sorting.seen["i-0"].fails = 0  # not what is looked at here
+                made.service.proxy.load_balancer.seen["i-0"].fails = 0  # not what is looked at here
                 assert (await made.ask("POST", "/p/b7", b"order", more=KEY))[0] == 502
 
     play(story)
@@ -414,11 +414,11 @@
     async def story() -> None:
         async with stage(tmp_path, [well]) as made:
             one = made.instances.pop("i-1")
-            await made.until(lambda: made.service.office.addresses.servers["i-1"].phase.name == "GONE")
+            await made.until(lambda: made.service.gatekeeper.server_list.servers["i-1"].phase.name == "GONE")
             assert (await made.ask("POST", "/p/a1", b"x", more=KEY))[0] == 200
-            assert made.service.carrier.members.get("i-0").idle  # type: ignore[union-attr]
+            assert made.service.proxy.members.get("i-0").idle  # type: ignore[union-attr]
             made.instances |= {"i-9": made.instances.pop("i-0") | {"target": "lab"}, "i-2": one}
-            await made.until(lambda: "i-9" in made.service.office.addresses.servers)
+            await made.until(lambda: "i-9" in made.service.gatekeeper.server_list.servers)
             assert (await made.ask("POST", "/p/a2", b"x", more=KEY))[0] == 200
             assert [(number, field(head, "Millfront-Target-Instance")) for number, head, _ in made.seen] == [
                 (0, b"i-0"),
@@ -445,7 +445,7 @@
     async def story() -> None:
         async with stage(tmp_path, [well]) as made:
             assert field((await made.ask("POST", "/p/a1", b"x", more=KEY))[1], "Keep-Alive") == b"timeout=14"
-            made.service.carrier.server.send_away(True)
+            made.service.proxy.server.send_away(True)
             _, head, _ = await made.ask("POST", "/p/a2", b"x", more=KEY)
             assert field(head, "Connection") == b"close" and not field(head, "Keep-Alive")
 
@@ -467,7 +467,7 @@
 def test_a_lower_idle_timeout_binds_a_connection_from_its_next_answer_on(tmp_path: Path) -> None:
     async def story() -> None:
         async with stage(tmp_path, [well]) as made:
-            server = made.service.carrier.server
+            server = made.service.proxy.server
             reader, writer = await kept(made)  # told 14 s
             (connection,) = server._connections
             assert await made.put(with_idle_timeout(2, "4s")) == 200
@@ -489,7 +489,7 @@
 def test_a_connection_on_which_a_request_has_come_is_not_closed_for_idleness(tmp_path: Path) -> None:
     async def story() -> None:
         async with stage(tmp_path, [well]) as made:
-            server = made.service.carrier.server
+            server = made.service.proxy.server
             reader, writer = await kept(made)
             (connection,) = server._connections
             fields = f"Host: a.example\r\nMillfront-Attempt-Id: a29c\r\n{KEY}"
@@ -506,7 +506,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The answer says `Connection: close`, and the member is done with it long before the client."""
-    monkeypatch.setattr(service, "LEAVE_S", 0.01)
+    monkeypatch.setattr(process, "LEAVE_S", 0.01)
     size = 9_000_000
 
     async def story() -> None:
@@ -514,12 +514,12 @@
             host, _, port = made.plain.rpartition(":")
             reader, writer = await asyncio.open_connection(host, int(port), limit=4096)
             fields = f"Host: a.example\r\nMillfront-Attempt-Id: a19c\r\n{KEY}"
-            server, carrier = made.service.carrier.server, made.service.carrier
+            server, proxy = made.service.proxy.server, made.service.proxy
             server.room.most = 4 * size  # the member is done while the client still reads
             made.service.ending.set()
             await made.until(lambda: server.closing)
             writer.write(f"GET /p/a1 HTTP/1.1\r\n{fields}\r\n".encode())
-            await made.until(lambda: len(made.seen) == 1 and carrier.open == 0)
+            await made.until(lambda: len(made.seen) == 1 and proxy.open == 0)
             connection = next(iter(server._connections))
             assert server.untaken() == 1
             connection.expire(server.clock.now() + 2_000_000, server.partial_us)
@@ -537,18 +537,18 @@
 
     async def story() -> None:
         async with stage(tmp_path, [well], servers=1) as made:
-            carrier = made.service.carrier
-            obtain = carrier.members.obtain
+            proxy = made.service.proxy
+            obtain = proxy.members.obtain
             dialled: list[Callable[[], object]] = []
 
             def later(member: Any, up: Any) -> Callable[[], None]:
                 dialled.append(lambda: obtain(member, up))
                 return lambda: None
 
-            carrier.members.obtain = later  # type: ignore[method-assign]
+            proxy.members.obtain = later  # type: ignore[method-assign]
             asked = asyncio.get_running_loop().create_task(made.ask("POST", "/p/a1", b"order", more=KEY))
             await made.until(lambda: bool(dialled))
-            carrier.members.obtain = obtain  # type: ignore[method-assign]
+            proxy.members.obtain = obtain  # type: ignore[method-assign]
             assert (await made.ask("POST", "/v1/evacuation/aa", at=made.ctl))[0] == 200
             dialled[0]()
             assert (await asked)[0] == 503
@@ -588,14 +588,14 @@
     play(story)
 
 
-def test_at_its_end_an_office_finishes_the_upload_under_way(tmp_path: Path) -> None:
+def test_at_its_end_an_gatekeeper_finishes_the_upload_under_way(tmp_path: Path) -> None:
     async def story() -> None:
         async with stage(tmp_path, [well], servers=1) as made:
             reader, writer = await begun_upload(made)
             async with asyncio.timeout(8):
                 await made.came.wait()
                 made.service.ending.set()
-                await made.until(lambda: made.service.office.neighbours.me.leaving)
+                await made.until(lambda: made.service.gatekeeper.membership.me.leaving)
                 assert (await made.ask("GET", "/v1/readiness", at=made.ctl))[0] == 503
                 writer.write(b"x" * 160_000)
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -630,14 +630,14 @@
 
     async def story() -> None:
         async with stage(tmp_path / "disk", [well], servers=1) as made:
-            before = list(made.service.office.neighbours.seeds)
+            before = list(made.service.gatekeeper.membership.seeds)
             file.write_text(whole[: len(whole) // 2])
             made.service.reload()
-            assert made.service.office.neighbours.seeds == before
+            assert made.service.gatekeeper.membership.seeds == before
             made.service.look()
             file.write_text(whole)
             made.service.look()  # as the beat does, without a signal
-            assert made.service.office.neighbours.seeds[0].startswith("10.9.9.9:")
+            assert made.service.gatekeeper.membership.seeds[0].startswith("10.9.9.9:")
 
     play(story)
 
@@ -645,11 +645,11 @@
 def test_a_key_removed_between_a_request_s_arrival_and_its_sending_is_refused(tmp_path: Path) -> None:
     async def story() -> None:
         async with stage(tmp_path, [well]) as made:
-            carrier = made.service.carrier
-            for seen in carrier.sorting.seen.values():
-                seen.rests_until = carrier.now() + 0.12  # no server takes it for a moment: it is held
+            proxy = made.service.proxy
+            for seen in proxy.load_balancer.seen.values():
+                seen.rests_until = proxy.now() + 0.12  # no server takes it for a moment: it is held
             asked = asyncio.get_running_loop().create_task(made.ask("POST", "/p/a1", b"order", more=KEY))
-            await made.until(lambda: carrier.open == 1)
+            await made.until(lambda: proxy.open == 1)
             assert await made.put(document(2, {"t": ["key-2"]})) == 200
             assert (await asked)[0] == 401
             assert made.seen == []
@@ -673,9 +673,9 @@
         server.close()
 
     play(story)
-    addresses = Addresses()
-    addresses.polled(1.0, addresses.begin(), [["i-1", "shop", "10.0.2.1:80", "aa", 3, 0, 0.0]])
-    addresses.begin()
-    addresses.failed(2.0)
-    assert addresses.servers["i-1"].phase.name == "READY"  # what was known stays
-    assert not addresses.due(2.1, True, True) and addresses.due(2.6, True, True)  # and the platform rests
+    server_list = ServerList()
+    server_list.polled(1.0, server_list.begin(), [["i-1", "shop", "10.0.2.1:80", "aa", 3, 0, 0.0]])
+    server_list.begin()
+    server_list.failed(2.0)
+    assert server_list.servers["i-1"].phase.name == "READY"  # what was known stays
+    assert not server_list.due(2.1, True, True) and server_list.due(2.6, True, True)  # and the platform rests
--- a/tests/test_post_sealed.py
+++ b/tests/test_linearizability.py
@@ -1,7 +1,7 @@
-"""The control side under the operators' worst days, in a simulated world with the very offices: a core
+"""The control side under the operators' worst days, in a simulated world with the very gatekeepers: a core
 machine cut off for twenty seconds, two operators under one number, evacuations in quick turn, and random
 histories of all that, whose answers are held to a register's (tests/linear.py). The proofs stand in
-docs/design/sealed-orders.md.
+docs/design/control-faults.md.
 """
 
 import json
@@ -13,14 +13,14 @@
 import pytest
 
 from millfront.control.admin import EVACUATION
-from millfront.control.delivery import Follower
-from millfront.gatekeeper.node import Office
+from millfront.control.delivery import Subscriber
+from millfront.gatekeeper.node import Gatekeeper
 from millfront.register import snapshot
-from millfront.register.coordinator import Clerk, Phase
+from millfront.register.coordinator import Coordinator, Phase
 from millfront.register.replica import Voting
 from millfront.register.values import CONFIG, Core, Value
 from tests import linear
-from tests.post_world import Node, World, document
+from tests.system_world import Node, World, document
 
 OFF = 0  # the machine that is cut off, of the core
 
@@ -47,7 +47,7 @@
                 if status == 200:
                     self.acknowledged.append((self.world.env.now, number))
 
-        self._to(at, lambda office, now: office.put(now, text, told))
+        self._to(at, lambda gatekeeper, now: gatekeeper.put(now, text, told))
         return call
 
     def get(self, at: int) -> linear.Call:
@@ -60,17 +60,17 @@
                 call.number, call.document = int(read["revision"], 16), _letter(text)
             self.answers.append((at, call))
 
-        self._to(at, lambda office, now: office.read(now, told))
+        self._to(at, lambda gatekeeper, now: gatekeeper.read(now, told))
         return call
 
     def _begun(self, at: int, call: linear.Call) -> linear.Call:
         self.calls.append(call)
         return call
 
-    def _to(self, at: int, does: Callable[[Office, float], None]) -> None:
+    def _to(self, at: int, does: Callable[[Gatekeeper, float], None]) -> None:
         node = self.world.nodes[at]
-        if node.office is not None:
-            node.goes_on(lambda: does(node.office, node.now()) if node.office else None)
+        if node.gatekeeper is not None:
+            node.goes_on(lambda: does(node.gatekeeper, node.now()) if node.gatekeeper else None)
 
     def newest(self, by: float) -> int:
         """The newest version that was acknowledged by then."""
@@ -98,16 +98,22 @@
     faults: list[str] = []
 
     def look(node: Node) -> None:
-        office, at = node.office, world.env.now
-        if office is None:
+        gatekeeper, at = node.gatekeeper, world.env.now
+        if gatekeeper is None:
             return
-        held, now, bounds = office.orders.version if office.orders else 0, node.now(), world.bounds
+        held, now, bounds = (
+            gatekeeper.configuration.version if gatekeeper.configuration else 0,
+            node.now(),
+            world.bounds,
+        )
         for word, within in (("trusted", bounds.revoke_within), ("sure", bounds.apply_within)):
-            if getattr(office, word)(now) and held < operators.newest(at - within):
+            if getattr(gatekeeper, word)(now) and held < operators.newest(at - within):
                 faults.append(f"{at:.2f}: {node.name} is {word} with {held}")
         if node.versions != sorted(node.versions):
             faults.append(f"{at:.2f}: {node.name} went back: {node.versions}")
-        if not office.trusted(now) and (office.ready(now) or node.plain in office.resolve(now, "a")):
+        if not gatekeeper.trusted(now) and (
+            gatekeeper.ready(now) or node.plain in gatekeeper.resolve(now, "a")
+        ):
             faults.append(f"{at:.2f}: {node.name} is ready without a lease")
 
     def looking() -> Generator[Any, Any, None]:
@@ -169,9 +175,9 @@
             world.run(1.0)
             if second == 8 and how not in ("frozen", "slowed"):
                 now = node.now()
-                assert node.office is not None
-                assert not node.office.sure(now) and not node.office.trusted(now)
-                named = node.office.resolve(now, "a")
+                assert node.gatekeeper is not None
+                assert not node.gatekeeper.sure(now) and not node.gatekeeper.trusted(now)
+                named = node.gatekeeper.resolve(now, "a")
                 assert node.plain not in named and (how == "heard by nobody" or not named)
     for _ in range(10):  # it comes back
         operators.get(OFF)
@@ -193,8 +199,10 @@
     assert not faults, faults[:3]
     assert linear.fault(operators.calls) is None
     newest = operators.newest(world.env.now)
-    assert newest >= 48 and all(o.orders and o.orders.version >= newest for o in world.offices())
-    assert all(office.ready(node.now()) for node in world.nodes if (office := node.office))
+    assert newest >= 48 and all(
+        o.configuration and o.configuration.version >= newest for o in world.gatekeepers()
+    )
+    assert all(gatekeeper.ready(node.now()) for node in world.nodes if (gatekeeper := node.gatekeeper))
     own = [call for at, call in operators.answers if at == OFF]
     if how.startswith("cut"):  # nothing but 503 while it was cut off, nothing refused
         during = [call for call in own if 6.2 < call.begun < 25.9 and call.ended < 26.0]
@@ -204,22 +212,22 @@
 def test_an_answer_that_is_read_from_what_a_process_holds_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
     """A planted fault of point 1."""
 
-    def held(office: Office, now: float, done: Callable[[int, str], None]) -> None:
-        done(200, office.follower.values[CONFIG].data)
+    def held(gatekeeper: Gatekeeper, now: float, done: Callable[[int, str], None]) -> None:
+        done(200, gatekeeper.subscriber.values[CONFIG].data)
 
-    monkeypatch.setattr(Office, "read", held)
+    monkeypatch.setattr(Gatekeeper, "read", held)
     _, operators, _ = cut_off_for_twenty_seconds("cut")
     assert linear.fault(operators.calls) is not None
 
 
 def frozen_with_a_question_under_way() -> list[str]:
-    """The keepers' answers, given before it was frozen, lie in its buffers for twenty seconds."""
+    """The replicas' answers, given before it was frozen, lie in its buffers for twenty seconds."""
     world, operators = founded()
     node = world.nodes[5]
-    assert node.office is not None
+    assert node.gatekeeper is not None
     for _ in range(2000):
         world.run(0.001)
-        if sum(said.waiting > 0 for said in node.office.follower.keepers.values()) >= 2:
+        if sum(said.waiting > 0 for said in node.gatekeeper.subscriber.replicas.values()) >= 2:
             break
     node.freeze()
     world.run(6.0)
@@ -230,7 +238,9 @@
     node.thaw()
     world.run(2.0)
     assert (
-        node.office.orders is not None and node.office.orders.version == 9 and node.office.trusted(node.now())
+        node.gatekeeper.configuration is not None
+        and node.gatekeeper.configuration.version == 9
+        and node.gatekeeper.trusted(node.now())
     )
     return faults
 
@@ -241,29 +251,29 @@
 
 def test_a_lease_counted_from_the_answer_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
     """A planted fault of point 1."""
-    take = Follower.take
+    take = Subscriber.take
 
-    def counted(self: Follower, now: float, sender: str, message: dict[str, Any]) -> Any:
+    def counted(self: Subscriber, now: float, sender: str, message: dict[str, Any]) -> Any:
         out = take(self, now, sender, message)
-        if message["t"] == "newest" and (said := self.keepers.get(sender)) is not None:
+        if message["t"] == "newest" and (said := self.replicas.get(sender)) is not None:
             said.as_of = now
             self._confirm(said)
         return out
 
-    monkeypatch.setattr(Follower, "take", counted)
+    monkeypatch.setattr(Subscriber, "take", counted)
     assert frozen_with_a_question_under_way()
 
 
 def test_one_that_was_frozen_sends_nobody_anywhere_until_it_has_heard_of_others_again() -> None:
     world, _ = founded()
     node = world.nodes[OFF]
-    assert node.office is not None and node.office.resolve(node.now(), "a")
+    assert node.gatekeeper is not None and node.gatekeeper.resolve(node.now(), "a")
     node.freeze()
     world.run(20.0)
-    assert node.office.resolve(node.now(), "a") == [] and not node.office.ready(node.now())
+    assert node.gatekeeper.resolve(node.now(), "a") == [] and not node.gatekeeper.ready(node.now())
     node.thaw()
     world.run(3.0)
-    assert len(node.office.resolve(node.now(), "a")) >= 2 and node.office.ready(node.now())
+    assert len(node.gatekeeper.resolve(node.now(), "a")) >= 2 and node.gatekeeper.ready(node.now())
 
 
 # ---- 2. one number, one document -----------------------------------------------------------------------
@@ -277,8 +287,8 @@
     world.run(2.5)
     for call in operators.calls[-len(world.nodes) :]:
         assert (call.status, call.number, call.document) == (200, winner.number, winner.document)
-    for office in world.offices():
-        assert _letter(office.follower.values[CONFIG].data) == winner.document
+    for gatekeeper in world.gatekeepers():
+        assert _letter(gatekeeper.subscriber.values[CONFIG].data) == winner.document
     assert linear.fault(operators.calls) is None
 
 
@@ -308,7 +318,7 @@
 
 
 @pytest.mark.parametrize("seed", range(4))
-def test_an_order_whose_answer_was_lost_is_confirmed_again_by_any_office_at_any_later_moment(
+def test_an_order_whose_answer_was_lost_is_confirmed_again_by_any_gatekeeper_at_any_later_moment(
     seed: int,
 ) -> None:
     world, operators = founded(seed=seed)
@@ -354,8 +364,8 @@
 
 def test_a_read_that_dropped_all_answers_still_writes_back_what_it_found_in_them() -> None:
     """Two lives end meanwhile: of three that count in the end two have the value, and one has not."""
-    clerk = Clerk("x")
-    round = clerk.read(0.0, Core(2, {name: name for name in "abcde"}), ["k"], 2.0)
+    coordinator = Coordinator("x")
+    round = coordinator.read(0.0, Core(2, {name: name for name in "abcde"}), ["k"], 2.0)
     has: dict[str, Any] = {"k": Value(5, "", "v").wire()}
     for sender, values, lives in (
         ("a", has, {"b": 1}),
@@ -364,14 +374,14 @@
         ("d", has, {}),
         ("e", has, {}),
     ):
-        clerk.take(0.0, sender, {"t": "found", "r": f"{round.ref}/reading", "v": values, "l": lives})
+        coordinator.take(0.0, sender, {"t": "found", "r": f"{round.ref}/reading", "v": values, "l": lives})
     assert round.phase is Phase.WRITING
 
 
 def test_a_register_that_confirms_both_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
     """A planted fault of point 2: documents are stored without their number being claimed."""
-    if hasattr(Office, "_claim"):
-        monkeypatch.setattr(Office, "_claim", lambda self, now, value, done, then: then())
+    if hasattr(Gatekeeper, "_claim"):
+        monkeypatch.setattr(Gatekeeper, "_claim", lambda self, now, value, done, then: then())
     world, operators = founded()
     for letter in "ab":
         operators.put("ab".index(letter), 7, letter)
@@ -383,14 +393,14 @@
 
 
 def evacuate(world: World, at: int, on: bool, waits: Callable[[], bool] = lambda: True) -> list[Any]:
-    return world.call(at, lambda office, now, done: office.evacuate(now, "bb", on, done, waits))
+    return world.call(at, lambda gatekeeper, now, done: gatekeeper.evacuate(now, "bb", on, done, waits))
 
 
 def evacuated(world: World) -> bool:
-    """What all have in force, which is the highest that any keeper has; no two have another word as the same
+    """What all have in force, which is the highest that any replica has; no two have another word as the same
     value."""
-    (held,) = {tuple(sorted(office.evacuated)) for office in world.offices()}
-    kept = [n.office.keeper.values for n in world.nodes[:4] if n.office and n.office.keeper]
+    (held,) = {tuple(sorted(gatekeeper.evacuated)) for gatekeeper in world.gatekeepers()}
+    kept = [n.gatekeeper.replica.values for n in world.nodes[:4] if n.gatekeeper and n.gatekeeper.replica]
     words = {tuple(values[EVACUATION + "bb"].wire()) for values in kept if EVACUATION + "bb" in values}
     assert len({word[:2] for word in words}) == len(words)
     assert (held == ("bb",)) is (max(words)[2] == "1")
@@ -427,14 +437,14 @@
 
 
 @pytest.mark.parametrize("by", [4, 5])
-def test_an_order_that_one_keeper_has_does_not_come_up_again_above_one_confirmed_later(by: int) -> None:
-    """The keeper is away then, and so is the office, which begins a new life."""
+def test_an_order_that_one_replica_has_does_not_come_up_again_above_one_confirmed_later(by: int) -> None:
+    """The replica is away then, and so is the gatekeeper, which begins a new life."""
     world, _ = founded()
     cut = True
     world.cut = lambda a, b: cut and a.number == 5 and b.number in (1, 2, 3) and _storing(world)
     first = evacuate(world, 5, True)
-    keeper = world.nodes[0].office.keeper if world.nodes[0].office else None
-    while keeper and EVACUATION + "bb" not in keeper.values:
+    replica = world.nodes[0].gatekeeper.replica if world.nodes[0].gatekeeper else None
+    while replica and EVACUATION + "bb" not in replica.values:
         world.run(0.001)
     world.nodes[5].kill()
     world.nodes[0].kill()
@@ -451,22 +461,22 @@
 
 
 def _storing(world: World) -> bool:
-    office = world.nodes[5].office
-    return office is not None and any(
+    gatekeeper = world.nodes[5].gatekeeper
+    return gatekeeper is not None and any(
         round.phase.value == "writing" and EVACUATION + "bb" in round.values
-        for round, _ in office.waiting.values()
+        for round, _ in gatekeeper.waiting.values()
     )
 
 
 @pytest.mark.parametrize("froze", [0.0, 0.002, 0.03, 0.06])
-def test_an_order_that_a_frozen_office_still_has_does_not_overtake_its_taking_back(froze: float) -> None:
+def test_an_order_that_a_frozen_gatekeeper_still_has_does_not_overtake_its_taking_back(froze: float) -> None:
     world, _ = founded()
     left: list[bool] = []
     late = evacuate(world, 5, True, lambda: not left)  # its operator gives up after a second
     world.run(froze) if froze else None
     world.nodes[5].freeze()
     if not froze:
-        late = evacuate(world, 5, True, lambda: not left)  # it came while the office was frozen
+        late = evacuate(world, 5, True, lambda: not left)  # it came while the gatekeeper was frozen
     world.run(1.0)
     left.append(True)
     again = evacuate(world, 1, True)
@@ -493,7 +503,7 @@
         calls.append((world.env.now, evacuate(world, at, word), word))
 
     def read(at: int) -> None:
-        told = world.call(at, lambda office, now, done: office.read_all(now, done))
+        told = world.call(at, lambda gatekeeper, now, done: gatekeeper.read_all(now, done))
         calls.append((world.env.now, told, None))
 
     for _ in range(steps):
@@ -559,10 +569,10 @@
 def test_a_snapshot_of_what_a_process_holds_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
     """A planted fault of points 1 and 2."""
 
-    def held(office: Office, now: float, done: Callable[[int, str], None]) -> None:
-        done(200, snapshot.snapshot(office.follower.values))
+    def held(gatekeeper: Gatekeeper, now: float, done: Callable[[int, str], None]) -> None:
+        done(200, snapshot.snapshot(gatekeeper.subscriber.values))
 
-    monkeypatch.setattr(Office, "read_all", held)
+    monkeypatch.setattr(Gatekeeper, "read_all", held)
     assert any(linear.linearizable(orders_of_a_zone(seed), False) is not None for seed in range(8))
 
 
@@ -607,8 +617,8 @@
                 world.run(chance.random())
                 node.start()
             case "wipe":
-                keepers = [n.office.keeper for n in world.nodes[:4] if n.office]
-                if all(k and k.state is Voting.VOTING for k in keepers):
+                replicas = [n.gatekeeper.replica for n in world.nodes[:4] if n.gatekeeper]
+                if all(k and k.state is Voting.VOTING for k in replicas):
                     node = world.nodes[chance.randrange(4)]
                     node.wipe()
                     world.run(0.3)
@@ -635,4 +645,4 @@
     assert not faults, faults[:3]
     assert linear.fault(operators.calls) is None
     newest = operators.newest(world.env.now)
-    assert all(o.orders and o.orders.version >= newest for o in world.offices())
+    assert all(o.configuration and o.configuration.version >= newest for o in world.gatekeepers())
--- a/tests/test_post_seats.py
+++ b/tests/test_placement.py
@@ -7,15 +7,14 @@
 
 import pytest
 
-from millfront.membership import gossip as neighbours
+from millfront.membership import gossip
 from millfront.membership.gossip import LOST_TICKS, TICK_S
-from millfront.register import placement as seats
-from millfront.register import reconfiguration as postings
+from millfront.register import placement, reconfiguration
 from millfront.register.placement import Seat, chosen, fewest
 from millfront.register.recovery import Recovery
 from millfront.register.replica import Voting
 from millfront.register.values import Core, write_quorum
-from tests.post_world import Node, World, acknowledged, document, members, voting
+from tests.system_world import Node, World, acknowledged, document, members, voting
 
 SYNC_TIME_S = 4.0  # after the start of who returned or is new it is no loss any more
 
@@ -29,13 +28,13 @@
 
 
 def gone(world: World, *nodes: Node) -> None:
-    while any(node.office is not None for node in nodes):
+    while any(node.gatekeeper is not None for node in nodes):
         world.run(0.1)
 
 
 def hears(world: World) -> None:
     """The settings of whoever starts from now on name machines that are up."""
-    world.seeds = tuple(f"{node.ip}:81" for node in reversed(world.nodes) if node.office is not None)[:3]
+    world.seeds = tuple(f"{node.ip}:81" for node in reversed(world.nodes) if node.gatekeeper is not None)[:3]
 
 
 def copies(world: World, version: int) -> set[int]:
@@ -96,14 +95,14 @@
             spare.start()
         case "relieved":
             world.run(RELIEVED_S + LOST_TICKS * TICK_S + 1.0)
-    world.spares -= {n.number for n in world.nodes if n.office is not None}
+    world.spares -= {n.number for n in world.nodes if n.gatekeeper is not None}
     world.run(SYNC_TIME_S)
     return spare if repair == "replaced" else node
 
 
 def play(sequence: Sequence, seed: int = 1) -> str:
-    """What does not hold, or nothing. A version is acknowledged by just W keepers, of whom the first loss is;
-    with a second wipe all other machines lose power."""
+    """What does not hold, or nothing. A version is acknowledged by just W replicas, of whom the first loss
+    is; with a second wipe all other machines lose power."""
     size, first, repair, second, victim = sequence
     world = founded(size + 2, size, seed, spares=1)
     holders, lag = list(range(write_quorum(size))), set(range(write_quorum(size), size))
@@ -144,8 +143,8 @@
 def test_two_losses_with_a_repair_between_them_lose_nothing_and_the_rest_goes_on(
     size: int, first: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Sizes 5 and 6, and more seeds: docs/design/registered-mail.md."""
-    monkeypatch.setattr(postings, "RELIEVED_S", RELIEVED_S)
+    """Sizes 5 and 6, and more seeds: docs/design/register.md."""
+    monkeypatch.setattr(reconfiguration, "RELIEVED_S", RELIEVED_S)
     for sequence in sequences():
         if sequence[:2] == (size, first):
             assert play(sequence) == ("waits for the first" if alone(sequence) else ""), sequence
@@ -215,18 +214,18 @@
 
 def untested(monkeypatch: pytest.MonkeyPatch) -> None:
     """Who has just joined is taken for one that votes."""
-    whole = seats._named
+    whole = placement._named
 
     def named(members: Any, stands: Any, joined: Any, *counts: int) -> Any:
         stands.update(dict.fromkeys(joined, Seat.SOUND))
         return whole(members, stands, joined, *counts)
 
-    monkeypatch.setattr(seats, "_named", named)
+    monkeypatch.setattr(placement, "_named", named)
 
 
 def small(monkeypatch: pytest.MonkeyPatch) -> None:
     """A core may become as small as its sound members are."""
-    monkeypatch.setattr(seats, "fewest", lambda hosts_lost: 1)
+    monkeypatch.setattr(placement, "fewest", lambda hosts_lost: 1)
 
 
 @pytest.mark.parametrize("fault", [untested, small])
@@ -237,18 +236,22 @@
     assert first_wrong()
 
 
-# ---- whole offices -------------------------------------------------------------------------------------
+# ---- whole gatekeepers -------------------------------------------------------------------------------------
 
 
 def unmajored(world: World) -> bool:
     """Whether no majority of the newest core is up."""
-    cores = [office.follower.core for office in world.offices() if office.follower.core is not None]
+    cores = [
+        gatekeeper.subscriber.core
+        for gatekeeper in world.gatekeepers()
+        if gatekeeper.subscriber.core is not None
+    ]
     core = max(cores, key=lambda core: core.epoch)
     return not core.majority(node.name for node in world.nodes if voting(node))
 
 
 def epoch(world: World) -> int:
-    return max(o.follower.core.epoch for o in world.offices() if o.follower.core is not None)
+    return max(o.subscriber.core.epoch for o in world.gatekeepers() if o.subscriber.core is not None)
 
 
 def through(world: World, seconds: float) -> bool:
@@ -264,7 +267,7 @@
     whole = True
     for node in nodes:
         node.leave()
-    while any(node.office is not None for node in nodes):
+    while any(node.gatekeeper is not None for node in nodes):
         whole = through(world, 0.1) and whole
     return whole
 
@@ -329,9 +332,9 @@
 
 def test_the_coordinator_leaves_and_another_changes_the_core() -> None:
     world = founded()
-    office = world.nodes[0].office
-    assert office is not None and office.follower.core is not None
-    holder = office.postings.holder(office.follower.core)
+    gatekeeper = world.nodes[0].gatekeeper
+    assert gatekeeper is not None and gatekeeper.subscriber.core is not None
+    holder = gatekeeper.reconfiguration.holder(gatekeeper.subscriber.core)
     node = next(node for node in world.nodes if node.name == holder)
     node.leave()
     world.run(0.1)
@@ -345,9 +348,9 @@
     node = world.nodes[1]
     node.leave()
     world.run(2.5)
-    assert members(world) == {(0, 1, 2)} and node.office is not None
+    assert members(world) == {(0, 1, 2)} and node.gatekeeper is not None
     assert "its seat waits for a successor before it ends" in [
-        page["text"] for page in node.office.daybook.pages(node.now(), "registry")
+        page["text"] for page in node.gatekeeper.event_log.pages(node.now(), "register")
     ]
     world.nodes[5].start()
     gone(world, node)
@@ -380,7 +383,7 @@
     assert acknowledged(world, 4, 3)
 
 
-def test_a_keeper_that_was_cut_off_has_all_again_without_an_operators_change() -> None:
+def test_a_replica_that_was_cut_off_has_all_again_without_an_operators_change() -> None:
     world, cut = founded(), True
     world.cut = lambda a, b: cut and 3 in (a.number, b.number)
     assert acknowledged(world, 5, 7) and copies(world, 7) == {0, 1, 2}
@@ -389,8 +392,8 @@
     assert copies(world, 7) == {0, 1, 2, 3}
 
 
-def test_a_keeper_that_votes_before_it_holds_anything_is_no_copy() -> None:
-    """Of the first start, cut off from all followers' news until the others hold a version."""
+def test_a_replica_that_votes_before_it_holds_anything_is_no_copy() -> None:
+    """Of the first start, cut off from all subscribers' news until the others hold a version."""
     world = World(7, 4)
     apart = True
     world.cut = lambda a, b: apart and 3 in (a.number, b.number)
@@ -400,7 +403,7 @@
     node, counted = world.nodes[3], []
     for _ in range(80):
         world.run(0.1)
-        if node.office is not None and node.office.postings.keeps():
+        if node.gatekeeper is not None and node.gatekeeper.reconfiguration.keeps():
             counted.append(3 in copies(world, 2))
     assert counted and all(counted) and members(world) == {(0, 1, 2, 3)}
 
@@ -412,11 +415,11 @@
     while not voting(node):
         world.run(0.05)
         for other in world.nodes[:4]:
-            assert other.office is not None and other.office.follower.core is not None
-            stands = other.office.postings._seats(other.now(), other.office.follower.core)
+            assert other.gatekeeper is not None and other.gatekeeper.subscriber.core is not None
+            stands = other.gatekeeper.reconfiguration._seats(other.now(), other.gatekeeper.subscriber.core)
             seen.append(stands.get(node.name, Seat.BEHIND))
-            assert node.office is not None and node.office.keeper is not None
-            assert node.office.keeper.state is not Voting.NEW
+            assert node.gatekeeper is not None and node.gatekeeper.replica is not None
+            assert node.gatekeeper.replica.state is not Voting.NEW
     assert set(seen) <= {Seat.BEHIND, Seat.DARK}
 
 
@@ -425,25 +428,25 @@
 
 def kept(monkeypatch: pytest.MonkeyPatch) -> None:
     """A leaving member is taken for one that is dark: the code as it was."""
-    monkeypatch.setattr(postings.Postings, "leave", lambda self, now: None)
+    monkeypatch.setattr(reconfiguration.Reconfiguration, "leave", lambda self, now: None)
 
 
 def hasty(monkeypatch: pytest.MonkeyPatch) -> None:
     """A process that leaves does not wait for its successor."""
-    monkeypatch.setattr(postings.Postings, "may_go", lambda self, now: True)
+    monkeypatch.setattr(reconfiguration.Reconfiguration, "may_go", lambda self, now: True)
 
 
 def lax(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Keepers catch up only with the next order: the code as it was."""
+    """Replicas catch up only with the next order: the code as it was."""
     monkeypatch.setattr(Recovery, "missed", lambda self: {})
 
 
 def whole(monkeypatch: pytest.MonkeyPatch) -> None:
     """Whoever votes is taken for a copy."""
     monkeypatch.setattr(
-        postings.Postings,
+        reconfiguration.Reconfiguration,
         "keeps",
-        lambda self: self.office.keeper is not None and self.office.keeper.votes,
+        lambda self: self.gatekeeper.replica is not None and self.gatekeeper.replica.votes,
     )
 
 
@@ -455,18 +458,20 @@
 
 def vain(monkeypatch: pytest.MonkeyPatch) -> None:
     """One that leaves keeps the duty."""
-    first = neighbours.holders
-    monkeypatch.setattr(postings.Postings, "holder", lambda self, core: first("core", list(core.all))[0])
+    first = gossip.holders
+    monkeypatch.setattr(
+        reconfiguration.Reconfiguration, "holder", lambda self, core: first("core", list(core.all))[0]
+    )
 
 
 def slow(monkeypatch: pytest.MonkeyPatch) -> None:
     """A successor is posted after 5 s: the code as it was."""
-    monkeypatch.setattr(postings, "JOINED_S", 5.0)
+    monkeypatch.setattr(reconfiguration, "JOINED_S", 5.0)
 
 
 def at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """Who joined is posted though that gains no vote."""
-    monkeypatch.setattr(postings, "SETTLED_IN_S", 0.0)
+    monkeypatch.setattr(reconfiguration, "SETTLED_IN_S", 0.0)
 
 
 FAULTS: list[tuple[Callable[[pytest.MonkeyPatch], None], Callable[[], None]]] = [
@@ -474,8 +479,8 @@
     (kept, test_all_core_machines_but_the_fewest_are_removed_in_turn_without_spares),
     (hasty, test_a_seat_that_nobody_can_take_waits_for_a_successor_and_why_is_said),
     (as_it_was, test_the_only_copies_leave_and_what_they_had_stays),
-    (lax, test_a_keeper_that_was_cut_off_has_all_again_without_an_operators_change),
-    (whole, test_a_keeper_that_votes_before_it_holds_anything_is_no_copy),
+    (lax, test_a_replica_that_was_cut_off_has_all_again_without_an_operators_change),
+    (whole, test_a_replica_that_votes_before_it_holds_anything_is_no_copy),
     (vain, test_the_coordinator_leaves_and_another_changes_the_core),
     (at_once, test_a_successor_of_one_not_known_to_be_dark_yet_makes_no_even_core),
     (slow, test_a_seat_that_nobody_can_take_waits_for_a_successor_and_why_is_said),
--- a/tests/test_post_register_machine.py
+++ b/tests/test_register_machine.py
@@ -1,4 +1,5 @@
-"""The register under hypothesis's state machine: the very keepers, clerks and recovery. Of linearizability of
+"""The register under hypothesis's state machine: the very replicas, coordinators and recovery. Of
+linearizability of
 one key it holds what can be broken here: who reads is told no less than was acknowledged, and no less than
 was read, before the read began.
 """
@@ -18,10 +19,10 @@
     run_state_machine_as_test,
 )
 
-from millfront.register.coordinator import Clerk, Phase, Round
+from millfront.register.coordinator import Coordinator, Phase, Round
 from millfront.register.replica import Voting
 from millfront.register.values import CONFIG, Core, Message, Value
-from tests.post_register import Recovery, Replica, fewer, hasty
+from tests.register_model import Recovery, StoredReplica, fewer, hasty
 
 POOL, OPEN = 60, 4  # messages on their way, rounds at once (the oldest is given up)
 RECOVERY = "recovery of "
@@ -35,9 +36,11 @@
     def __init__(self) -> None:
         super().__init__()
         self.core = Core(2, dict.fromkeys(self.names, ""))
-        self.replicas = {name: Replica(self.core) for name in self.names}
-        self.clerks = {name: Clerk(name) for name in "pq"}
-        self.open: list[tuple[Clerk, Round, int]] = []  # and what a read that began then may be told at least
+        self.stored_replicas = {name: StoredReplica(self.core) for name in self.names}
+        self.coordinators = {name: Coordinator(name) for name in "pq"}
+        self.open: list[
+            tuple[Coordinator, Round, int]
+        ] = []  # and what a read that began then may be told at least
         self.pool: list[tuple[str, Any, Message]] = []  # to whom, from whom, what
         self.lost = ""  # whose disk is lost
         self.recovery: Recovery | None = None
@@ -46,20 +49,28 @@
 
     # ---- orders ------------------------------------------------------------------------------------
 
-    @rule(clerk=st.sampled_from("pq"), near=NEAR)
-    def put(self, clerk: str, near: set[str]) -> None:
+    @rule(coordinator=st.sampled_from("pq"), near=NEAR)
+    def put(self, coordinator: str, near: set[str]) -> None:
         self.version += 1
         values = {CONFIG: Value(self.version, "", "")}
-        self.begin(self.clerks[clerk], self.clerks[clerk].write(self.now, self.core, values, 1e9), near)
-
-    @rule(clerk=st.sampled_from("pq"), near=NEAR)
-    def read(self, clerk: str, near: set[str]) -> None:
-        self.begin(self.clerks[clerk], self.clerks[clerk].read(self.now, self.core, [CONFIG], 1e9), near)
-
-    def begin(self, clerk: Clerk, round: Round, near: set[str]) -> None:
-        """With the keepers that are near nothing takes time."""
-        self.open = [*self.open[1 - OPEN :], (clerk, round, max(self.acknowledged, self.read_before))]
-        self.drive(clerk, round)
+        self.begin(
+            self.coordinators[coordinator],
+            self.coordinators[coordinator].write(self.now, self.core, values, 1e9),
+            near,
+        )
+
+    @rule(coordinator=st.sampled_from("pq"), near=NEAR)
+    def read(self, coordinator: str, near: set[str]) -> None:
+        self.begin(
+            self.coordinators[coordinator],
+            self.coordinators[coordinator].read(self.now, self.core, [CONFIG], 1e9),
+            near,
+        )
+
+    def begin(self, coordinator: Coordinator, round: Round, near: set[str]) -> None:
+        """With the replicas that are near nothing takes time."""
+        self.open = [*self.open[1 - OPEN :], (coordinator, round, max(self.acknowledged, self.read_before))]
+        self.drive(coordinator, round)
         self.at_once(near, f"{round.ref}/")
 
     def at_once(self, near: set[str], refs: str) -> None:
@@ -70,14 +81,14 @@
         ]:
             self.pool.remove(found[0])
             self.deliver(*found[0])
-            for name, replica in self.replicas.items():
-                for at, persist in reversed(list(enumerate(replica.unsynced))):
+            for name, stored in self.stored_replicas.items():
+                for at, persist in reversed(list(enumerate(stored.unsynced))):
                     if persist.then[1]["r"].startswith(refs):
-                        self.answer(name, replica.sync(at))
+                        self.answer(name, stored.sync(at))
 
-    def drive(self, clerk: Clerk, round: Round) -> None:
-        for name, message in clerk.drive(self.now, round):
-            self.send(name, clerk.name, message)
+    def drive(self, coordinator: Coordinator, round: Round) -> None:
+        for name, message in coordinator.drive(self.now, round):
+            self.send(name, coordinator.name, message)
         for entry in [entry for entry in self.open if entry[1] is round and round.phase is Phase.DONE]:
             self.open.remove(entry)
             version = round.values[CONFIG].version if round.values else 0
@@ -91,14 +102,14 @@
     def again(self) -> None:
         """Who was not answered calls once more."""
         self.now += 1.0
-        for clerk, round, _ in list(self.open):
-            self.drive(clerk, round)
+        for coordinator, round, _ in list(self.open):
+            self.drive(coordinator, round)
         self.ask_others()
 
     @precondition(lambda self: self.lost)
     @rule(near=NEAR)
     def take_over(self, near: set[str]) -> None:
-        """A recovery, to which the keepers that are near answer at once."""
+        """A recovery, to which the replicas that are near answer at once."""
         for step in ("lives ", "heir "):
             self.ask_others()
             self.at_once(near, step)
@@ -125,12 +136,14 @@
     def double(self, at: int) -> None:
         self.deliver(*self.pool[at % len(self.pool)])
 
-    @precondition(lambda self: self.pool or any(each.unsynced for each in self.replicas.values()))
+    @precondition(lambda self: self.pool or any(each.unsynced for each in self.stored_replicas.values()))
     @rule(picks=st.lists(AT, min_size=1, max_size=20))
     def go_on(self, picks: list[int]) -> None:
         """Messages are delivered and disks sync."""
         for pick in picks:
-            syncs = [(name, at) for name, each in self.replicas.items() for at in range(len(each.unsynced))]
+            syncs = [
+                (name, at) for name, each in self.stored_replicas.items() for at in range(len(each.unsynced))
+            ]
             if not self.pool and not syncs:
                 return
             at = pick % (len(self.pool) + len(syncs))
@@ -138,19 +151,22 @@
                 self.deliver(*self.pool.pop(at))
             else:
                 name, at = syncs[at - len(self.pool)]
-                self.answer(name, self.replicas[name].sync(at))
+                self.answer(name, self.stored_replicas[name].sync(at))
 
     def deliver(self, to: Any, sender: Any, message: Message) -> None:
-        if to in self.replicas:
-            self.answer(to, self.replicas[to].call(sender, message))
+        if to in self.stored_replicas:
+            self.answer(to, self.stored_replicas[to].call(sender, message))
         elif self.recovery is not None and to == RECOVERY + self.lost:  # also one to an earlier life
             for persist in self.recovery.take(sender, message):
-                self.replicas[self.lost].recovered(persist)
-                if self.replicas[self.lost].keeper.votes:
+                self.stored_replicas[self.lost].recovered(persist)
+                if self.stored_replicas[self.lost].replica.votes:
                     self.lost, self.recovery = "", None
                     return
-        elif to in self.clerks and (round := self.clerks[to].take(self.now, sender, message)) is not None:
-            self.drive(self.clerks[to], round)
+        elif (
+            to in self.coordinators
+            and (round := self.coordinators[to].take(self.now, sender, message)) is not None
+        ):
+            self.drive(self.coordinators[to], round)
 
     def answer(self, name: str, answers: list[tuple[Any, Message]]) -> None:
         for to, message in answers:
@@ -161,21 +177,21 @@
     @rule(name=st.sampled_from("abcd"), wiped=st.booleans())
     def kill(self, name: str, wiped: bool) -> None:
         """And start again; of one at a time the disk is lost."""
-        if name in self.replicas:
+        if name in self.stored_replicas:
             if wiped and not self.lost:
-                self.replicas[name].wipe()
+                self.stored_replicas[name].wipe()
             else:
-                self.replicas[name].kill()
+                self.stored_replicas[name].kill()
             self.recover(name)
 
     def recover(self, name: str) -> None:
-        if self.replicas[name].keeper.state is Voting.RECOVERING:
+        if self.stored_replicas[name].replica.state is Voting.RECOVERING:
             self.lives += 1
             self.lost, self.recovery = name, Recovery(name, self.core, self.lives)
 
     @invariant()
     def readers_are_told_what_was_acknowledged(self) -> None:
-        told = {name: replica.told() for name, replica in self.replicas.items()}
+        told = {name: stored.told() for name, stored in self.stored_replicas.items()}
         behind = [
             name for name, version in told.items() if version is not None and version < self.acknowledged
         ]
@@ -202,12 +218,12 @@
 
 def unwritten(monkeypatch: pytest.MonkeyPatch) -> None:
     """A read is answered without its write-back."""
-    whole = Clerk._turn
+    whole = Coordinator._turn
 
-    def turn(self: Clerk, round: Round, phase: Phase) -> None:
+    def turn(self: Coordinator, round: Round, phase: Phase) -> None:
         whole(self, round, Phase.DONE if round.phase is Phase.READING else phase)
 
-    monkeypatch.setattr(Clerk, "_turn", turn)
+    monkeypatch.setattr(Coordinator, "_turn", turn)
 
 
 @pytest.mark.parametrize("fault", [fewer, unwritten, hasty])
--- a/tests/test_post_register_search.py
+++ b/tests/test_register_search.py
@@ -1,15 +1,16 @@
-"""The register by exhaustive search: the very keepers, clerks and recovery; two orders, wipes of one keeper
-and their recoveries, kills, in every order there is.
+"""The register by exhaustive search: the very replicas, coordinators and recovery; two orders, wipes of one
+replica and their recoveries, kills, in every order there is.
 
 What is sent stays on its way for ever: it may come late, twice, out of order or never, so a set of messages
-that only grows stands for all of that. What a keeper can answer, or ask its disk for, without a change of
+that only grows stands for all of that. What a replica can answer, or ask its disk for, without a change of
 what it holds is taken to have happened (having an answer obliges nobody to take it, nor a disk to sync). How
-far a clerk or a recovery may come is asked of all the answers that there are, over every order of them. Each
-part's steps are taken once, by its own code, and then looked up. Keepers that lose no disk are alike: of
+far a coordinator or a recovery may come is asked of all the answers that there are, over every order of
+them. Each
+part's steps are taken once, by its own code, and then looked up. Replicas that lose no disk are alike: of
 states that differ by their names one is looked at.
 
 Not in it: answers to a recovery that come after its process was killed. Its references are of one life of the
-process, and test_post_register_machine.py has such answers.
+process, and test_register_machine.py has such answers.
 """
 
 import json
@@ -20,17 +21,16 @@
 
 import pytest
 
-from millfront.register import chunks as pieces
-from millfront.register import recovery
-from millfront.register.coordinator import Clerk, Round
-from millfront.register.replica import Keeper, Persist, Voting
+from millfront.register import chunks, recovery
+from millfront.register.coordinator import Coordinator, Round
+from millfront.register.replica import Persist, Replica, Voting
 from millfront.register.values import CLAIM, OWN, Core, Message
-from tests.post_register import (
+from tests.register_model import (
     WIPED,
     Order,
     Recovery,
-    Replica,
     Steps,
+    StoredReplica,
     claims,
     fewer,
     frozen,
@@ -46,9 +46,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Column:
-    """One keeper, and all that it has answered: whom, and what."""
+    """One replica, and all that it has answered: whom, and what."""
 
-    keeper: int
+    replica: int
     answers: frozenset[tuple[str, str]]
 
 
@@ -62,16 +62,16 @@
 
 
 class Search:
-    """Breadth first over all states, from keepers that hold nothing but the core."""
+    """Breadth first over all states, from replicas that hold nothing but the core."""
 
-    def __init__(self, wipes: int, orders: list[Order]) -> None:
-        """:param wipes: of one keeper, at any time, also while it recovers from the one before"""
-        self.core = orders[0].core
+    def __init__(self, wipes: int, configuration: list[Order]) -> None:
+        """:param wipes: of one replica, at any time, also while it recovers from the one before"""
+        self.core = configuration[0].core
         self.names = list(self.core.members)
         self.wipes = wipes
-        self.keepers: Steps[Replica] = Steps(Replica(self.core), self.act, Replica.state)
+        self.replicas: Steps[StoredReplica] = Steps(StoredReplica(self.core), self.act, StoredReplica.state)
         self.callers: dict[str, Steps[Any]] = {
-            order.clerk.name: Steps(order, take, Order.state) for order in orders
+            order.coordinator.name: Steps(order, take, Order.state) for order in configuration
         }
         self.callers[RECOVERY] = Steps(Recovery(WIPED, self.core), take, Recovery.state)
         self.persists: dict[Any, Persist] = {}  # that a recovery asked for
@@ -91,22 +91,22 @@
         self._bags: dict[tuple[int, str], frozenset[str]] = {}
         self._told: dict[int, int | None] = {}
 
-    # ---- one keeper ------------------------------------------------------------------------------
+    # ---- one replica ------------------------------------------------------------------------------
 
-    def act(self, replica: Replica, step: tuple[str, Any]) -> list[tuple[str, str]]:
-        """One step of a keeper; what it answers. (A `no` that names no ballot moves no clerk.)"""
+    def act(self, stored: StoredReplica, step: tuple[str, Any]) -> list[tuple[str, str]]:
+        """One step of a replica; what it answers. (A `no` that names no ballot moves no coordinator.)"""
         answers: list[tuple[str, Message]] = []
         match step:
             case ("kill", _):
-                replica.kill()
+                stored.kill()
             case ("wipe", _):
-                replica.wipe()
+                stored.wipe()
             case ("recovered", wanted):
-                replica.recovered(self.persists[wanted])
+                stored.recovered(self.persists[wanted])
             case ("sync", at):
-                answers = replica.sync(at)
+                answers = stored.sync(at)
             case ("call", (back, called)):
-                answers = replica.call(back, json.loads(called))
+                answers = stored.call(back, json.loads(called))
         return [(to, text(answer)) for to, answer in answers if answer["t"] != "no" or "b" in answer]
 
     def number(self, column: Column) -> int:
@@ -115,35 +115,37 @@
             self.columns.append(column)
         return number
 
-    def replica(self, column: int) -> Replica:
-        return self.keepers.parts[self.columns[column].keeper]
+    def stored(self, column: int) -> StoredReplica:
+        return self.replicas.parts[self.columns[column].replica]
 
     def moved(self, column: int, step: tuple[str, Any], calls: Calls) -> int:
-        keeper, answers = self.keepers(self.columns[column].keeper, step)
-        return self.answering(self.number(Column(keeper, self.columns[column].answers | set(answers))), calls)
+        replica, answers = self.replicas(self.columns[column].replica, step)
+        return self.answering(
+            self.number(Column(replica, self.columns[column].answers | set(answers))), calls
+        )
 
     def answering(self, column: int, calls: Calls) -> int:
         """With all that has come or was synced, as far as that leaves what is held as it is."""
         key = column, calls
         if (found := self._answering.get(key)) is None:
-            keeper, answers = self.columns[column].keeper, set(self.columns[column].answers)
+            replica, answers = self.columns[column].replica, set(self.columns[column].answers)
             for call in sorted(calls):
-                after, given = self.keepers(keeper, ("call", call))
-                if self.held(after) == self.held(keeper):
-                    keeper = after
+                after, given = self.replicas(replica, ("call", call))
+                if self.held(after) == self.held(replica):
+                    replica = after
                     answers.update(given)
-            for at in reversed(range(len(self.keepers.parts[keeper].unsynced))):
-                after, given = self.keepers(keeper, ("sync", at))
-                if self.held(after) == self.held(keeper):
-                    keeper = after
+            for at in reversed(range(len(self.replicas.parts[replica].unsynced))):
+                after, given = self.replicas(replica, ("sync", at))
+                if self.held(after) == self.held(replica):
+                    replica = after
                     answers.update(given)
-            found = self._answering[key] = self.number(Column(keeper, frozenset(answers)))
+            found = self._answering[key] = self.number(Column(replica, frozenset(answers)))
         return found
 
-    def held(self, keeper: int) -> Any:
-        if keeper not in self._held:
-            self._held[keeper] = self.keepers.parts[keeper].held()
-        return self._held[keeper]
+    def held(self, replica: int) -> Any:
+        if replica not in self._held:
+            self._held[replica] = self.replicas.parts[replica].held()
+        return self._held[replica]
 
     def heeded(self, column: int, calls: Calls, callers: tuple[int, ...]) -> int:
         """Without answers to calls that nobody makes any longer: they change nothing for who made them."""
@@ -155,7 +157,7 @@
             for to, answer in answers - kept:  # of a recovery that has ended there is nobody left to take it
                 if to != RECOVERY or any(who == RECOVERY for who, _ in calls):
                     assert self.callers[to](making[to], (self.names[-1], answer)) == (making[to], []), answer
-            found = self._heeded[column, calls] = self.number(Column(self.columns[column].keeper, kept))
+            found = self._heeded[column, calls] = self.number(Column(self.columns[column].replica, kept))
         return found
 
     def bags(self, to: str, columns: Iterable[int]) -> tuple[frozenset[str], ...]:
@@ -167,7 +169,7 @@
 
     def told(self, column: int) -> int | None:
         if column not in self._told:
-            self._told[column] = self.replica(column).told()
+            self._told[column] = self.stored(column).told()
         return self._told[column]
 
     # ---- the callers: orders and the recovery -----------------------------------------------------
@@ -212,7 +214,7 @@
 
     def recovering(self, column: int) -> bool:
         if column not in self._recovering:
-            self._recovering[column] = self.replica(column).keeper.state is Voting.RECOVERING
+            self._recovering[column] = self.stored(column).replica.state is Voting.RECOVERING
         return self._recovering[column]
 
     def state(self, wiped: int, others: Iterable[int], callers: tuple[int, ...], was: State | None) -> State:
@@ -262,10 +264,10 @@
             yield self.state(lost, rest, again, replace(now, begun=now.begun + 1))
 
     def alone(self, column: int, calls: Calls) -> set[int]:
-        """Steps of one keeper: a call comes, a sync is done, it is killed and started again."""
+        """Steps of one replica: a call comes, a sync is done, it is killed and started again."""
         if (found := self._alone.get((column, calls))) is None:
             steps: list[tuple[str, Any]] = [("call", call) for call in sorted(calls)]
-            steps += [("sync", at) for at in range(len(self.replica(column).unsynced))] + [("kill", 0)]
+            steps += [("sync", at) for at in range(len(self.stored(column).unsynced))] + [("kill", 0)]
             found = self._alone[column, calls] = {self.moved(column, step, calls) for step in steps} - {
                 column
             }
@@ -276,7 +278,7 @@
 
         :param deep: the newest state is looked at next: what is wrong is found sooner
         """
-        first = self.number(Column(self.keepers.first, frozenset()))
+        first = self.number(Column(self.replicas.first, frozenset()))
         callers = tuple(steps.first for steps in self.callers.values())
         start = self.state(first, [first] * (len(self.names) - 1), callers, None)
         self.seen, waiting = {start}, deque([start])
@@ -338,7 +340,7 @@
 
 
 def test_nor_where_a_recovery_takes_long_values_by_their_stamps(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(pieces, "SHORT", 0)
+    monkeypatch.setattr(chunks, "SHORT", 0)
     for size, wipes, at_least in (3, 1, 550), (3, 2, 6_500), (4, 1, 7_000):
         search = writing(size, wipes)
         assert search.run(loses) is None
@@ -352,45 +354,45 @@
     def count(round: Round, sender: str, lives: dict[str, int]) -> None:
         round.answered[sender] = lives.get(sender, 0)
 
-    monkeypatch.setattr(Clerk, "_count", staticmethod(count))
+    monkeypatch.setattr(Coordinator, "_count", staticmethod(count))
 
 
 def rash(monkeypatch: pytest.MonkeyPatch) -> None:
     """An heir tells all before the new life is synced."""
-    whole = Keeper._heir
+    whole = Replica._heir
 
-    def heir(self: Keeper, back: Any, ref: Any, *how: Any) -> Any:
+    def heir(self: Replica, back: Any, ref: Any, *how: Any) -> Any:
         answers, persists = whole(self, back, ref, *how)
         return answers or [(back, self._told(ref, None, None))], persists
 
-    monkeypatch.setattr(Keeper, "_heir", heir)
+    monkeypatch.setattr(Replica, "_heir", heir)
 
 
 def unasked(monkeypatch: pytest.MonkeyPatch) -> None:
     """A recovery takes over what it was told before others knew of its new life."""
     monkeypatch.setattr(
-        Keeper, "_heir", lambda self, back, ref, *_: ([(back, self._told(ref, None, None))], [])
+        Replica, "_heir", lambda self, back, ref, *_: ([(back, self._told(ref, None, None))], [])
     )
 
 
 def early(monkeypatch: pytest.MonkeyPatch) -> None:
     """A store is answered before it is synced."""
-    whole = Keeper._store
+    whole = Replica._store
 
-    def store(self: Keeper, back: Any, ref: Any, *how: Any) -> Any:
+    def store(self: Replica, back: Any, ref: Any, *how: Any) -> Any:
         answers, persists = whole(self, back, ref, *how)
         return answers or [(back, {"t": "stored", "r": ref, "l": self.lives()})], persists
 
-    monkeypatch.setattr(Keeper, "_store", store)
+    monkeypatch.setattr(Replica, "_store", store)
 
 
 def older(monkeypatch: pytest.MonkeyPatch) -> None:
     """Of a long value a recovery takes any version that comes."""
 
     def lacking(self: recovery.Recovery) -> list[str]:
-        return [key for key in self._long if key not in self.office.follower.values]
+        return [key for key in self._long if key not in self.gatekeeper.subscriber.values]
 
-    monkeypatch.setattr(pieces, "SHORT", 0)
+    monkeypatch.setattr(chunks, "SHORT", 0)
     monkeypatch.setattr(recovery.Recovery, "_lacking", lacking)
 
 
@@ -418,23 +420,23 @@
 
 def faithless(monkeypatch: pytest.MonkeyPatch) -> None:
     """Promises are not kept."""
-    whole = Keeper._ballot
+    whole = Replica._ballot
 
-    def ballot(self: Keeper, *how: Any) -> Any:
+    def ballot(self: Replica, *how: Any) -> Any:
         self.values = {key: value for key, value in self.values.items() if not key.startswith(OWN)}
         return whole(self, *how)
 
-    monkeypatch.setattr(Keeper, "_ballot", ballot)
-    monkeypatch.setattr(Keeper, "_still", lambda *_: True)
+    monkeypatch.setattr(Replica, "_ballot", ballot)
+    monkeypatch.setattr(Replica, "_still", lambda *_: True)
 
 
 def headstrong(monkeypatch: pytest.MonkeyPatch) -> None:
     """What was accepted before is not adopted by a higher ballot."""
-    monkeypatch.setattr(Keeper, "_accepted", lambda *_: None)
+    monkeypatch.setattr(Replica, "_accepted", lambda *_: None)
 
 
 def bare(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Claims are not taken over by a keeper that recovers."""
+    """Claims are not taken over by a replica that recovers."""
     whole = Recovery.take
 
     def take(self: Recovery, sender: str, message: Message) -> list[Persist]:
--- a/tests/test_restart_from_disk.py
+++ b/tests/test_restart_from_disk.py
@@ -6,11 +6,11 @@
 
 from millfront.control.admin import EVACUATION
 from millfront.control.configuration import Service
-from millfront.dataplane.proxy import Carrier
+from millfront.dataplane.proxy import Proxy
 from millfront.environment import Bounds, Settings
-from millfront.gatekeeper.node import Office
+from millfront.gatekeeper.node import Gatekeeper
 from millfront.register.values import CONFIG, CORE, FOUNDED, Core, Value
-from tests.post_world import ZONES, document
+from tests.system_world import ZONES, document
 
 NODE = "aa-00"
 CONFIGURATION = document(7, limits={"max_body_bytes": 5000, "idle_timeout": "6s", "header_deadline": "2s"})
@@ -23,7 +23,7 @@
         return lambda *args, **more: None
 
 
-def restarted(kept: dict[str, Value]) -> Carrier:
+def restarted(kept: dict[str, Value]) -> Proxy:
     """The data plane of a node that starts again with this on its disk."""
     settings = Settings(
         name=NODE, ip="127.0.0.1", zone="aa", region="a", fresh=False, counts_loss=True,
@@ -32,12 +32,12 @@
         cloud="127.0.0.1:1", cloud_rate=40.0, cloud_lag=0.8, bounds=Bounds(),
     )  # fmt: skip
     core = Core(FOUNDED, {NODE: "127.0.0.1:7000"}).value()
-    office = Office(settings, NoDoors(), {CORE: core, **kept}, 100.0, 1, 1)
-    return Carrier(office, 1, lambda: 100.0)
+    gatekeeper = Gatekeeper(settings, NoDoors(), {CORE: core, **kept}, 100.0, 1, 1)
+    return Proxy(gatekeeper, 1, lambda: 100.0)
 
 
 @pytest.fixture
-def data_plane() -> Carrier:
+def data_plane() -> Proxy:
     kept = {
         CONFIG: Value(7, "digest", CONFIGURATION),
         EVACUATION + "ab": Value(3, "read", "1"),
@@ -46,23 +46,23 @@
     return restarted(kept)
 
 
-def test_an_evacuated_zone_gets_no_request_from_a_node_that_restarted(data_plane: Carrier) -> None:
+def test_an_evacuated_zone_gets_no_request_from_a_node_that_restarted(data_plane: Proxy) -> None:
     entries = [
         [f"i-{zone}", "shop", f"10.0.2.{number}:80", zone, 9, 0, 0.0] for number, zone in enumerate(ZONES)
     ]
-    data_plane.office.addresses.take(100.0, {"f": 1, "p": 0, "e": entries, "g": []})
+    data_plane.gatekeeper.server_list.take(100.0, {"f": 1, "p": 0, "e": entries, "g": []})
     data_plane.relisted()
     shop = Service("shop", "/health", 100, 0.0, 0.0)
     chosen: set[str] = set()
     for _ in range(100):
-        seen = data_plane.sorting.pick(100.0, shop, True, frozenset(), 1000.0, tried=chosen)
+        seen = data_plane.load_balancer.pick(100.0, shop, True, frozenset(), 1000.0, tried=chosen)
         if seen is not None:
             chosen.add(seen.server.ident)
     assert chosen == {"i-aa", "i-ba", "i-bb"}
 
 
 def test_the_limits_on_the_disk_hold_for_the_first_client_of_a_node_that_restarted(
-    data_plane: Carrier,
+    data_plane: Proxy,
 ) -> None:
     server = data_plane.server
     assert server.most_body == 5000
@@ -73,5 +73,5 @@
 
 def test_a_node_with_nothing_on_its_disk_starts_with_nothing_in_force() -> None:
     data_plane = restarted({})
-    assert data_plane.sorting.evacuated == frozenset()
-    assert data_plane.office.orders is None
+    assert data_plane.load_balancer.evacuated == frozenset()
+    assert data_plane.gatekeeper.configuration is None
--- a/tests/test_system_links.py
+++ b/tests/test_system_links.py
@@ -1,5 +1,5 @@
 """The control side's worst days: real processes, with doors on every link between them (the stories of
-benchmarks/sealed_orders.py, which plays them at full length as well)."""
+benchmarks/control_faults.py, which plays them at full length as well)."""
 
 import random
 import socket
@@ -11,7 +11,7 @@
 
 import pytest
 
-from benchmarks.sealed_orders import told_of
+from benchmarks.control_faults import told_of
 from millfront.rehearsal.links import Links
 from millfront.rehearsal.system import free_ports
 
@@ -73,7 +73,7 @@
                 return False
 
         def written() -> tuple[bytes, str] | None:
-            """A letter from 0, and what 1 sees as its sender's address."""
+            """A message from 0, and what 1 sees as its sender's address."""
             letters[0].sendto(b"letter", front)
             try:
                 data, back = letters[1].recvfrom(100)
--- a/tests/test_post_parts.py
+++ b/tests/test_system_parts.py
@@ -7,18 +7,18 @@
 import pytest
 from result import Err, Ok
 
-from millfront import environment as settings
-from millfront.control import configuration as orders
+from millfront import environment
+from millfront.control import configuration
 from millfront.control.configuration import Service
-from millfront.dataplane.load_balancer import MOST_EJECTED, Sorting, State
-from millfront.dataplane.retries import Course, Fate, Purse
+from millfront.dataplane.load_balancer import MOST_EJECTED, LoadBalancer, State
+from millfront.dataplane.retries import Outcome, RequestProgress, RetryBudget
 from millfront.discovery.server_list import Phase, Server
 from millfront.environment import Bounds
 from millfront.node.endings import Ending
 from millfront.register.values import Value
 from millfront.storage.disk import Disk, DiskFault
-from millfront.transport import connections as wire
-from tests.post_world import ZONES, document
+from millfront.transport import connections
+from tests.system_world import ZONES, document
 
 
 def changed(where: str, **spec: Any) -> str:
@@ -47,7 +47,7 @@
     ],
 )
 def test_an_invalid_configuration_is_refused_and_its_fault_named(text: str, said: str) -> None:
-    match orders.checked(text):
+    match configuration.checked(text):
         case Err(fault):
             assert said in str(fault)
         case Ok(_):
@@ -61,7 +61,7 @@
         changed("routes", split=[{"target": "shop", "weight": 0}, {"target": "shop", "weight": 1}]),
         changed("tenants", api_keys=None),
     ):
-        assert orders.checked(text).is_ok()
+        assert configuration.checked(text).is_ok()
 
 
 def test_of_the_routes_that_begin_a_path_the_longest_is_chosen() -> None:
@@ -69,7 +69,7 @@
     longer = json.loads(json.dumps(told["resources"][0]))
     longer["meta"]["name"], longer["spec"]["path_prefix"] = "longer", "/p/q/"
     told["resources"].append(longer)
-    made = orders.checked(json.dumps(told)).unwrap()
+    made = configuration.checked(json.dumps(told)).unwrap()
     for path, name in (("/p/x", "r"), ("/p/q/x", "longer"), ("/p/q", "r"), ("/p", None), ("/x", None)):
         found = made.route_of("a.example", path)
         assert (found.name if found else None) == name
@@ -81,7 +81,7 @@
         entry = json.loads(json.dumps(told["resources"][0]))
         entry["meta"]["name"], entry["spec"]["path_prefix"] = name, prefix
         told["resources"].append(entry)
-    made = orders.checked(json.dumps(told)).unwrap()
+    made = configuration.checked(json.dumps(told)).unwrap()
     for path, name in (
         ("/p/qx/", "odd"),
         ("/p/q/r/s", "even"),
@@ -104,29 +104,29 @@
 
 
 def test_the_log_s_level_and_form_are_settings_and_checked() -> None:
-    assert not settings.read(settings_document()).unwrap().log_json
-    told = settings.read(settings_document() | {"log": {"level": "ERROR", "format": "json"}}).unwrap()
+    assert not environment.read(settings_document()).unwrap().log_json
+    told = environment.read(settings_document() | {"log": {"level": "ERROR", "format": "json"}}).unwrap()
     assert (told.log_level, told.log_json) == ("ERROR", True)
-    assert "log.level" in str(settings.read(settings_document() | {"log": {"level": "loud"}}).unwrap_err())
+    assert "log.level" in str(environment.read(settings_document() | {"log": {"level": "loud"}}).unwrap_err())
 
 
 def test_settings_are_read_with_unknown_fields_ignored_and_a_bad_one_named() -> None:
-    told = settings.read(settings_document()).unwrap()
+    told = environment.read(settings_document()).unwrap()
     assert told.bounds.contact == 4.0 and told.post_address == "10.0.0.1:7000"
     for bad, name in (({"fresh": "yes"}, "fresh"), ({"zone": ""}, "zone"), ({"limits": 3}, "limits")):
-        assert name in str(settings.read(settings_document(**bad)).unwrap_err())
+        assert name in str(environment.read(settings_document(**bad)).unwrap_err())
 
 
 @pytest.mark.parametrize("cut", [b"{", b"[]", b'{"t":1}', b'{"z":"AAAA"}', b"\xff", b"{}"])
 def test_a_line_that_can_not_be_read_is_a_fault_of_its_own(cut: bytes) -> None:
-    with pytest.raises(wire.WireFault):
-        wire.decoded(cut)
+    with pytest.raises(connections.WireFault):
+        connections.decoded(cut)
 
 
 def test_a_long_message_is_packed_and_comes_back_whole() -> None:
     message = {"t": "store", "v": {"config": [1, "x", "y" * 9000]}}
-    data = wire.encoded(message)
-    assert len(data) < 400 and wire.decoded(data) == message
+    data = connections.encoded(message)
+    assert len(data) < 400 and connections.decoded(data) == message
 
 
 def test_a_disk_keeps_the_higher_value_and_sets_aside_what_it_can_not_read(tmp_path: Path) -> None:
@@ -152,54 +152,54 @@
         Disk(str(tmp_path / "file")).load()
 
 
-# ---- fates and the purse ---------------------------------------------------------------------------
+# ---- fates and the retry budget ---------------------------------------------------------------------------
 
 
 @pytest.mark.parametrize(
-    ("ending", "repeatable", "fate", "goes_on", "promises"),
+    ("ending", "repeatable", "outcome", "goes_on", "promises"),
     [
-        (Ending.TURNED_AWAY, False, Fate.NOT_RUN, True, True),
-        (Ending.UNCONNECTED, False, Fate.NOT_RUN, True, True),
-        (Ending.BROKEN, False, Fate.UNKNOWN, False, False),
-        (Ending.BROKEN, True, Fate.UNKNOWN, True, False),
-        (Ending.MALFORMED, False, Fate.UNKNOWN, False, False),
-        (Ending.TIMED_OUT, False, Fate.UNKNOWN, False, False),
-        (Ending.ERRORED, False, Fate.UNKNOWN, False, False),
-        (Ending.SERVED, False, Fate.DONE, True, True),
+        (Ending.TURNED_AWAY, False, Outcome.NOT_RUN, True, True),
+        (Ending.UNCONNECTED, False, Outcome.NOT_RUN, True, True),
+        (Ending.BROKEN, False, Outcome.UNKNOWN, False, False),
+        (Ending.BROKEN, True, Outcome.UNKNOWN, True, False),
+        (Ending.MALFORMED, False, Outcome.UNKNOWN, False, False),
+        (Ending.TIMED_OUT, False, Outcome.UNKNOWN, False, False),
+        (Ending.ERRORED, False, Outcome.UNKNOWN, False, False),
+        (Ending.SERVED, False, Outcome.DONE, True, True),
     ],
 )
 def test_only_what_is_known_not_to_have_run_moves_on_unless_it_may_be_repeated(
-    ending: Ending, repeatable: bool, fate: Fate, goes_on: bool, promises: bool
+    ending: Ending, repeatable: bool, outcome: Outcome, goes_on: bool, promises: bool
 ) -> None:
-    course = Course(repeatable, 2)
-    course.sending("i-1")
-    course.ended(ending)
-    assert (course.fate, course.may_go_on(), course.promises()) == (fate, goes_on, promises)
+    progress = RequestProgress(repeatable, 2)
+    progress.sending("i-1")
+    progress.ended(ending)
+    assert (progress.outcome, progress.may_go_on(), progress.promises()) == (outcome, goes_on, promises)
 
 
 def test_a_second_copy_under_way_takes_the_promise_away() -> None:
-    course = Course(True, 3)
-    course.sending("i-1")
-    course.sending("i-2")
-    course.ended(Ending.TURNED_AWAY)
-    assert not course.promises()
-    course.ended(Ending.BROKEN)
-    assert course.fate is Fate.UNKNOWN and not course.promises()
+    progress = RequestProgress(True, 3)
+    progress.sending("i-1")
+    progress.sending("i-2")
+    progress.ended(Ending.TURNED_AWAY)
+    assert not progress.promises()
+    progress.ended(Ending.BROKEN)
+    assert progress.outcome is Outcome.UNKNOWN and not progress.promises()
 
 
 @pytest.mark.parametrize("n", [1, 11, 82])
 def test_all_purses_together_stay_within_the_budget_of_a_window(n: int) -> None:
     bounds = Bounds(retry_ratio=0.2, retry_window=10.0, retry_extra=62.0)
-    purses = [Purse(bounds, 0.0) for _ in range(n)]
+    retry_budgets = [RetryBudget(bounds, 0.0) for _ in range(n)]
     spent: list[float] = []
     requests: list[float] = []
     for step in range(4000):  # 40 s; all want to try again always, and 40 requests a second come
         now = step / 100
-        purse = purses[step * 7 % n]
+        retry_budget = retry_budgets[step * 7 % n]
         if step % 5 < 2:
             requests.append(now)
-            purse.request(now, n)
-        spent += [now for one in purses if one.spend(now, n)]
+            retry_budget.request(now, n)
+        spent += [now for one in retry_budgets if one.spend(now, n)]
     for at in range(31):
         window = [t for t in spent if at <= t < at + 10]
         came = [t for t in requests if at <= t < at + 10]
@@ -218,8 +218,8 @@
 ANY: frozenset[str] = frozenset()
 
 
-def sorting(count: int = 6, cold: float = 0.0) -> Sorting:
-    made = Sorting("aa", ZONES, 1)
+def load_balancer(count: int = 6, cold: float = 0.0) -> LoadBalancer:
+    made = LoadBalancer("aa", ZONES, 1)
     made.listed(
         Server(f"i-{k}", "shop", f"10.0.2.{k}:80", list(ZONES)[k % 4], 3, Phase.READY, cold, 0.0)
         for k in range(count)
@@ -227,7 +227,7 @@
     return made
 
 
-def picks(made: Sorting, now: float, count: int, **how: Any) -> list[str]:
+def picks(made: LoadBalancer, now: float, count: int, **how: Any) -> list[str]:
     found = [
         made.pick(now, SHOP, how.get("repeatable", True), how.get("homes", ANY), 500.0) for _ in range(count)
     ]
@@ -235,7 +235,7 @@
 
 
 def test_homes_evacuations_and_phases_bind_the_choice() -> None:
-    made = sorting(8)
+    made = load_balancer(8)
     assert {made.seen[i].server.zone for i in picks(made, 1.0, 50, homes=frozenset({"b"}))} <= {"ba", "bb"}
     made.evacuated = frozenset({"aa"})
     assert all(made.seen[i].server.zone != "aa" for i in picks(made, 1.0, 50))
@@ -246,7 +246,7 @@
 
 
 def test_a_server_that_does_not_come_up_is_ejected_and_comes_back_on_trial() -> None:
-    made = sorting(2)
+    made = load_balancer(2)
     first = made.seen["i-0"]
     made.failed(1.0, first, 3)
     assert first.state.name == "EJECTED" and "i-0" not in picks(made, 1.5, 20)
@@ -260,7 +260,7 @@
 
 
 def test_never_more_than_a_share_of_a_service_is_ejected() -> None:
-    made = sorting(8)
+    made = load_balancer(8)
     for seen in made.seen.values():
         made.failed(1.0, seen, 3)
     ejected = [seen for seen in made.seen.values() if seen.state is State.EJECTED]
@@ -268,7 +268,7 @@
 
 
 def test_a_silent_server_gets_nothing_more_until_it_answers() -> None:
-    made = sorting(2)
+    made = load_balancer(2)
     dark = made.seen["i-0"]
     made.sent(1.0, dark, 1)
     assert "i-0" not in picks(made, 4.0, 20)
@@ -278,7 +278,7 @@
 
 
 def test_the_loaded_one_is_passed_over_and_a_long_body_stays_in_its_zone() -> None:
-    made = sorting(8)
+    made = load_balancer(8)
     for ident, load in (("i-0", 3), ("i-4", 0)):
         made.reported(1.0, made.seen[ident], load, load, 3)
     assert "i-0" not in picks(made, 1.1, 30)
@@ -288,7 +288,7 @@
 
 
 def test_a_cold_server_gets_a_trickle_and_only_from_its_holder() -> None:
-    made = sorting(1, cold=100.0)
+    made = load_balancer(1, cold=100.0)
     assert picks(made, 1.0, 3) == []
     made.cold_mine = {"i-0": True}
     sent = 0
@@ -300,3 +300,17 @@
             made.ended(now, seen, step)
             sent += 1
     assert 4 * SHOP.warmup_rate * 0.7 < sent <= 4 * SHOP.warmup_rate + 2
+
+
+def test_the_data_of_a_role_s_earlier_name_is_found_and_none_is_mixed(tmp_path: Path) -> None:
+    earlier = Disk(str(tmp_path / "office"))
+    earlier.load()
+    earlier.store({"config": Value(3, "", "kept")}, ())
+    earlier.close()
+    renamed = Disk(str(tmp_path / "gatekeeper"))
+    assert renamed.load() == ({"config": Value(3, "", "kept")}, "")
+    renamed.close()
+    (tmp_path / "gatekeeper" / "registry").mkdir(parents=True)
+    own = Disk(str(tmp_path / "gatekeeper"))
+    assert own.load()[0] == {}
+    own.close()
--- a/tests/test_system_processes.py
+++ b/tests/test_system_processes.py
@@ -31,7 +31,7 @@
 
     def start(number: int) -> None:
         given = os.environ | {"MILLFRONT_CONFIG": str(files[number])}
-        command = [sys.executable, "-B", "-m", "millfront", "office"]
+        command = [sys.executable, "-B", "-m", "millfront", "gatekeeper"]
         running[number] = subprocess.Popen(command, cwd=ROOT, env=given, stderr=subprocess.DEVNULL)
 
     def kill(number: int) -> None:
@@ -54,10 +54,10 @@
         files[1].write_text(files[1].read_text().replace("fresh = true", "fresh = false"))
         start(1)
         ends = time.monotonic() + 10.0
-        told: dict[str, Any] = {"keeper": {"state": ""}}
-        while told["keeper"]["state"] != "voting" and time.monotonic() < ends:
-            told = json.loads(system.until("a statement", "GET", at(1, "/v1/office")))
-        assert told["version"] == "00000002" and told["keeper"]["held"]["config"] == 2
+        told: dict[str, Any] = {"replica": {"state": ""}}
+        while told["replica"]["state"] != "voting" and time.monotonic() < ends:
+            told = json.loads(system.until("a statement", "GET", at(1, "/v1/gatekeeper")))
+        assert told["version"] == "00000002" and told["replica"]["held"]["config"] == 2
         kill(0)
         put(1, 3)  # the one whose disk was lost counts again: two of three
         assert json.loads(system.until("a read", "GET", at(2, "/v1/config")))["revision"] == "00000003"
--- a/tests/test_post_world.py
+++ b/tests/test_system_world.py
@@ -6,7 +6,7 @@
 import pytest
 
 from millfront.register.replica import Voting
-from tests.post_world import World, document
+from tests.system_world import World, document
 
 
 def founded(n: int = 11, disks: int = 4, seed: int = 1) -> World:
@@ -16,19 +16,23 @@
 
 
 def version_of(world: World, number: int) -> int:
-    office = world.nodes[number].office
-    return office.orders.version if office is not None and office.orders is not None else 0
+    gatekeeper = world.nodes[number].gatekeeper
+    return (
+        gatekeeper.configuration.version
+        if gatekeeper is not None and gatekeeper.configuration is not None
+        else 0
+    )
 
 
 def test_a_fleet_with_one_of_its_three_seeds_dead_founds_its_core_and_takes_a_configuration() -> None:
     world = World().start(but=(0,)).run(5.0)
-    (core,) = {tuple(sorted(o.follower.core.members)) for o in world.offices() if o.follower.core}
-    assert len(core) == 3 and all(o.follower.core for o in world.offices())
+    (core,) = {tuple(sorted(o.subscriber.core.members)) for o in world.gatekeepers() if o.subscriber.core}
+    assert len(core) == 3 and all(o.subscriber.core for o in world.gatekeepers())
     answers = world.put(7, document(3))
     world.run(2.0)
     assert answers[0][0] == 200
     assert all(version_of(world, number) == 3 for number in range(1, 11))
-    assert all(node.office.ready(node.now()) for node in world.nodes[1:] if node.office)
+    assert all(node.gatekeeper.ready(node.now()) for node in world.nodes[1:] if node.gatekeeper)
 
 
 def test_two_founders_at_once_end_with_one_core() -> None:
@@ -38,8 +42,8 @@
     world.start().run(4.0)
     apart = False
     world.run(16.0)
-    cores = {(o.follower.core.epoch, tuple(sorted(o.follower.core.all))) for o in world.offices()
-             if o.follower.core}  # fmt: skip
+    cores = {(o.subscriber.core.epoch, tuple(sorted(o.subscriber.core.all))) for o in world.gatekeepers()
+             if o.subscriber.core}  # fmt: skip
     ((epoch, members),) = cores  # one founded it, and those cut off then were posted to it
     assert epoch > 2 and len(members) == 4
 
@@ -65,7 +69,7 @@
     halves = world.put(0, document(5)), world.put(3, document(6))
     world.run(6.5)
     assert [answers[0][0] for answers in halves] == [503, 503]
-    assert all(node.office.trusted(node.now()) for node in world.nodes if node.office)
+    assert all(node.gatekeeper.trusted(node.now()) for node in world.nodes if node.gatekeeper)
     cut = False
     world.run(1.0)
     again = world.put(0, document(7))
@@ -82,8 +86,8 @@
         world.run(0.01)
     acknowledged = answers[0][2]
     node = world.nodes[9]
-    assert node.office is not None
-    while node.office.trusted(node.now()):
+    assert node.gatekeeper is not None
+    while node.gatekeeper.trusted(node.now()):
         world.run(0.05)
     assert world.env.now < acknowledged + world.bounds.revoke_within
     assert version_of(world, 9) == 1
@@ -103,10 +107,10 @@
     answers = world.put(1, document(4, {"t": ["one"]})), world.put(10, document(4, {"t": ["two"]}))
     world.run(4.0)
     assert sorted(a[0][0] for a in answers) == [200, 409]
-    assert len({o.orders.digest for o in world.offices() if o.orders}) == 1
+    assert len({o.configuration.digest for o in world.gatekeepers() if o.configuration}) == 1
 
 
-def test_a_keeper_whose_disk_refuses_does_not_count() -> None:
+def test_a_replica_whose_disk_refuses_does_not_count() -> None:
     world = founded()
     world.nodes[1].refuses = True
     answers = world.put(5, document(4))
@@ -122,17 +126,17 @@
     assert answers[0][0] == 200
 
 
-def test_a_wiped_keeper_votes_only_after_others_have_told_it_what_they_have() -> None:
+def test_a_wiped_replica_votes_only_after_others_have_told_it_what_they_have() -> None:
     world = founded()
     world.nodes[2].wipe()
     world.cut = lambda a, b: 2 in (a.number, b.number) and (a.number < 4 and b.number < 4)
     world.nodes[2].start()
     world.run(4.0)
-    keeper = world.nodes[2].office.keeper  # type: ignore[union-attr]
-    assert keeper is not None and not keeper.votes
+    replica = world.nodes[2].gatekeeper.replica  # type: ignore[union-attr]
+    assert replica is not None and not replica.votes
     world.cut = lambda a, b: False
     world.run(3.0)
-    assert keeper.votes and "config" in keeper.values
+    assert replica.votes and "config" in replica.values
 
 
 def test_evacuations_and_their_taking_back_outlive_a_loss_of_power() -> None:
@@ -141,12 +145,12 @@
         answers = world.call(number, lambda o, now, done, on=on, zone=zone: o.evacuate(now, zone, on, done))  # type: ignore[misc]
         world.run(1.5)
         assert answers[0][0] == 200
-    assert {frozenset(o.evacuated) for o in world.offices()} == {frozenset({"bb"})}
+    assert {frozenset(o.evacuated) for o in world.gatekeepers()} == {frozenset({"bb"})}
     world.power_off().run(6.0)
-    assert {frozenset(o.evacuated) for o in world.offices()} == {frozenset({"bb"})}
+    assert {frozenset(o.evacuated) for o in world.gatekeepers()} == {frozenset({"bb"})}
 
 
-def test_one_that_was_away_is_handed_what_it_missed_by_a_neighbour_though_it_reaches_no_keeper() -> None:
+def test_one_that_was_away_is_handed_what_it_missed_by_a_neighbour_though_it_reaches_no_replica() -> None:
     world = founded()
     node = world.nodes[6]
     node.kill()
@@ -154,19 +158,19 @@
     world.put(5, document(7))
     world.run(1.0)
     world.cut = lambda a, b: 6 in (a.number, b.number) and min(a.number, b.number) < 4
-    node.start()  # its seeds are keepers, too: the others look for it
+    node.start()  # its seeds are replicas, too: the others look for it
     world.run(5.0)
-    assert version_of(world, 6) == 7 and node.office is not None and node.office.addresses.known()
-    assert not node.office.trusted(node.now())  # but that it is the newest only keepers can say
+    assert version_of(world, 6) == 7 and node.gatekeeper is not None and node.gatekeeper.server_list.known()
+    assert not node.gatekeeper.trusted(node.now())  # but that it is the newest only replicas can say
 
 
 def test_when_the_poller_is_gone_a_draining_server_is_known_to_all_in_time() -> None:
     world = founded()
-    poller = next(n for n in world.nodes if n.office and n.office.neighbours.has_duty("list"))
+    poller = next(n for n in world.nodes if n.gatekeeper and n.gatekeeper.membership.has_duty("list"))
     poller.kill()
     world.servers[0][5] = 1
     world.run(world.bounds.drain_within - 0.3)
-    phases = [office.addresses.servers["i-1"].phase.name for office in world.offices()]
+    phases = [gatekeeper.server_list.servers["i-1"].phase.name for gatekeeper in world.gatekeepers()]
     assert set(phases) == {"DRAINING"}
     polls = world.polls
     world.run(8.0)
@@ -176,11 +180,13 @@
 def test_a_server_that_left_the_list_does_not_come_back_by_an_older_one() -> None:
     world = founded()
     entry = list(world.servers[0])
-    addresses = world.nodes[6].office.addresses  # type: ignore[union-attr]
+    server_list = world.nodes[6].gatekeeper.server_list  # type: ignore[union-attr]
     world.servers[0] = ["i-2", "shop", "10.0.2.1:80", "aa", 3, 0, 0.0]
     world.run(2.0)
-    addresses.take(0.0, {"t": "list", "f": 1, "p": 0, "e": [entry], "g": []})
-    assert addresses.servers["i-1"].phase.name == "GONE" and addresses.servers["i-2"].phase.name == "READY"
+    server_list.take(0.0, {"t": "list", "f": 1, "p": 0, "e": [entry], "g": []})
+    assert (
+        server_list.servers["i-1"].phase.name == "GONE" and server_list.servers["i-2"].phase.name == "READY"
+    )
 
 
 def test_a_restart_is_heard_of_though_its_clock_went_back() -> None:
@@ -188,13 +194,13 @@
     world.nodes[5].kill()
     world.run(1.0)
     world.nodes[5].start()
-    office = world.nodes[5].office
-    assert office is not None
-    office.neighbours.me.incarnation = 0  # as if the time of day were years ago
+    gatekeeper = world.nodes[5].gatekeeper
+    assert gatekeeper is not None
+    gatekeeper.membership.me.incarnation = 0  # as if the time of day were years ago
     world.run(4.0)
-    seen = [o.neighbours.cards[office.name] for o in world.offices() if o is not office]
-    assert {card.standing.name for card in seen} == {"UP"}
-    assert {card.incarnation for card in seen} == {office.neighbours.me.incarnation}
+    seen = [o.membership.records[gatekeeper.name] for o in world.gatekeepers() if o is not gatekeeper]
+    assert {record.liveness.name for record in seen} == {"UP"}
+    assert {record.incarnation for record in seen} == {gatekeeper.membership.me.incarnation}
 
 
 @pytest.mark.parametrize("seed", range(12))
@@ -209,7 +215,7 @@
         match chance.choice(("put", "put", "put", "cut", "join", "kill", "wipe", "all")):
             case "put":
                 version += chance.randrange(1, 4)
-                numbers = [n.number for n in world.nodes if n.office]
+                numbers = [n.number for n in world.nodes if n.gatekeeper]
                 open_calls.append((version, world.put(chance.choice(numbers), document(version))))
             case "cut":
                 island = set(chance.sample(range(11), chance.randrange(1, 5)))
@@ -221,8 +227,8 @@
                 world.run(chance.random())
                 node.start()
             case "wipe":
-                keepers = [n.office.keeper for n in world.nodes[:4] if n.office]
-                if len(keepers) == 4 and all(k and k.state is Voting.VOTING for k in keepers):
+                replicas = [n.gatekeeper.replica for n in world.nodes[:4] if n.gatekeeper]
+                if len(replicas) == 4 and all(k and k.state is Voting.VOTING for k in replicas):
                     node = world.nodes[chance.randrange(4)]
                     node.wipe()
                     world.run(0.3)
@@ -243,4 +249,7 @@
     world.loss = world.lost_answers = 0.0
     world.run(6.0)
     assert int(world.read(6)["revision"], 16) >= acknowledged
-    assert all(office.orders and office.orders.version >= acknowledged for office in world.offices())
+    assert all(
+        gatekeeper.configuration and gatekeeper.configuration.version >= acknowledged
+        for gatekeeper in world.gatekeepers()
+    )
