--- a/millfront/control/configuration.py
+++ b/millfront/control/configuration.py
@@ -4,7 +4,6 @@
 The highest revision holds. Times are seconds inside.
 """
 
-import hashlib
 import json
 from dataclasses import dataclass
 from functools import cached_property
@@ -15,6 +14,7 @@
 from schema import And, Optional, Or, Schema, SchemaError
 
 from millfront.environment import seconds
+from millfront.register.values import digest_of as digest_of
 
 KINDS = ("idempotent", "effectful", "upload")
 MOST_OVER_S = 60.0  # a target time so far above its route's deadline is a slip of the pen
@@ -139,10 +139,6 @@
         return table.find(path) if table is not None else None
 
 
-def digest_of(text: str) -> str:
-    return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
-
-
 def _time(value: Any) -> bool:
     seconds(value)
     return True
--- a/millfront/dataplane/proxy.py
+++ b/millfront/dataplane/proxy.py
@@ -11,12 +11,11 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from millfront.control.configuration import Route, Tenant
 from millfront.dataplane.load_balancer import LoadBalancer, ServerState
 from millfront.dataplane.retries import RequestProgress, RetryBudget
-from millfront.gatekeeper.node import Gatekeeper
 from millfront.node.bodies import EACH, PART, ROOM_PART, Room, Ways
 from millfront.node.clients import VirtualServer
 from millfront.node.config import Address
@@ -28,6 +27,9 @@
 from millfront.node.stages.send import Send, ServerSideFlow
 from millfront.node.stages.take_in import NotTaken
 
+if TYPE_CHECKING:
+    from millfront.gatekeeper.node import Gatekeeper
+
 ID, DEADLINE = b"millfront-attempt-id", b"millfront-deadline-ms"
 TENANT, TARGET = b"millfront-tenant-name", b"millfront-target-instance"
 SEAL, NOT_RUN, LOAD = b"millfront-server-seal", b"millfront-not-executed", b"millfront-server-load"
@@ -121,7 +123,7 @@
 class Proxy:
     """Clients' side and servers' side of one process."""
 
-    def __init__(self, gatekeeper: Gatekeeper, seed: int, now: Callable[[], float]) -> None:
+    def __init__(self, gatekeeper: "Gatekeeper", seed: int, now: Callable[[], float]) -> None:
         settings = gatekeeper.settings
         self.gatekeeper, self.now = gatekeeper, now
         self.random = random.Random(seed)
--- a/millfront/register/chunks.py
+++ b/millfront/register/chunks.py
@@ -13,9 +13,8 @@
 
 from result import Err, Ok
 
-from millfront.control.configuration import digest_of
 from millfront.register import deltas
-from millfront.register.values import Message, Value
+from millfront.register.values import Message, Value, digest_of
 
 SHORT = 4096  # goes whole in any answer
 PIECE = 128 * 1024  # of one message
--- a/millfront/register/deltas.py
+++ b/millfront/register/deltas.py
@@ -12,7 +12,7 @@
 
 from result import Err, Ok, Result
 
-from millfront.control.configuration import digest_of
+from millfront.register.values import digest_of
 
 Steps = list[Any]
 END = re.compile(r"\},|\n")
--- a/millfront/register/recovery.py
+++ b/millfront/register/recovery.py
@@ -11,14 +11,16 @@
 """
 
 from enum import Enum
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
-from millfront.control.delivery import Subscriber
 from millfront.register.chunks import Offer, Stamp
 from millfront.register.coordinator import Coordinator
 from millfront.register.replica import Persist, Replica, Voting
 from millfront.register.values import CORE, LIFE, Core, Value
 
+if TYPE_CHECKING:
+    from millfront.control.delivery import Subscriber
+
 SELF = "self"
 AGAIN_BEATS = 3  # between two times that the others are asked
 SYNC_BEATS = 16  # a disk that has not taken it by then, 4 s, is asked again
@@ -36,7 +38,7 @@
     name: str
     coordinator: Coordinator
     replica: Replica | None
-    subscriber: Subscriber
+    subscriber: "Subscriber"
 
     @property
     def io(self) -> NodeIO: ...
--- a/millfront/register/values.py
+++ b/millfront/register/values.py
@@ -5,6 +5,7 @@
 W + R > N (docs/design/system.md, "The core").
 """
 
+import hashlib
 import json
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -24,6 +25,11 @@
 BALLOTS = 1_000_000  # of one epoch
 
 
+def digest_of(text: str) -> str:
+    """Sixteen hexadecimal digits that tell a text from others, the same in every process."""
+    return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
+
+
 def write_quorum(core: int) -> int:
     """W: acknowledged is what so many replicas have synced.
 
