--- a/millfront/control/admin.py
+++ b/millfront/control/admin.py
@@ -1,7 +1,7 @@
-"""The window: operators' orders and questions, each over a majority of the core. No I/O, no clock.
+"""Admin operations: operators' changes and reads, each over a majority of the core. No I/O, no clock.
 
-A configuration's number is claimed, then the document is stored; an evacuation has its turn made known, then
-its word is stored; what is read is read from a majority since the call came. Proofs:
+A configuration's number is claimed, then the document is stored; an evacuation has its turn (a number) made
+known, then its new state is stored; what is read is read from a majority since the call came. Proofs:
 docs/design/control-faults.md. An answer is told once: a status of HTTP and a text. 503 says that it may be
 sent again unchanged.
 """
@@ -28,7 +28,7 @@
 
 
 class AdminOperations:
-    """The part of a process that takes orders; `Gatekeeper` puts it together with the rest."""
+    """The part of a process that runs admin operations; `Gatekeeper` puts it together with the rest."""
 
     def __init__(self, coordinator: Coordinator, subscriber: Subscriber, now: float, seed: int) -> None:
         self.coordinator, self.subscriber, self.now = coordinator, subscriber, now
@@ -49,7 +49,7 @@
     def _hold(self, found: dict[str, Value]) -> None:
         raise NotImplementedError
 
-    # ---- orders and questions ----------------------------------------------------------------------
+    # ---- changes and reads -------------------------------------------------------------------------
 
     def put(self, now: float, text: str, done: Done) -> None:
         """A configuration; `done` is told a status and a text, once."""
@@ -104,8 +104,8 @@
         ballot(now, 1, 0)
 
     def _passed(self, number: int, done: Done) -> None:
-        """An order under a number that lies so far back that nobody knows whose it was: a majority has a
-        higher one, so that it changes nothing."""
+        """A configuration under a number that lies so far back that nobody knows whose it was: a majority
+        has a higher one, so that it changes nothing."""
 
         def read(round: Round) -> None:
             held = round.values.get(CONFIG)
@@ -124,14 +124,14 @@
         done: Done,
         waits: Callable[[], bool] = lambda: True,
     ) -> None:
-        """Read from a majority how many words on the zone there were, make known to one that this one is the
-        next (its turn), then write it: whoever begins after it was stored anywhere is above it, so that an
-        order that nobody confirmed does not come up again above one that was confirmed later.
+        """Read from a majority how many changes of the zone there were, make known to one that this one is
+        the next (its turn), then write it: whoever begins after it was stored anywhere is above it, so that a
+        change that nobody confirmed does not come up again above one that was confirmed later.
 
-        No two orders are one value: the tie is the read's reference. One that came to a halt on its way is
+        No two changes are one value: the tie is the read's reference. One that came to a halt on its way is
         not begun; its operator has sent it elsewhere, and has perhaps taken it back since.
 
-        :param waits: whether whoever ordered it still waits for the answer
+        :param waits: whether whoever asked for it still waits for the answer
         """
         key, turn = EVACUATION + zone, TURN + zone
 
--- a/millfront/control/configuration.py
+++ b/millfront/control/configuration.py
@@ -1,4 +1,4 @@
-"""Standing orders (the configuration): read, checked, and made into what a request is routed by. No I/O.
+"""The configuration: read, checked, and compiled into what a request is routed by. No I/O.
 
 A configuration is one JSON document with a ``revision`` of eight hexadecimal digits and a list ``resources``.
 The highest revision holds. Times are seconds inside.
--- a/millfront/control/delivery.py
+++ b/millfront/control/delivery.py
@@ -1,14 +1,13 @@
-"""Rounds (delivery): how a process follows the registry, and until when it may trust what it holds. No I/O,
-no clock.
+"""Configuration delivery: how a process follows the register, and until when it may trust what it holds. No
+I/O, no clock.
 
 A subscriber asks replicas which versions are newest, over held connections on which replicas also push
-numbered
-news, and fetches what it lacks. A replica's answer that names nothing newer than what is held here confirms,
-as of the moment the question was sent, that nothing newer was acknowledged *if* so many replicas say so that
-each majority has one of them (Core.covers). The lease is that moment plus LEASE_SHARE of ``revoke_within``: a
-key whose removal was acknowledged at t is refused here from t + LEASE_SHARE * revoke_within on, whether this
-process is in touch or not, without the acknowledgement having waited for anybody. Derivation:
-docs/design/system.md.
+numbered updates, and fetches what it lacks. A replica's answer that names nothing newer than what is held
+here confirms, as of the moment the question was sent, that nothing newer was acknowledged *if* so many
+replicas say so that each majority has one of them (Core.covers). The lease is that moment plus LEASE_SHARE of
+``revoke_within``: a key whose removal was acknowledged at t is refused here from t + LEASE_SHARE *
+revoke_within on, whether this process is in touch or not, without the acknowledgement having waited for
+anybody. Derivation: docs/design/system.md.
 """
 
 from dataclasses import dataclass
@@ -197,7 +196,7 @@
         self, now: float, sender: str, message: Message
     ) -> tuple[dict[str, Value], list[tuple[str, Message]]]:
         """A replica's answer to a fetch, or a piece. Returns the values that are whole here now, which are to
-        be held, and the questions for the next pieces."""
+        be held, and the questions for the next chunks."""
         told = {key: Value.of(wire) for key, wire in message.get("v", {}).items()}
         came: list[tuple[str, Value | Message | None]] = []
         if message["t"] == "piece":
--- a/millfront/control/event_log.py
+++ b/millfront/control/event_log.py
@@ -1,7 +1,7 @@
 """The event log: what this process did lately and on which facts, kept for whoever asks why. No I/O, no
 clock.
 
-One entry for each change of membership, duty, version or core; never one a request. Bounded.
+One entry for each change of membership, ownership, version or core; never one a request. Bounded.
 """
 
 from collections import deque
--- a/millfront/control/hinted_handoff.py
+++ b/millfront/control/hinted_handoff.py
@@ -1,9 +1,9 @@
-"""Hinted handoff (hinted handoff): what a process that is missing should have had is kept for it by the
-others, and handed over when it is heard of again. No I/O, no clock.
+"""Hinted handoff: what a process that is missing should have had is kept for it by the others, and handed
+over when it is heard of again. No I/O, no clock.
 
 Kept is not a second copy but from where on its own is stale: the stamps of the values when it was last heard
-of. One of its region, whose duty it is by key, hands over what has changed since; all of it to one that began
-a new life. Bounded by the roster, and forgotten with its record.
+of. The owner by key among its region hands over what has changed since, or everything to a new incarnation.
+Bounded by the roster, and forgotten with its record.
 """
 
 from collections.abc import Iterable
@@ -27,7 +27,7 @@
 
 
 class HintedHandoff:
-    """Shelves for all others.
+    """The hints for all other processes.
 
     >>> record, hints = MemberRecord("n", 7, age=60.0), HintedHandoff()
     >>> values = {"config": Value(1, "", "one")}
--- a/millfront/dataplane/admission.py
+++ b/millfront/dataplane/admission.py
@@ -1,16 +1,16 @@
-"""Admission (admission): what of a tenant's requests this process lets in. No I/O, no clock.
+"""Admission: what of a tenant's requests this process lets in. No I/O, no clock.
 
 One price per tenant moves by the projected step on the sent total of all processes; the level comes from a
 concave utility under the room cap; what is above it is refused at once. There is no counter: each process's
-totals since its start travel on its record (`members`), so that a total that comes late, twice or after
-others changes nothing and the next one makes up for it. Units are requests, rates requests a second, times
-seconds on the caller's clock.
-
-Each process also runs the tenant's whole allowance in its head (`store`: filled at Q up to what `burst` and a
-part of the rule's own slack allow, emptied by everybody's sent units), and its bucket never holds more than
-its share of that: whatever the prices do, what all let in is bounded by the store and by what they send while
-their records are on the way (docs/design/admission.md). While the store is more than half full, a request
-that comes in a clump is let in beyond the level, on the store, and the record goes out at once.
+totals since its start travel on its member record (`membership/gossip.py`), so that a total that comes late,
+twice or after others changes nothing and the next one makes up for it. Units are requests, rates requests a
+second, times seconds on the caller's clock.
+
+Each process also keeps an estimate of the tenant's whole allowance (`store`: filled at Q up to what `burst`
+and a part of the rule's own slack allow, emptied by everybody's sent units), and its bucket never holds more
+than its share of that: whatever the prices do, what all let in is bounded by the store and by what they send
+while their records are on the way (docs/design/admission.md). While the store is more than half full, a
+request that comes in a clump is let in beyond the level, on the store, and the record goes out at once.
 """
 
 import random
@@ -241,7 +241,7 @@
                 peer.asked_rate += 0.6 * (max(0.0, asked - peer.asked) / lasted - peer.asked_rate)
                 account.store -= sent - peer.sent
             else:
-                if peer.life >= 0 or known:  # a life that began anew, or its first units: all of it is news
+                if peer.life >= 0 or known:  # a new incarnation, or its first units: all of it is new
                     account.store -= sent
                 peer.sent_rate = peer.asked_rate = 0.0
             peer.life, peer.age, peer.sent, peer.asked = life, age, sent, asked
--- a/millfront/dataplane/load_balancer.py
+++ b/millfront/dataplane/load_balancer.py
@@ -1,5 +1,5 @@
-"""Sorting (choice of a server): where the next request is expected to end first, bytes and distance weighed
-in. No I/O.
+"""Load balancing: the server where the next request is expected to end first, bytes and distance weighed in.
+No I/O.
 
 Times are seconds on the caller's clock. A server's load is what it last told of itself (running, waiting,
 slots), aged towards the mean of its service, plus what was sent there since. States of a server as seen from
@@ -81,7 +81,7 @@
     # ---- which there are ---------------------------------------------------------------------------
 
     def listed(self, servers: Iterable[Server]) -> list[str]:
-        """The addresses have changed; returns the lives that ended or drain."""
+        """The list of servers has changed; returns the servers that are gone or drain."""
         stopped = []
         self.by_service = {}
         named = set()
--- a/millfront/dataplane/proxy.py
+++ b/millfront/dataplane/proxy.py
@@ -1,8 +1,7 @@
-"""The proxy (data plane): takes a request, admits it, has a server chosen, sends it on and relays the
-answer.
+"""The proxy (data plane): takes a request, admits it, has a server chosen, sends it on and relays the answer.
 
 Reading and writing HTTP/1.1, connections of both sides and long bodies are the present program's
-(`millfront.node`); what is decided is `admission`, `load balancer` and `forwarding`. This module ties them
+(`millfront.node`); decisions are taken in `admission`, `load_balancer` and `retries`. This module ties them
 to the loop.
 """
 
@@ -41,7 +40,7 @@
 COPY_SHARE = 0.5  # of the target time after which a repeatable request that is silent gets a second server
 COPY_WORKS = 2.5  # and of its service's mean time
 SPARE_SOCKETS = 300  # files, the system's own connections, operators and clients that ask where to go
-AGAIN_S = 0.4  # a client that comes to one that is out of touch with the registry is told to wait so long
+AGAIN_S = 0.4  # a client that comes to one that is out of touch with the register is told to wait so long
 FLUSH_S = 0.06  # clumps share a record
 FLOW = itertools.count(1)
 
@@ -539,7 +538,7 @@
             flow.whole()
 
     def leave(self, request: ClientRequest) -> None:
-        """The client went away. What may be repeated is given up; an order is left to end."""
+        """The client went away. What may be repeated is given up; a request with an effect is left to end."""
         if request.over:
             return
         self.finish(request)
--- a/millfront/dataplane/retries.py
+++ b/millfront/dataplane/retries.py
@@ -1,7 +1,6 @@
-"""Forwarding: what becomes of a request as its tries end, and the retry budget of further tries. No I/O, no
-clock.
+"""Retries: the outcome of a request as its tries end, and the budget of further tries. No I/O, no clock.
 
-The fate of a request is explicit; only what is known not to have run moves on, unless it may be repeated.
+The outcome of a request is explicit; only what is known not to have run moves on, unless it may be repeated.
 Times are seconds on the caller's clock.
 """
 
@@ -44,7 +43,7 @@
     tried: list[str] = field(default_factory=list)
 
     def _turn(self, outcome: Outcome) -> None:
-        """The one change of fate."""
+        """The one place where the outcome changes."""
         self.outcome = outcome
 
     def sending(self, ident: str) -> None:
--- a/millfront/discovery/server_list.py
+++ b/millfront/discovery/server_list.py
@@ -1,8 +1,8 @@
-"""Addresses (service discovery): which servers there are, by the platform's list. No I/O, no clock.
+"""Service discovery: which servers there are, by the platform's list. No I/O, no clock.
 
-One process asks the platform (a duty cut by key) and tells the others what has changed, each
-time under a number above all it has seen: the fence. What comes under a lower number is of one that has lost
-the duty, and is not taken. Who has heard nothing for STALE_S asks the platform itself. Of one life of a
+One process asks the platform (the owner of a key) and tells the others what has changed, each time under a
+number above all it has seen: the fence. What comes under a lower number is of a process that owns the key no
+longer, and is not taken. Who has heard nothing for STALE_S asks the platform itself. Of one instance of a
 server (``ident``) the phase only goes forward, ready, draining, gone, so that an old list brings nothing
 back. Times are seconds on the caller's clock.
 """
--- a/millfront/gatekeeper/api.py
+++ b/millfront/gatekeeper/api.py
@@ -1,4 +1,4 @@
-"""The counter: calls of operators, of the platform and of clients that ask where to go
+"""The HTTP API: calls of operators, of the platform and of clients that ask where to go
 (docs/openapi/gatekeeper.json)."""
 
 import json
@@ -33,7 +33,7 @@
         self.data, self.done = bytearray(first), done
 
     def passes(self, data: bytes, last: bool) -> bool:
-        """Take the next bytes of the body; True: more may follow at once."""
+        """Keep the next bytes of the body; always True, as more may follow at once."""
         self.data += data
         if last:
             self.done(bytes(self.data))
@@ -84,7 +84,7 @@
         call.over = True
 
     def take(self, message: Message, caller: Caller) -> Call | None:
-        """Answer one call, now or when the registry has.
+        """Answer one call, now or when the register has.
 
         :raises NotTaken: there is no such call
         """
@@ -150,14 +150,14 @@
 
 
 def of(gatekeeper: Gatekeeper, now: Callable[[], float], bindings: Any, check: Check) -> list[ControlApi]:
-    """A counter for each address among the bindings; several names may share one."""
+    """An API for each address among the bindings; several names may share one."""
     by_address: dict[str, set[str]] = {}
     for name in ("readiness", "ctl", "lookup"):
         if name in bindings:
             by_address.setdefault(bindings[name], set()).add(name)
     made = []
     for address, serves in by_address.items():
-        counter = ControlApi(gatekeeper, now, frozenset(serves), check)
-        counter.listen(address)
-        made.append(counter)
+        control_api = ControlApi(gatekeeper, now, frozenset(serves), check)
+        control_api.listen(address)
+        made.append(control_api)
     return made
--- a/millfront/gatekeeper/node.py
+++ b/millfront/gatekeeper/node.py
@@ -29,9 +29,7 @@
 
 REST = "rest"  # the reference of what a member that is back asks for
 SUBSCRIBERS_S = 4.0  # a line on which nobody asked for so long is pushed nothing
-FRESH_S = (
-    1.7  # a record of the own region is due each second: clients are told of nobody whose record is later
-)
+FRESH_S = 1.7  # records of the own region are due each second; clients are told of nobody later than this
 GONE_S = 1.5  # beyond its lease: the record may have been late, and it asked for it a moment after
 BEAT_S = 0.25
 SURE_SHARE = 0.66  # of apply_within: what is held refuses a route or key that no newer one allows
@@ -99,10 +97,11 @@
         self.admission = Admission(settings.bounds, now, seed)
         self.configuration: configurations.Configuration | None = None
         self.evacuated: PSet[str] = pset()
-        self.changed: Callable[[], None] = lambda: None  # orders or evacuations have
-        self.relisted: Callable[[], None] = lambda: None  # servers have
+        # Called when the configuration or the evacuations have changed, and when the servers have
+        self.changed: Callable[[], None] = lambda: None
+        self.relisted: Callable[[], None] = lambda: None
         self.subscribers: dict[Any, float] = {}
-        self.pushed = 0  # the number of the last news
+        self.pushed = 0  # the number of the last update pushed
         self.had: set[Any] = set()  # who has acknowledged it
         self.to = 0  # how many it was pushed to
         self.born = now
@@ -231,7 +230,7 @@
         return GONE_S + self.subscriber.lease_s if core.majority(here) else math.inf
 
     def flush(self, now: float) -> None:
-        """Units were let in on the common store: the others learn of it now."""
+        """Requests were admitted on the common allowance: the others learn of it now."""
         self.admission.flush = False
         me = self.membership.me
         me.totals, me.age = self.admission.totals(), now - self.membership.born
@@ -367,7 +366,7 @@
                 self._push()
 
     def _push(self) -> None:
-        """Numbered news to whoever follows here."""
+        """A numbered update to the subscribers of this replica."""
         assert self.replica is not None
         self.pushed += 1
         news = {"t": "news", "n": self.pushed, "s": self.replica.stamps(), "m": self.name}
--- a/millfront/gatekeeper/process.py
+++ b/millfront/gatekeeper/process.py
@@ -35,12 +35,12 @@
 
 
 class GatekeeperProcess:
-    """Doors of one gatekeeper."""
+    """The I/O of one gatekeeper: connections, disk, platform, signals."""
 
     def __init__(self, settings: Settings, kept: dict[str, Value] | None, disk: "Disk | None") -> None:
         self.settings, self.disk = settings, disk
         self.loop = asyncio.get_running_loop()
-        seed = int.from_bytes(os.urandom(6))  # of this life alone: a clock may step back
+        seed = int.from_bytes(os.urandom(6))  # of this incarnation alone: a clock may step back
         self.gatekeeper = Gatekeeper(settings, self, kept, self.now(), time.time_ns() // 1_000_000, seed)
         self.proxy = Proxy(self.gatekeeper, seed, self.now)
         self.wire = Transport(
@@ -58,7 +58,7 @@
         """Seconds on the steady clock."""
         return time.monotonic()
 
-    # ---- doors -----------------------------------------------------------------------------------
+    # ---- what the gatekeeper asks for (NodeIO) ---------------------------------------------------
 
     def datagram(self, address: str, message: Message) -> None:
         """Send one datagram to ``host:port``; it may be lost."""
@@ -125,7 +125,7 @@
         finally:
             self.gatekeeper.polled(self.now(), number, entries)
 
-    # ---- a life ------------------------------------------------------------------------------------
+    # ---- lifecycle ---------------------------------------------------------------------------------
 
     async def run(self) -> None:
         """Listen, serve until SIGTERM or SIGINT, then end within the grace period.
@@ -183,8 +183,8 @@
                 logger.info("settings: read anew")
 
     async def _end(self) -> None:
-        """Say so to all, go on while clients come, send them away, finish what is open; keep the seat in the
-        core, and vote, until it is given up."""
+        """Say so to all, go on while clients come, send them away, finish what is open; stay a member
+        of the core, and vote, until the core has changed."""
         grace = self.settings.bounds.grace_period
         end = self.now() + grace - LAST_S
         logger.info("gatekeeper: ends")
--- a/millfront/gatekeeper/status.py
+++ b/millfront/gatekeeper/status.py
@@ -1,4 +1,4 @@
-"""The statement of account: what one process knows and holds, for operators. No I/O, no clock.
+"""The status report: what one process knows and holds, for operators. No I/O, no clock.
 
 Times are seconds; rates requests a second.
 """
@@ -43,7 +43,8 @@
 
 
 def tenants(gatekeeper: Gatekeeper) -> dict[str, dict[str, Any]]:
-    """Each tenant's price, level, store and totals, and how often it was refused here for which reason."""
+    """Each tenant's price, admitted rate (level), allowance (store) and totals, and how often it was
+    refused here for which reason."""
     by_name = gatekeeper.configuration.by_name if gatekeeper.configuration is not None else {}
     return {
         name: {key: round(value, 4) for key, value in gatekeeper.admission.told(tenant).items()}
--- a/millfront/membership/__init__.py
+++ b/millfront/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Which processes there are: gossip, failure detection and duties by key. Pure."""
+"""Which processes there are: gossip, failure detection and ownership by key. Pure."""
--- a/millfront/membership/gossip.py
+++ b/millfront/membership/gossip.py
@@ -1,14 +1,13 @@
-"""Members (membership): who there is, who is heard of, and what each tells of itself. No I/O, no clock.
+"""Membership: who there is, who is heard of, and what each tells of itself. No I/O, no clock.
 
 Each process keeps a *record* of itself: an incarnation, a number that rises each tick, flags, and the
-tenants'
-totals. Cards spread by partial views that are shuffled: each tick a process tells its view within the region,
-and the few whose duty it is tell another region. A record of a higher (incarnation, number) replaces a lower
-one, so that a late or a double one changes nothing. A process that finds a record of itself above its own (it
-restarted, its clock went back) refutes it by a higher incarnation. What never changes in a life (addresses,
-zone) travels apart, and is asked for when it is wanting. Between regions a
-message goes to one or two only, who pass it on to their own. A record may be told in part: of its totals only
-what has moved lately. Times are seconds on the caller's steady clock.
+tenants' totals. Records spread by partial views that are shuffled: each tick a process tells its view within
+the region, and the few owners of a key tell another region. A record of a higher (incarnation, number)
+replaces a lower one, so that a late or a double one changes nothing. A process that finds a record of itself
+above its own (it restarted, its clock went back) refutes it by a higher incarnation. What never changes in an
+incarnation (addresses, zone) travels apart, and is asked for when it is wanting. Between regions a message
+goes to one or two only, who pass it on to their own. A record may be told in part: of its totals only what
+has moved lately. Times are seconds on the caller's steady clock.
 """
 
 import hashlib
@@ -76,12 +75,12 @@
 
 
 def weight(key: str, name: str) -> bytes:
-    """Rendezvous weight: who has most of a key's has its duty."""
+    """Rendezvous weight: who has most of a key's is its owner."""
     return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
 
 
 def holders(key: str, names: list[str], count: int = 1) -> list[str]:
-    """The first by weight: duties cut by key, the same wherever the names are the same."""
+    """The first by weight: ownership by key, the same wherever the names are the same."""
     return sorted(names, key=lambda name: weight(key, name), reverse=True)[:count]
 
 
@@ -168,7 +167,7 @@
         out += self._to_a_lost_one()
         self._shuffle()
         wires = [self.me.wire(moved)]
-        if len(self.live(self._region)) > MESH:  # news of others go on from here, too, once
+        if len(self.live(self._region)) > MESH:  # updates of others are passed on from here, too, once
             others = [c for c in self.others() if c.told < c.number and c.identity is not None]
             wires += [record.wire() for record in others]
             for record in others:
@@ -264,7 +263,7 @@
         self.view = kept + self.random.sample(fresh, min(len(fresh), VIEW - len(kept)))
 
     def _hops(self) -> float:
-        """Ticks that news take through views that are passed on, beyond what a mesh takes.
+        """Ticks that an update takes through views that are passed on, beyond what a mesh takes.
 
         About log n / log VIEW of them reach all but a few in a hundred, and a record rises each tick."""
         n = len(self.live(self._region))
--- a/millfront/register/chunks.py
+++ b/millfront/register/chunks.py
@@ -1,9 +1,9 @@
-"""Pieces (chunked state transfer): how a long text gets from a replica to a process that lacks it without
-holding up anything. No I/O, no clock.
+"""Chunked state transfer: how a long text gets from a replica to a process that lacks it without holding up
+anything. No I/O, no clock.
 
-Who holds an earlier version says which, and is answered with differences from there on where the replica has
-them, else with the text's stamp, length and digest, and asks for its pieces one by one. A text counts only
-once its digest is right; a difference that does not give it ends in asking for the whole. Lengths are
+Who holds an earlier version says which, and is answered with deltas from there on where the replica has them,
+else with the text's stamp, length and digest, and asks for its chunks (`piece`) one by one. A text counts
+only once its digest is right; a delta that does not give it ends in asking for the whole. Lengths are
 characters. Bounds: docs/design/catching-up.md.
 """
 
@@ -18,17 +18,18 @@
 
 SHORT = 4096  # goes whole in any answer
 PIECE = 128 * 1024  # of one message
-CHAIN = 64 * 1024  # of the differences kept for a key, as they go on a line
-COPIED = 64 * 1024 * 1024  # that following all differences of a key copies at most
-PAYS = 4  # differences that are longer than this part of the text save little: texts pack better
-PINNED = 2  # texts that are handed out by pieces and may be older than what is held
+CHAIN = 64 * 1024  # of the deltas kept for a key, as they go on a line
+COPIED = 64 * 1024 * 1024  # that following all deltas of a key copies at most
+PAYS = 4  # deltas that are longer than this part of the text save little: texts pack better
+PINNED = 2  # texts that are handed out by chunks and may be older than what is held
 PIN_CHANGES = 64  # a pinned text is let go after so many newer ones: eight a second for 8 s
-MOST_TEXT = 12 * 1024 * 1024  # what is longer can't be on a line whole (wire.MOST_LINE), so is in no register
+# What is longer can't be on a line whole (MOST_LINE of transport/connections.py), so is in no register
+MOST_TEXT = 12 * 1024 * 1024
 Stamp = tuple[int, str]
 
 
 class Offer(NamedTuple):
-    """A long text that can be had: by these differences from what the other end holds, else by pieces."""
+    """A long text that can be had: by these deltas from what the other end holds, else by chunks."""
 
     version: int
     tie: str
@@ -53,7 +54,7 @@
 
 @dataclass(slots=True)
 class _Earlier:
-    """One version before, and the difference to the one after it."""
+    """One version before, and the delta to the one after it."""
 
     stamp: Stamp
     steps: deltas.Steps
@@ -112,7 +113,7 @@
 
     def piece(self, key: str, value: Value, stamp: Any, start: int) -> Message:
         """A piece of that version, as long as it is here; else the first of the one held. A text that changes
-        while its pieces are handed out is kept until the last one, so that who asks gets on."""
+        while its chunks are handed out is kept until the last one, so that who asks gets on."""
         pin = self._pins.get((key, (stamp[0], stamp[1])))
         if pin is not None:
             value = pin.value
--- a/millfront/register/coordinator.py
+++ b/millfront/register/coordinator.py
@@ -1,9 +1,9 @@
-"""A coordinator (coordinator): writes to and reads from a majority of the replicas, in any process. No log,
-no leader, no I/O, no clock.
+"""The coordinator: writes to and reads from a majority of the replicas, in any process. No log, no leader, no
+I/O, no clock.
 
 It writes to all replicas and is done with a majority; it reads from a majority and writes back what it found
 before it answers. Who the replicas of the next core are, and which document has a revision number, it
-*decides* by a ballot over a majority of the present one (Paxos, one decree for each).
+*decides* by a ballot over a majority of the present one (single-decree Paxos).
 """
 
 from dataclasses import dataclass, field
@@ -59,7 +59,7 @@
     """Writes to and reads from a majority. Each call is a round that ends once, with DONE or FAILED."""
 
     def __init__(self, name: str) -> None:
-        """:param name: of this life of the process: references of calls begin with it"""
+        """:param name: of this incarnation of the process: references of calls begin with it"""
         self.name = name
         self.rounds: dict[str, Round] = {}
         self._next = 0
--- a/millfront/register/deltas.py
+++ b/millfront/register/deltas.py
@@ -1,10 +1,10 @@
-"""Differences (delta encoding) between two versions of a text. No I/O, no clock.
+"""Delta encoding of two versions of a text. No I/O, no clock.
 
-A difference is a list of steps: ``[start, length]`` copies characters of the earlier text, a string stands
-for itself. Both texts are walked side by side; where they part, the walk goes on at the next end of an entry
+A delta is a list of steps: ``[start, length]`` copies characters of the earlier text, a string stands for
+itself. Both texts are walked side by side; where they part, the walk goes on at the next end of an entry
 (``},`` or a line's end) of the later text whose continuation the earlier one has near. So a changed, added or
 removed entry costs little more than itself, and of what is equal nothing is copied or kept. The later text
-comes back character for character, or a fault: who applies a difference checks the digest of what came out.
+comes back character for character, or an error: who applies a delta checks the digest of what came out.
 """
 
 import re
@@ -23,7 +23,7 @@
 
 
 class DeltaError(Exception):
-    """A difference that does not fit the text, or does not give what it should."""
+    """A delta that does not fit the text, or does not give what it should."""
 
 
 def difference(old: str, new: str, most: int) -> Steps | None:
@@ -79,7 +79,7 @@
 
 
 def followed(old: str, chain: list[Steps], length: int, digest: str) -> Result[str, DeltaError]:
-    """One difference after the other; what comes out has this length and this digest.
+    """One delta after the other; what comes out has this length and this digest.
 
     >>> followed("a", [["b"], [[0, 1], "c"]], 2, digest_of("bc")).unwrap()
     'bc'
--- a/millfront/register/placement.py
+++ b/millfront/register/placement.py
@@ -1,4 +1,6 @@
-"""Seats: whom the next core is to have. No I/O, no clock. Derivation: docs/design/register.md.
+"""Replica placement: who are to be the members of the next core. No I/O, no clock.
+
+Derivation: docs/design/register.md.
 
 A core of N bears that `hosts_lost` of its members are away as long as N >= 2 * hosts_lost + 1: the others are
 a majority W, and W > hosts_lost disks have what was acknowledged.
@@ -14,7 +16,7 @@
 
 
 class Seat(Enum):
-    """How one who has a seat in the core stands, as the coordinator sees it."""
+    """The state of one member of the core, as the coordinator sees it."""
 
     SOUND = "up, and its disk has all that is known to be acknowledged"
     BEHIND = "up, and its disk has not all yet"
@@ -26,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """Who is to keep the registry. ``waits``: who should give up a seat, and can't yet."""
+    """The members that the register is to have. ``waits``: who should leave it, and can't yet."""
 
     members: dict[str, str]
     waits: tuple[str, ...] = ()
@@ -50,13 +52,14 @@
 ) -> Choice:
     """The best core that can be had in one change; the present one where nothing is to be changed.
 
-    Who is up and stays keeps the seat. The others' are given up, and those who joined are posted, as far as
+    Who is up and stays remains a member. The others are removed, and those who joined are added, as far as
 
     - no fewer members are left than `fewest`, nor than there are where these are fewer already;
     - those sound now are a majority of the new core without anybody who has just joined.
 
-    One that is dark keeps its seat unless somebody who is there needs it. The `young` of those who joined are
-    posted only where that gains a vote: perhaps they are successors of one not known to be dark yet.
+    One that is dark remains a member unless somebody who is there needs its place. The `young` of those who
+    joined are added only where that gains a vote: perhaps they are successors of one not known to be dark
+    yet.
 
     >>> up = dict.fromkeys("abcd", Seat.SOUND)
     >>> core = dict.fromkeys("abcd", "")
@@ -117,7 +120,7 @@
 def _counts(
     members: dict[str, str], seats: dict[str, Seat], joined: dict[str, str]
 ) -> Iterator[tuple[int, int, int]]:
-    """How many that are going keep their seats, how many that are dark do, and how many new ones get one."""
+    """How many that are going remain members, how many that are dark do, and how many new ones are added."""
     going = len(_of(members, seats, Seat.LEAVING, Seat.LEFT, Seat.LOST))
     dark = len(_of(members, seats, Seat.DARK))
     for kept in range(going + 1):
--- a/millfront/register/reconfiguration.py
+++ b/millfront/register/reconfiguration.py
@@ -1,8 +1,8 @@
-"""Reconfiguration (reconfiguration): who keeps the registry. No I/O, no clock.
+"""Reconfiguration: which processes are members of the register. No I/O, no clock.
 
 At the first start the core is *founded* over all processes with a disk. Later it *changes* through the
-registry itself: a machine with a disk that has joined is posted to it, one that is lost for good is relieved.
-A change goes through a core that holds both sets, in which both must agree to everything:
+register itself: a machine with a disk that has joined is added to it, one that is lost for good is removed. A
+change goes through a core that holds both sets, in which both must agree to everything:
 
     core e ──decide──> core e+1 (new, old) ──carry over──> core e+2 (new)
 
@@ -10,8 +10,8 @@
 whoever finds the one may bring about the other. Between them all that is held is read from, and written back
 to, majorities of both. The derivation is in docs/design/register.md.
 
-A replica that lost its disk *recovers* (recovery.py). Who the next core is to have is chosen in
-`seats`. Times are seconds on the caller's clock.
+A replica that lost its disk *recovers* (recovery.py). Who the next core is to have is chosen in `placement`.
+Times are seconds on the caller's clock.
 """
 
 from collections.abc import Callable
@@ -36,13 +36,13 @@
 SETTLED_IN_S = 5.0  # and after so long where it does not
 RELIEVED_S = 120.0  # a member that was not heard of for so long is lost for good
 BETWEEN_S = 1.0  # a change that failed, or one of somebody's that is not whole, and the next try
-WAITS_S = 1.5  # a seat that was not given up for so long waits for something
+WAITS_S = 1.5  # a member that could not be removed for so long waits for something
 DECIDE_S, CARRY_S = 3.0, 6.0
 Message = dict[str, Any]
 
 
 class NodeIO(Protocol):
-    """What reconfiguration ask of their process's I/O."""
+    """What reconfiguration asks of its process's I/O."""
 
     def datagram(self, address: str, message: Message) -> None:
         """Send one datagram; it may be lost."""
@@ -52,7 +52,7 @@
 
 
 class Desk(Protocol):
-    """What reconfiguration ask of the process that they belong to."""
+    """What reconfiguration asks of the process that it belongs to."""
 
     name: str
     settings: Settings
@@ -107,7 +107,7 @@
 
 
 class Reconfiguration:
-    """One process's part in who keeps the registry."""
+    """One process's part in choosing the register's members."""
 
     def __init__(self, gatekeeper: Desk) -> None:
         self.gatekeeper = gatekeeper
@@ -117,7 +117,7 @@
         self._since = gatekeeper.born  # when the core in force came into force here
         self._left: set[str] = set()  # members that were heard to end in order
         self._left_at: float | None = None  # since when this process ends in order
-        self._waits: tuple[str, ...] = ()  # whose seats can't be given up, as last noted
+        self._waits: tuple[str, ...] = ()  # members that can't be removed yet, as last noted
         self._number = 0  # of the highest ballot seen
         self._known: dict[str, float] = {}  # processes with a disk, and since when they are heard of
         self._missed: dict[str, float] = {}  # members, and since when they are not
@@ -165,7 +165,7 @@
 
     def keeps(self) -> bool:
         """Whether this process's disk has a copy of what was acknowledged: its replica has caught up, in the
-        core that is in force here, and has a seat in it."""
+        core that is in force here, and is a member of it."""
         gatekeeper, replica = self.gatekeeper, self.gatekeeper.replica
         core = gatekeeper.subscriber.core
         if (
@@ -186,7 +186,7 @@
             gatekeeper.io.datagram(address, message)
 
     def may_go(self, now: float) -> bool:
-        """Whether it keeps no seat that somebody who stays might still take from it."""
+        """Whether it is no member any more whose place somebody who stays might still take."""
         gatekeeper, core = self.gatekeeper, self.gatekeeper.subscriber.core
         if (
             self._left_at is None
--- a/millfront/register/recovery.py
+++ b/millfront/register/recovery.py
@@ -1,11 +1,12 @@
-"""Recovery: how a replica that lost its disk comes to vote again, and how one that was away catches up.
-No I/O, no clock.
-
-A *recovering* replica learns from R others which of its lives there were, makes a new one known to R others,
-and takes over what these held when they learnt of it, or newer. These tell short values whole and long ones
-by their stamps; the long ones come as to any subscriber, by differences or pieces, and each is whole by its
-digest before anything is synced. Until then the replica answers nobody and holds no duty. A replica that
-votes and was away lacks what was written meanwhile: it syncs what its process, which follows, has learnt.
+"""Recovery: how a replica that lost its disk comes to vote again, and how one that was away catches up. No
+I/O, no clock.
+
+A *recovering* replica learns from R others which of its incarnations (lives) there were, makes a new one
+known to R others, and takes over what these held when they learnt of it, or newer. These tell short values
+whole and long ones by their stamps; the long ones come as to any subscriber, as deltas or chunks, and each is
+whole by its digest before anything is synced. Until then the replica answers nobody and owns no key. A
+replica that votes and was away lacks what was written meanwhile: it syncs what its process, which follows,
+has learnt.
 
 Proofs: docs/design/system.md, "Lives", and docs/design/catching-up.md. Times are seconds.
 """
--- a/millfront/register/replica.py
+++ b/millfront/register/replica.py
@@ -1,4 +1,4 @@
-"""A replica (replica): the part of the registry that stands on one core machine. No I/O, no clock.
+"""A replica: the part of the register that is kept on one core machine. No I/O, no clock.
 
 A replica answers from what its disk has synced. Calls name the epoch of the core that they are meant for, and
 a replica answers none of another epoch than its own (the fence). On who the next core's are, and on which
@@ -55,12 +55,12 @@
 
 
 class Replica:
-    """The part of the registry that stands on one core machine."""
+    """The part of the register that is kept on one core machine."""
 
     def __init__(self, kept: dict[str, Value], fresh: bool) -> None:
         """:param kept: what the disk has; nothing, and not fresh: the disk was lost"""
         self.values = dict(kept)
-        self.archive = Archive()  # of long texts: differences from earlier ones, and pieces
+        self.archive = Archive()  # of long texts: deltas from earlier ones, and chunks
         held = kept.get(CORE)
         founded = held is not None and held.version >= FOUNDED
         begun = held is not None or fresh  # a founding that was cut off goes on
@@ -184,7 +184,7 @@
     def _told(
         self, ref: Any, keys: list[str] | None, held: dict[str, Any] | None, stamps_only: bool = False
     ) -> Message:
-        """:param held: stamps of what the other end holds of them: long texts go by differences from there,
+        """:param held: stamps of what the other end holds of them: long texts go by deltas from there,
         or by pieces; None: all go whole
         """
         values = {k: v for k, v in self.values.items() if keys is None or k in keys}
--- a/millfront/register/values.py
+++ b/millfront/register/values.py
@@ -1,8 +1,8 @@
-"""What the registry holds: versioned values, and the core that keeps them. No I/O, no clock.
+"""What the register holds: versioned values, and the core that keeps them. No I/O, no clock.
 
 A value is (version, tie, data); of two the higher (version, tie) holds, wherever it is. Of N replicas a
-majority W = N // 2 + 1 acknowledges, and of any R = N - W + 1 one knows what was acknowledged, since
-W + R > N (docs/design/system.md, "The core").
+majority W = N // 2 + 1 acknowledges, and of any R = N - W + 1 one knows what was acknowledged, since W + R >
+N (docs/design/system.md, "The core").
 """
 
 import hashlib
@@ -20,7 +20,7 @@
 OWN = "own/"
 CONFIG = "config"  # the key of the configuration
 CLAIM = "claim/"  # and a revision number: which document has it (docs/design/control-faults.md)
-TURN = "turn/"  # and a zone: how many orders to evacuate it or take that back were begun
+TURN = "turn/"  # and a zone: how many changes of its evacuation were begun
 CLAIMS = 512  # numbers that are kept, the newest: 20 h of 620 changes a day
 BALLOTS = 1_000_000  # of one epoch
 
@@ -95,8 +95,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Core:
-    """Who keeps the registry: names and addresses, of one epoch. While it changes (``old`` is not empty),
-    both the old and the new members must agree to everything."""
+    """The members of the register: names and addresses, of one epoch.
+
+    While it changes (``old`` is not empty), both the old and the new members must agree to everything."""
 
     epoch: int
     members: dict[str, str]
--- a/millfront/storage/disk.py
+++ b/millfront/storage/disk.py
@@ -1,4 +1,4 @@
-"""The registry's disk: one lmdb environment, synced before anything is acknowledged. Thin I/O.
+"""The register's disk: one lmdb environment, synced before anything is acknowledged. Thin I/O.
 
 Layout: key ``format`` holds the format's number; each other key a value: its stamp as JSON, a line's end,
 ``t`` and the text or ``z`` and the text packed (zlib), in UTF-8. Format 1 had a value as one JSON list, which
