--- a/millfront/cli/gatekeeper.py
+++ b/millfront/cli/gatekeeper.py
@@ -12,7 +12,11 @@
 from millfront.cli.exits import DIFFERS, UNREACHABLE, UNUSABLE, fail, json_option, show
 
 at_option = click.option(
-    "--at", "address", required=True, envvar="MILLFRONT_CTL", help="HOST:PORT where an office serves control."
+    "--at",
+    "address",
+    required=True,
+    envvar="MILLFRONT_CTL",
+    help="HOST:PORT where a gatekeeper serves control.",
 )
 
 
@@ -52,7 +56,7 @@
 @group.command()
 @at_option
 @click.option(
-    "--part", default="", help="Only of this part: registry, neighbours, addresses, rounds, counter."
+    "--part", default="", help="Only of this part: register, membership, discovery, delivery, admin."
 )
 @json_option
 def why(address: str, part: str, as_json: bool) -> None:
--- a/millfront/control/configuration.py
+++ b/millfront/control/configuration.py
@@ -17,7 +17,7 @@
 from millfront.register.values import digest_of as digest_of
 
 KINDS = ("idempotent", "effectful", "upload")
-MOST_OVER_S = 60.0  # a target time so far above its route's deadline is a slip of the pen
+MOST_OVER_S = 60.0  # a target time so far above its route's deadline is taken for an error
 MOST_RIGHT = 4096
 _right: set[str] = set()  # digests of entries whose form is right
 HEX = frozenset("0123456789abcdef")
--- a/millfront/dataplane/load_balancer.py
+++ b/millfront/dataplane/load_balancer.py
@@ -237,7 +237,7 @@
         seen.slowness += LATENCY_WEIGHT * (min(max(took / work, 0.2), 8.0) - seen.slowness)
 
     def reported(self, now: float, seen: ServerState, running: int, waiting: int, slots: int) -> None:
-        """A server's own word on its load, from an answer."""
+        """A server's own report of its load, from an answer."""
         seen.slots = max(1, slots)
         seen.load = (running + waiting) / seen.slots
         seen.told, seen.sent_since = now, 0
--- a/millfront/membership/gossip.py
+++ b/millfront/membership/gossip.py
@@ -238,7 +238,7 @@
         return [(post, datagram) for post in mates]
 
     def _to_a_lost_one(self) -> list[Out]:
-        """A word now and then, so that parts of a fleet that was cut find each other though no seed is up."""
+        """A message now and then: parts of a fleet that was cut find each other though no seed is up."""
         lost = [
             c
             for c in self.others()
--- a/millfront/register/coordinator.py
+++ b/millfront/register/coordinator.py
@@ -155,7 +155,7 @@
         return round
 
     def _decided(self, round: Round, sender: str, message: Message) -> None:
-        """A replica's word on a ballot. Whose a stored number is, is beyond doubt, and counts like all else
+        """A replica's answer to a ballot. Whose a stored number is, is beyond doubt, and counts like all else
         once a majority has answered."""
         kind = message["t"]
         if kind == "no" and message.get("old"):
--- a/millfront/register/replica.py
+++ b/millfront/register/replica.py
@@ -36,7 +36,7 @@
 
 
 class Voting(Enum):
-    """Whether a replica's word counts."""
+    """Whether a replica's answers count."""
 
     NEW = "new: the system starts for the first time"
     RECOVERING = "recovering: its disk was lost"
