--- a/millfront/control/admin.py
+++ b/millfront/control/admin.py
@@ -1,7 +1,7 @@
-"""The window: operators' orders and questions, each over a majority of the core. No I/O, no clock.
+"""Admin operations: operators' changes and reads, each over a majority of the core. No I/O, no clock.
 
-A configuration's number is claimed, then the document is stored; an evacuation has its turn made known, then
-its word is stored; what is read is read from a majority since the call came. Proofs:
+A configuration's number is claimed, then the document is stored; an evacuation has its turn (a number) made
+known, then its new state is stored; what is read is read from a majority since the call came. Proofs:
 docs/design/control-faults.md. An answer is told once: a status of HTTP and a text. 503 says that it may be
 sent again unchanged.
 """
@@ -28,7 +28,7 @@
 
 
 class AdminOperations:
-    """The part of a process that takes orders; `Gatekeeper` puts it together with the rest."""
+    """The part of a process that runs admin operations; `Gatekeeper` puts it together with the rest."""
 
     def __init__(self, coordinator: Coordinator, subscriber: Subscriber, now: float, seed: int) -> None:
         self.coordinator, self.subscriber, self.now = coordinator, subscriber, now
@@ -39,15 +39,17 @@
     # What the process does for it
 
     def note(self, part: str, text: str, **facts: Any) -> None:
+        """Write an entry to the event log and a line to the log."""
         raise NotImplementedError
 
     def to_replica(self, now: float, name: str, address: str, message: Message) -> None:
+        """Send a message to the replica of that member, which may be this process itself."""
         raise NotImplementedError
 
     def _hold(self, found: dict[str, Value]) -> None:
         raise NotImplementedError
 
-    # ---- orders and questions ----------------------------------------------------------------------
+    # ---- changes and reads -------------------------------------------------------------------------
 
     def put(self, now: float, text: str, done: Done) -> None:
         """A configuration; `done` is told a status and a text, once."""
@@ -102,8 +104,8 @@
         ballot(now, 1, 0)
 
     def _passed(self, number: int, done: Done) -> None:
-        """An order under a number that lies so far back that nobody knows whose it was: a majority has a
-        higher one, so that it changes nothing."""
+        """A configuration under a number that lies so far back that nobody knows whose it was: a majority
+        has a higher one, so that it changes nothing."""
 
         def read(round: Round) -> None:
             held = round.values.get(CONFIG)
@@ -133,9 +135,9 @@
     ) -> None:
         """Read from a majority how many words on each zone there were, make known to one that these are the
         next (their turns), then write them: whoever begins after one was stored anywhere is above it, so that
-        an order that nobody confirmed does not come up again above one that was confirmed later.
+        a change that nobody confirmed does not come up again above one that was confirmed later.
 
-        No two orders are one value: the tie is the read's reference. One that came to a halt on its way is
+        No two changes are one value: the tie is the read's reference. One that came to a halt on its way is
         not begun; its operator has sent it elsewhere, and has perhaps taken it back since.
 
         :param since: when the call came, whatever was done for it before this
@@ -245,6 +247,7 @@
         self.start(now, self.coordinator.write(now, self.subscriber.core, values, WRITE_S), written)
 
     def start(self, now: float, round: Round, then: Callable[[Round], None]) -> None:
+        """Drive a round until it is done or failed, then call ``then`` with it, once."""
         self.waiting[round.ref] = (round, then)
         self._drive(now, round)
 
--- a/millfront/control/configuration.py
+++ b/millfront/control/configuration.py
@@ -1,10 +1,9 @@
-"""Standing orders (the configuration): read, checked, and made into what a request is routed by. No I/O.
+"""The configuration: read, checked, and compiled into what a request is routed by. No I/O.
 
 A configuration is one JSON document with a ``revision`` of eight hexadecimal digits and a list ``resources``.
 The highest revision holds. Times are seconds inside.
 """
 
-import hashlib
 import json
 from dataclasses import dataclass
 from functools import cached_property
@@ -15,9 +14,10 @@
 from schema import And, Optional, Or, Schema, SchemaError
 
 from millfront.environment import seconds
+from millfront.register.values import digest_of as digest_of
 
 KINDS = ("idempotent", "effectful", "upload")
-MOST_OVER_S = 60.0  # a target time so far above its route's deadline is a slip of the pen
+MOST_OVER_S = 60.0  # a target time so far above its route's deadline is taken for an error
 MOST_RIGHT = 4096
 _right: set[str] = set()  # digests of entries whose form is right
 HEX = frozenset("0123456789abcdef")
@@ -45,11 +45,17 @@
 
     @property
     def repeatable(self) -> bool:
+        """Whether a request may run twice: a further try may follow one whose outcome is unknown."""
         return self.kind == "idempotent"
 
 
 @dataclass(frozen=True, slots=True)
 class Service:
+    """A named group of servers.
+
+    ``warmup`` in seconds; ``warmup_rate`` in requests a second to one cold server.
+    """
+
     name: str
     health_path: str
     max_conns: int
@@ -71,6 +77,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
+    """Limits of one client connection: lengths in bytes, times in seconds."""
+
     max_header: int = 16384
     max_body: int = 67108864
     header_deadline: float = 3.0
@@ -131,6 +139,7 @@
 
     @cached_property
     def by_name(self) -> dict[str, Tenant]:
+        """The tenants by their names; a tenant with several keys is there once."""
         return {tenant.name: tenant for tenant in self.tenants.values()}
 
     def route_of(self, host: str, path: str) -> Route | None:
@@ -139,10 +148,6 @@
         return table.find(path) if table is not None else None
 
 
-def digest_of(text: str) -> str:
-    return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
-
-
 def _time(value: Any) -> bool:
     seconds(value)
     return True
--- a/millfront/control/event_log.py
+++ b/millfront/control/event_log.py
@@ -1,7 +1,7 @@
 """The event log: what this process did lately and on which facts, kept for whoever asks why. No I/O, no
 clock.
 
-One entry for each change of membership, duty, version or core; never one a request. Bounded.
+One entry for each change of membership, ownership, version or core; never one a request. Bounded.
 """
 
 from collections import deque
@@ -37,6 +37,7 @@
         self._entries: deque[Entry] = deque(maxlen=most)
 
     def write(self, at: float, part: str, text: str, **facts: Any) -> None:
+        """Append an entry; ``at`` in seconds on the steady clock. The oldest goes where the log is full."""
         self._entries.append(Entry(at, part, text, facts))
 
     def pages(self, now: float, part: str = "") -> list[dict[str, Any]]:
--- a/millfront/dataplane/load_balancer.py
+++ b/millfront/dataplane/load_balancer.py
@@ -1,5 +1,5 @@
-"""Sorting (choice of a server): where the next request is expected to end first, bytes and distance weighed
-in. No I/O.
+"""Load balancing: the server where the next request is expected to end first, bytes and distance weighed in.
+No I/O.
 
 Times are seconds on the caller's clock. A server's load is what it last told of itself (running, waiting,
 slots), aged towards the mean of its service, plus what was sent there since. States of a server as seen from
@@ -81,7 +81,7 @@
     # ---- which there are ---------------------------------------------------------------------------
 
     def listed(self, servers: Iterable[Server]) -> list[str]:
-        """The addresses have changed; returns the lives that ended or drain."""
+        """The list of servers has changed; returns the servers that are gone or drain."""
         stopped = []
         self.by_service = {}
         named = set()
@@ -169,6 +169,7 @@
         return True
 
     def cold(self, now: float, seen: ServerState) -> bool:
+        """Whether a server is still warming up, so that only its holder may send to it."""
         return now < seen.server.cold_until
 
     def _credit(self, now: float, seen: ServerState, service: Service) -> float:
@@ -211,6 +212,7 @@
     # ---- what becomes of requests --------------------------------------------------------------------
 
     def sent(self, now: float, seen: ServerState, flow: int) -> None:
+        """A request was sent to this server; ``flow`` identifies the try until it ends."""
         seen.out[flow] = now
         seen.sent_since += 1
         if self.cold(now, seen):
@@ -235,7 +237,7 @@
         seen.slowness += LATENCY_WEIGHT * (min(max(took / work, 0.2), 8.0) - seen.slowness)
 
     def reported(self, now: float, seen: ServerState, running: int, waiting: int, slots: int) -> None:
-        """A server's own word on its load, from an answer."""
+        """A server's own report of its load, from an answer."""
         seen.slots = max(1, slots)
         seen.load = (running + waiting) / seen.slots
         seen.told, seen.sent_since = now, 0
--- a/millfront/dataplane/proxy.py
+++ b/millfront/dataplane/proxy.py
@@ -1,8 +1,7 @@
-"""The proxy (data plane): takes a request, admits it, has a server chosen, sends it on and relays the
-answer.
+"""The proxy (data plane): takes a request, admits it, has a server chosen, sends it on and relays the answer.
 
 Reading and writing HTTP/1.1, connections of both sides and long bodies are the present program's
-(`millfront.node`); what is decided is `admission`, `load balancer` and `forwarding`. This module ties them
+(`millfront.node`); decisions are taken in `admission`, `load_balancer` and `retries`. This module ties them
 to the loop.
 """
 
@@ -11,12 +10,11 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from millfront.control.configuration import Route, Tenant
 from millfront.dataplane.load_balancer import LoadBalancer, ServerState
 from millfront.dataplane.retries import RequestProgress, RetryBudget
-from millfront.gatekeeper.node import Gatekeeper
 from millfront.node.bodies import EACH, PART, ROOM_PART, Room, Ways
 from millfront.node.clients import VirtualServer
 from millfront.node.config import Address
@@ -28,6 +26,9 @@
 from millfront.node.stages.send import Send, ServerSideFlow
 from millfront.node.stages.take_in import NotTaken
 
+if TYPE_CHECKING:
+    from millfront.gatekeeper.node import Gatekeeper
+
 ID, DEADLINE = b"millfront-attempt-id", b"millfront-deadline-ms"
 TENANT, TARGET = b"millfront-tenant-name", b"millfront-target-instance"
 SEAL, NOT_RUN, LOAD = b"millfront-server-seal", b"millfront-not-executed", b"millfront-server-load"
@@ -39,7 +40,7 @@
 COPY_SHARE = 0.5  # of the target time after which a repeatable request that is silent gets a second server
 COPY_WORKS = 2.5  # and of its service's mean time
 SPARE_SOCKETS = 300  # files, the system's own connections, operators and clients that ask where to go
-AGAIN_S = 0.4  # a client that comes to one that is out of touch with the registry is told to wait so long
+AGAIN_S = 0.4  # a client that comes to one that is out of touch with the register is told to wait so long
 FLUSH_S = 0.06  # clumps share a record
 FLOW = itertools.count(1)
 
@@ -60,6 +61,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Sending:
+    """The chosen server for one try, and its time limit in microseconds."""
+
     backend: str
     timeout_us: int = 0
 
@@ -91,6 +94,7 @@
 
     @property
     def deadline_us(self) -> int:
+        """When the client's time limit ends, in microseconds on the proxy's clock."""
         return self.came_us + self.arrival.timeout_us
 
 
@@ -101,6 +105,10 @@
         self.proxy = proxy
 
     def __call__(self, backend: Any) -> PoolMember:
+        """The member for a chosen server.
+
+        :raises Ended: with `Ending.NOT_SENT`; it is unknown, or not ready
+        """
         member = self.proxy.members.get(backend)
         if member is None:
             raise Ended(Ending.NOT_SENT, "no such server")
@@ -108,6 +116,10 @@
         return member
 
     def check(self, member: PoolMember, flow: Any = None) -> None:
+        """Refuse a member that is not ready, or a request that is no longer allowed to it.
+
+        :raises Ended: with `Ending.NOT_SENT`; nothing was written
+        """
         if not member.ready:
             raise Ended(Ending.NOT_SENT, f"{member.id} is draining or gone")
         if flow is None:
@@ -121,7 +133,7 @@
 class Proxy:
     """Clients' side and servers' side of one process."""
 
-    def __init__(self, gatekeeper: Gatekeeper, seed: int, now: Callable[[], float]) -> None:
+    def __init__(self, gatekeeper: "Gatekeeper", seed: int, now: Callable[[], float]) -> None:
         settings = gatekeeper.settings
         self.gatekeeper, self.now = gatekeeper, now
         self.random = random.Random(seed)
@@ -265,6 +277,7 @@
         return str(self.random.choices(names, weights)[0])
 
     def retry_budget(self, service: str) -> RetryBudget:
+        """The retry budget of a service; at its first use a new one with one try in it."""
         found = self.retry_budgets.get(service)
         if found is None:
             found = self.retry_budgets[service] = RetryBudget(self.gatekeeper.settings.bounds, self.now())
@@ -500,6 +513,10 @@
             self.refuse(request, 504 if late else 502, 0.0)
 
     def refuse(self, request: ClientRequest, status: int, after_s: float) -> None:
+        """Answer with the gatekeeper's own status.
+
+        :param after_s: seconds of ``Retry-After``; 0: the answer has none
+        """
         fields: Fields = [(b"Retry-After", b"%.3f" % after_s)] if after_s > 0 else []
         self.finish(request)
         request.caller.give(relay.own(status, b"", fields))
@@ -521,7 +538,7 @@
             flow.whole()
 
     def leave(self, request: ClientRequest) -> None:
-        """The client went away. What may be repeated is given up; an order is left to end."""
+        """The client went away. What may be repeated is given up; a request with an effect is left to end."""
         if request.over:
             return
         self.finish(request)
--- a/millfront/gatekeeper/api.py
+++ b/millfront/gatekeeper/api.py
@@ -1,4 +1,4 @@
-"""The counter: calls of operators, of the platform and of clients that ask where to go
+"""The HTTP API: calls of operators, of the platform and of clients that ask where to go
 (docs/openapi/gatekeeper.json)."""
 
 import json
@@ -33,6 +33,7 @@
         self.data, self.done = bytearray(first), done
 
     def passes(self, data: bytes, last: bool) -> bool:
+        """Keep the next bytes of the body; always True, as more may follow at once."""
         self.data += data
         if last:
             self.done(bytes(self.data))
@@ -46,6 +47,7 @@
         self.message, self.caller, self.over = message, caller, False
 
     def answer(self, status: int, text: str = "") -> None:
+        """Give the one answer; later ones are dropped. An error's text is wrapped in ``{"error": ...}``."""
         if not self.over:
             self.over = True
             body = text.encode()
@@ -74,13 +76,15 @@
         self.server.listen(Address.parse(address, "bindings"))
 
     def whole(self, call: Call) -> None:
+        """Part of the virtual server's interface: a body is gathered by `Gather` instead."""
         pass
 
     def leave(self, call: Call) -> None:
+        """The caller has closed its connection: an answer that comes later is dropped."""
         call.over = True
 
     def take(self, message: Message, caller: Caller) -> Call | None:
-        """Answer one call, now or when the registry has.
+        """Answer one call, now or when the register has.
 
         :raises NotTaken: there is no such call
         """
@@ -149,14 +153,14 @@
 
 
 def of(gatekeeper: Gatekeeper, now: Callable[[], float], bindings: Any, check: Check) -> list[ControlApi]:
-    """A counter for each address among the bindings; several names may share one."""
+    """An API for each address among the bindings; several names may share one."""
     by_address: dict[str, set[str]] = {}
     for name in ("readiness", "ctl", "lookup"):
         if name in bindings:
             by_address.setdefault(bindings[name], set()).add(name)
     made = []
     for address, serves in by_address.items():
-        counter = ControlApi(gatekeeper, now, frozenset(serves), check)
-        counter.listen(address)
-        made.append(counter)
+        control_api = ControlApi(gatekeeper, now, frozenset(serves), check)
+        control_api.listen(address)
+        made.append(control_api)
     return made
--- a/millfront/register/deltas.py
+++ b/millfront/register/deltas.py
@@ -1,10 +1,10 @@
-"""Differences (delta encoding) between two versions of a text. No I/O, no clock.
+"""Delta encoding of two versions of a text. No I/O, no clock.
 
-A difference is a list of steps: ``[start, length]`` copies characters of the earlier text, a string stands
-for itself. Both texts are walked side by side; where they part, the walk goes on at the next end of an entry
+A delta is a list of steps: ``[start, length]`` copies characters of the earlier text, a string stands for
+itself. Both texts are walked side by side; where they part, the walk goes on at the next end of an entry
 (``},`` or a line's end) of the later text whose continuation the earlier one has near. So a changed, added or
 removed entry costs little more than itself, and of what is equal nothing is copied or kept. The later text
-comes back character for character, or a fault: who applies a difference checks the digest of what came out.
+comes back character for character, or an error: who applies a delta checks the digest of what came out.
 """
 
 import re
@@ -12,7 +12,7 @@
 
 from result import Err, Ok, Result
 
-from millfront.control.configuration import digest_of
+from millfront.register.values import digest_of
 
 Steps = list[Any]
 END = re.compile(r"\},|\n")
@@ -22,8 +22,8 @@
 LEAST = 24  # characters: a shorter copy costs as much as the text
 
 
-class DifferenceFault(Exception):
-    """A difference that does not fit the text, or does not give what it should."""
+class DeltaError(Exception):
+    """A delta that does not fit the text, or does not give what it should."""
 
 
 def difference(old: str, new: str, most: int) -> Steps | None:
@@ -54,7 +54,7 @@
     return made if size(made) <= most else None
 
 
-def applied(old: str, steps: Steps, most: int) -> Result[str, DifferenceFault]:
+def applied(old: str, steps: Steps, most: int) -> Result[str, DeltaError]:
     """:param most: characters that may come out
 
     >>> applied("one two", [[0, 4], "three"], 100).unwrap()
@@ -70,16 +70,16 @@
             case [int() as start, int() as length] if start >= 0 and 0 <= length <= len(old) - start:
                 part = old[start : start + length]
             case _:
-                return Err(DifferenceFault(f"the step {str(step)[:40]} does not fit a text of {len(old)}"))
+                return Err(DeltaError(f"the step {str(step)[:40]} does not fit a text of {len(old)}"))
         came += len(part)
         if came > most:
-            return Err(DifferenceFault(f"more than {most} characters come out"))
+            return Err(DeltaError(f"more than {most} characters come out"))
         parts.append(part)
     return Ok("".join(parts))
 
 
-def followed(old: str, chain: list[Steps], length: int, digest: str) -> Result[str, DifferenceFault]:
-    """One difference after the other; what comes out has this length and this digest.
+def followed(old: str, chain: list[Steps], length: int, digest: str) -> Result[str, DeltaError]:
+    """One delta after the other; what comes out has this length and this digest.
 
     >>> followed("a", [["b"], [[0, 1], "c"]], 2, digest_of("bc")).unwrap()
     'bc'
@@ -94,7 +94,7 @@
             case Err(fault):
                 return Err(fault)
     if len(text) != length or digest_of(text) != digest:
-        return Err(DifferenceFault("the digest is not that of the text that was meant"))
+        return Err(DeltaError("the digest is not that of the text that was meant"))
     return Ok(text)
 
 
--- a/millfront/register/reconfiguration.py
+++ b/millfront/register/reconfiguration.py
@@ -1,8 +1,8 @@
-"""Reconfiguration (reconfiguration): who keeps the registry. No I/O, no clock.
+"""Reconfiguration: which processes are members of the register. No I/O, no clock.
 
 At the first start the core is *founded* over all processes with a disk. Later it *changes* through the
-registry itself: a machine with a disk that has joined is posted to it, one that is lost for good is relieved.
-A change goes through a core that holds both sets, in which both must agree to everything:
+register itself: a machine with a disk that has joined is added to it, one that is lost for good is removed. A
+change goes through a core that holds both sets, in which both must agree to everything:
 
     core e ──decide──> core e+1 (new, old) ──carry over──> core e+2 (new)
 
@@ -10,8 +10,8 @@
 whoever finds the one may bring about the other. Between them all that is held is read from, and written back
 to, majorities of both. The derivation is in docs/design/register.md.
 
-A replica that lost its disk *recovers* (recovery.py). Who the next core is to have is chosen in
-`seats`. Times are seconds on the caller's clock.
+A replica that lost its disk *recovers* (recovery.py). Who the next core is to have is chosen in `placement`.
+Times are seconds on the caller's clock.
 """
 
 from collections.abc import Callable
@@ -32,11 +32,11 @@
 FOUNDING_S = 1.6  # the least time from the start: all start together, each in its own time
 PATIENT_S = 4.0  # the same while a seed is missing
 AGAIN_S = 0.7
-JOINED_S = 1.0  # a machine with a disk that was heard of for so long is posted where that gains a vote
+JOINED_S = 1.0  # a machine with a disk that was heard of for so long is added where that gains a vote
 SETTLED_IN_S = 5.0  # and after so long where it does not
 RELIEVED_S = 120.0  # a member that was not heard of for so long is lost for good
 BETWEEN_S = 1.0  # a change that failed, or one of somebody's that is not whole, and the next try
-WAITS_S = 1.5  # a seat that was not given up for so long waits for something
+WAITS_S = 1.5  # a member that could not be removed for so long waits for something
 DECIDE_S, CARRY_S = 3.0, 6.0
 # Decide (two rounds), open, carry over (a read, and its write-back), close: six round trips of 80 ms
 CHANGE_S = 0.5
@@ -48,14 +48,17 @@
 
 
 class NodeIO(Protocol):
-    """What reconfiguration ask of their process's I/O."""
+    """What reconfiguration asks of its process's I/O."""
 
-    def datagram(self, address: str, message: Message) -> None: ...
-    def persist(self, persist: Persist) -> None: ...
+    def datagram(self, address: str, message: Message) -> None:
+        """Send one datagram; it may be lost."""
+
+    def persist(self, persist: Persist) -> None:
+        """Sync it; the process is told when that is done."""
 
 
 class Desk(Protocol):
-    """What reconfiguration ask of the process that they belong to."""
+    """What reconfiguration asks of the process that it belongs to."""
 
     name: str
     settings: Settings
@@ -69,13 +72,24 @@
     membership: Membership
 
     @property
-    def post_address(self) -> str: ...
+    def post_address(self) -> str:
+        """``host:port`` where the system's other processes reach this one."""
+
     @property
-    def io(self) -> NodeIO: ...
-    def trusted(self, now: float) -> bool: ...
-    def note(self, part: str, text: str, **facts: Any) -> None: ...
-    def start(self, now: float, round: Round, then: Callable[[Round], None]) -> None: ...
-    def to_replica(self, now: float, name: str, address: str, message: Message) -> None: ...
+    def io(self) -> NodeIO:
+        """The process's I/O."""
+
+    def trusted(self, now: float) -> bool:
+        """Whether this process has a lease at ``now``."""
+
+    def note(self, part: str, text: str, **facts: Any) -> None:
+        """Write an entry to the event log and a line to the log."""
+
+    def start(self, now: float, round: Round, then: Callable[[Round], None]) -> None:
+        """Drive a round until it is done or failed, then call ``then`` with it, once."""
+
+    def to_replica(self, now: float, name: str, address: str, message: Message) -> None:
+        """Send a message to a member's replica."""
 
 
 class Change(Enum):
@@ -90,6 +104,8 @@
 
 @dataclass(slots=True)
 class Founding:
+    """A proposal of the first core: its members' addresses by name, who has agreed, when it was last sent."""
+
     core: Value
     members: dict[str, str]
     agreed: set[str]
@@ -97,7 +113,7 @@
 
 
 class Reconfiguration:
-    """One process's part in who keeps the registry."""
+    """One process's part in choosing the register's members."""
 
     def __init__(self, gatekeeper: Desk) -> None:
         self.gatekeeper = gatekeeper
@@ -108,7 +124,7 @@
         self._left: set[str] = set()  # members that were heard to end in order
         self._left_at: float | None = None  # since when this process ends in order
         self._vacant_since: float | None = None  # as one that leaves: since when no successor can be had
-        self._waits: tuple[str, ...] = ()  # whose seats can't be given up, as last noted
+        self._waits: tuple[str, ...] = ()  # members that can't be removed yet, as last noted
         self._number = 0  # of the highest ballot seen
         self._known: dict[str, float] = {}  # processes with a disk, and since when they are heard of
         self._missed: dict[str, float] = {}  # members, and since when they are not
@@ -160,7 +176,7 @@
 
     def keeps(self) -> bool:
         """Whether this process's disk has a copy of what was acknowledged: its replica has caught up, in the
-        core that is in force here, and has a seat in it."""
+        core that is in force here, and is a member of it."""
         gatekeeper, replica = self.gatekeeper, self.gatekeeper.replica
         core = gatekeeper.subscriber.core
         if (
--- a/millfront/register/recovery.py
+++ b/millfront/register/recovery.py
@@ -1,24 +1,27 @@
-"""Recovery: how a replica that lost its disk comes to vote again, and how one that was away catches up.
-No I/O, no clock.
+"""Recovery: how a replica that lost its disk comes to vote again, and how one that was away catches up. No
+I/O, no clock.
 
-A *recovering* replica learns from R others which of its lives there were, makes a new one known to R others,
-and takes over what these held when they learnt of it, or newer. These tell short values whole and long ones
-by their stamps; the long ones come as to any subscriber, by differences or pieces, and each is whole by its
-digest before anything is synced. Until then the replica answers nobody and holds no duty. A replica that
-votes and was away lacks what was written meanwhile: it syncs what its process, which follows, has learnt.
+A *recovering* replica learns from R others which of its incarnations (lives) there were, makes a new one
+known to R others, and takes over what these held when they learnt of it, or newer. These tell short values
+whole and long ones by their stamps; the long ones come as to any subscriber, as deltas or chunks, and each is
+whole by its digest before anything is synced. Until then the replica answers nobody and owns no key. A
+replica that votes and was away lacks what was written meanwhile: it syncs what its process, which follows,
+has learnt.
 
 Proofs: docs/design/system.md, "Lives", and docs/design/catching-up.md. Times are seconds.
 """
 
 from enum import Enum
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
-from millfront.control.delivery import Subscriber
 from millfront.register.chunks import Offer, Stamp
 from millfront.register.coordinator import Coordinator
 from millfront.register.replica import Persist, Replica, Voting
 from millfront.register.values import CORE, LIFE, Core, Value
 
+if TYPE_CHECKING:
+    from millfront.control.delivery import Subscriber
+
 SELF = "self"
 AGAIN_BEATS = 3  # between two times that the others are asked
 SYNC_BEATS = 16  # a disk that has not taken it by then, 4 s, is asked again
@@ -27,7 +30,10 @@
 
 
 class NodeIO(Protocol):
-    def persist(self, persist: Persist) -> None: ...
+    """What a recovery asks of its process's I/O."""
+
+    def persist(self, persist: Persist) -> None:
+        """Sync it; the process is told when that is done."""
 
 
 class Desk(Protocol):
@@ -36,12 +42,17 @@
     name: str
     coordinator: Coordinator
     replica: Replica | None
-    subscriber: Subscriber
+    subscriber: "Subscriber"
 
     @property
-    def io(self) -> NodeIO: ...
-    def note(self, part: str, text: str, **facts: Any) -> None: ...
-    def to_replica(self, now: float, name: str, address: str, message: Message) -> None: ...
+    def io(self) -> NodeIO:
+        """The process's I/O."""
+
+    def note(self, part: str, text: str, **facts: Any) -> None:
+        """Write an entry to the event log and a line to the log."""
+
+    def to_replica(self, now: float, name: str, address: str, message: Message) -> None:
+        """Send a message to a member's replica."""
 
 
 class Stage(Enum):
@@ -176,6 +187,7 @@
             self._whole = True
 
     def missed(self) -> dict[str, Value]:
+        """The values, by key, that this process holds as a subscriber and its replica lacks or has older."""
         replica = self.gatekeeper.replica
         if replica is None:
             return {}
--- a/millfront/register/values.py
+++ b/millfront/register/values.py
@@ -1,10 +1,11 @@
-"""What the registry holds: versioned values, and the core that keeps them. No I/O, no clock.
+"""What the register holds: versioned values, and the core that keeps them. No I/O, no clock.
 
 A value is (version, tie, data); of two the higher (version, tie) holds, wherever it is. Of N replicas a
-majority W = N // 2 + 1 acknowledges, and of any R = N - W + 1 one knows what was acknowledged, since
-W + R > N (docs/design/system.md, "The core").
+majority W = N // 2 + 1 acknowledges, and of any R = N - W + 1 one knows what was acknowledged, since W + R >
+N (docs/design/system.md, "The core").
 """
 
+import hashlib
 import json
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -19,11 +20,16 @@
 OWN = "own/"
 CONFIG = "config"  # the key of the configuration
 CLAIM = "claim/"  # and a revision number: which document has it (docs/design/control-faults.md)
-TURN = "turn/"  # and a zone: how many orders to evacuate it or take that back were begun
+TURN = "turn/"  # and a zone: how many changes of its evacuation were begun
 CLAIMS = 512  # numbers that are kept, the newest: 20 h of 620 changes a day
 BALLOTS = 1_000_000  # of one epoch
 
 
+def digest_of(text: str) -> str:
+    """Sixteen hexadecimal digits that tell a text from others, the same in every process."""
+    return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
+
+
 def write_quorum(core: int) -> int:
     """W: acknowledged is what so many replicas have synced.
 
@@ -48,9 +54,11 @@
 
     @property
     def stamp(self) -> list[Any]:
+        """[version, tie], as it goes in a message."""
         return [self.version, self.tie]
 
     def wire(self) -> list[Any]:
+        """[version, tie, data], as it goes in a message; `of` reads it."""
         return [self.version, self.tie, self.data]
 
     @classmethod
@@ -87,8 +95,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Core:
-    """Who keeps the registry: names and addresses, of one epoch. While it changes (``old`` is not empty),
-    both the old and the new members must agree to everything."""
+    """The members of the register: names and addresses, of one epoch.
+
+    While it changes (``old`` is not empty), both the old and the new members must agree to everything."""
 
     epoch: int
     members: dict[str, str]
@@ -101,14 +110,17 @@
         return cls(value.version, dict(told["m"]), dict(told.get("o") or {}))
 
     def value(self, tie: str = "") -> Value:
+        """This core as a value of the key `CORE`; its version is the epoch."""
         return Value(self.epoch, tie, json.dumps({"m": self.members, "o": self.old}, sort_keys=True))
 
     @property
     def sets(self) -> tuple[dict[str, str], ...]:
+        """The groups of members of which each must have a majority: one, or two while the core changes."""
         return (self.members, self.old) if self.old else (self.members,)
 
     @property
     def all(self) -> dict[str, str]:
+        """Addresses of all members by name, the old and the new."""
         return {**self.old, **self.members}
 
     def majority(self, names: Iterable[str]) -> bool:
