Rules are judged in a simulated world while everything happens together

Change: tests/rule_checkers.py has checkers of EVAC (picks of the daemon's own Proxy at each node), QUOTA, CONFIG/MIXED and LOST (read back after all lost power, and held by every data plane), and the spread of the nodes' views of a tenant's store. tests/test_rules_together.py tells stories by seed: configurations with a route and a quota up and down x evacuations and their taking back x restarts x a cut x a rush of one tenant, at 11 processes (12 seeds) and at 82 with 6 disks (1 seed).

--- /dev/null
+++ b/tests/test_rules_together.py
@@ -0,0 +1,375 @@
+"""Rules judged while everything happens together: configurations, evacuations, restarts, a cut and a rush of
+one tenant in one simulated world, up to 82 processes, with the daemon's data plane at each; and each checker
+is shown a fault that it must find."""
+
+import json
+import random
+from collections.abc import Callable, Generator
+from functools import cache
+from typing import Any, Literal
+
+import pytest
+
+from millfront.control.admin import EVACUATION
+from millfront.dataplane import admission
+from millfront.dataplane.admission import Account, Admission, Peer
+from millfront.dataplane.proxy import Proxy
+from millfront.gatekeeper.node import Gatekeeper
+from millfront.register.values import CONFIG, Value
+from tests.rule_checkers import (
+    EvacuationChecker,
+    LossChecker,
+    Order,
+    Put,
+    QuotaChecker,
+    ServingNode,
+    ServingWorld,
+    VersionChecker,
+    store_spread,
+)
+from tests.system_world import ZONES, World, document
+
+RATES = (30.0, 10.0)
+ANSWER_S = 5.0  # so long an operator waits
+PROBE_S = 0.5
+SEEDS = range(1, 13)
+SERVERS = [[f"i-{zone}", "shop", f"10.0.2.{number}:80", zone, 3, 0, 0.0] for number, zone in enumerate(ZONES)]
+Process = Generator[Any, Any, None]
+Trouble = Literal["restarts", "cut", "herd"]
+TROUBLES: tuple[Trouble, ...] = ("restarts", "cut")
+
+
+class Story:
+    """One world, what operators, clients and faults do to it by a seed, and its checkers."""
+
+    def __init__(self, n: int, disks: int, seed: int) -> None:
+        self.random, self.disks = random.Random(seed), disks
+        self.world = world = ServingWorld(n, disks, seed)
+        world.servers = SERVERS
+        world.start()
+        self.puts: list[Put] = []
+        self.evacuations = EvacuationChecker(world.bounds)
+        self.quota = QuotaChecker(world.bounds, self.puts)
+        self.versions = VersionChecker(world.bounds, self.puts)
+        self.loss = LossChecker(self.versions, self.evacuations)
+        self.ends = 0.0
+        self.hot = 0.0
+
+    def orders_faults(self) -> list[str]:
+        """Of all rules but the quota."""
+        return [*self.evacuations.faults, *self.versions.faults, *self.loss.faults]
+
+    # ---- operators -----------------------------------------------------------------------------
+
+    def _answered(self, order: Order, answers: list[Any]) -> Process:
+        until = self.world.env.now + ANSWER_S
+        while not answers and self.world.env.now < until:
+            yield self.world.env.timeout(0.05)
+        if answers and answers[0][0] == 200:
+            order.acknowledged = float(answers[0][2])
+
+    def _somebody(self) -> int:
+        return self.random.choice([node.number for node in self.world.nodes if node.gatekeeper is not None])
+
+    def put(self, rate: float) -> Process:
+        """The next version; each second one has one more route."""
+        version = len(self.puts) + 1
+        text = document(version, {"t": ["k"]}, rate=rate)
+        if version % 2 == 0:
+            made = json.loads(text)
+            route = made["resources"][0]
+            spec = route["spec"] | {"path_prefix": f"/p/{version}/"}
+            made["resources"].append(route | {"meta": {"name": "more"}, "spec": spec})
+            text = json.dumps(made)
+        order = Put(float(self.world.env.now), version=version, rate=rate)
+        self.puts.append(order)
+        yield from self._answered(order, self.world.put(self._somebody(), text))
+
+    def evacuate(self, zone: str, on: bool) -> Process:
+        def does(gatekeeper: Gatekeeper, now: float, done: Callable[[int, str], None]) -> None:
+            gatekeeper.evacuate(now, zone, on, done)
+
+        order = self.evacuations.ordered(zone, on, float(self.world.env.now))
+        yield from self._answered(order, self.world.call(self._somebody(), does))
+
+    def _configures(self) -> Process:
+        while self.world.env.now < self.ends - 4.0:
+            yield self.world.env.timeout(self.random.uniform(0.8, 4.0))
+            yield from self.put(self.random.choice(RATES))
+
+    def _evacuates(self) -> Process:
+        """One zone for long enough that the rule binds; another one in quick turn."""
+        lasting, turning = self.random.sample(sorted(ZONES), 2)
+        yield from self.evacuate(lasting, True)
+        on = False
+        while self.world.env.now < self.ends - 2.0:
+            yield self.world.env.timeout(self.random.uniform(0.3, 2.0))
+            on = not on
+            if self.random.random() < 0.3:  # together with a configuration
+                self.world.env.process(self.put(self.random.choice(RATES)))
+            yield from self.evacuate(turning, on)
+
+    # ---- faults and clients --------------------------------------------------------------------
+
+    def _restarts(self) -> Process:
+        """One machine with a disk at a time, and others."""
+        world, n = self.world, len(self.world.nodes)
+        while world.env.now < self.ends:
+            yield world.env.timeout(self.random.uniform(0.3, 1.5))
+            down = {self.random.randrange(self.disks), self.random.randrange(self.disks, n)}
+            down -= world.isolated
+            for number in down:
+                world.nodes[number].kill()
+            yield world.env.timeout(self.random.uniform(0.2, 0.8))
+            for number in down:
+                world.nodes[number].start()
+
+    def _cuts(self) -> Process:
+        yield self.world.env.timeout(self.random.uniform(2.0, 4.0))
+        others = self.random.sample(range(self.disks, len(self.world.nodes)), 2)
+        self.world.isolate({self.random.randrange(self.disks), *others})
+        yield self.world.env.timeout(self.random.uniform(2.0, 5.0))
+        self.world.isolate(set())
+
+    def _herds(self) -> Process:
+        """Most of those without a disk restart at once, amid the rush."""
+        yield self.world.env.timeout(self.hot + 3.0 - self.world.env.now)
+        down = [node for node in self.world.nodes[self.disks :] if self.random.random() < 0.7]
+        for node in down:
+            node.kill()
+        yield self.world.env.timeout(0.7)
+        for node in down:
+            node.start()
+
+    def _clients(self) -> Process:
+        env, flushing = self.world.env, set[int]()
+
+        def flush(node: ServingNode) -> Process:
+            gatekeeper = node.gatekeeper
+            yield env.timeout(0.06)
+            flushing.discard(node.number)
+            if gatekeeper is not None and node.gatekeeper is gatekeeper:
+                gatekeeper.flush(node.now())
+
+        while env.now < self.ends:
+            total = (8.0 if env.now > self.hot else 0.6) * RATES[0]
+            yield env.timeout(self.random.expovariate(total))
+            node = self.random.choice(self.world.serving)
+            gatekeeper = node.gatekeeper
+            if gatekeeper is None or gatekeeper.configuration is None or not gatekeeper.trusted(node.now()):
+                continue
+            if gatekeeper.admission.admit(node.now(), gatekeeper.configuration.by_name["t"]) == 0.0:
+                self.quota.let_in.append(float(env.now))
+            else:
+                self.quota.refused += 1
+            if gatekeeper.admission.flush and node.number not in flushing:
+                flushing.add(node.number)
+                env.process(flush(node))
+
+    def _probes(self) -> Process:
+        while self.world.env.now < self.ends:
+            yield self.world.env.timeout(PROBE_S)
+            self.probe()
+
+    def probe(self) -> None:
+        now = float(self.world.env.now)
+        for node in self.world.serving:
+            for versions in (*node.lives, node.versions):
+                self.versions.lived(node.name, versions)
+            if self.world.in_touch(node) and node.gatekeeper is not None:
+                self.evacuations.picked(now, node.name, node.picks())
+                held = node.gatekeeper.configuration
+                self.versions.holds(now, node.name, held.version if held is not None else 0)
+
+    # ---- the whole -----------------------------------------------------------------------------
+
+    def tell(self, seconds: float, founded: float = 3.0, faults: tuple[Trouble, ...] = TROUBLES) -> "Story":
+        """All of it at once, with these faults of machines and links."""
+        self.world.run(founded)
+        self.world.env.process(self.put(RATES[0]))
+        self.world.run(1.0)
+        assert self.puts[0].acknowledged < float("inf"), "the first configuration is not taken"
+        self.ends, self.hot = self.world.env.now + seconds, self.world.env.now + 2.0
+        parts = [
+            self._configures(),
+            self._evacuates(),
+            *([self._cuts()] if "cut" in faults else []),
+            self._clients(),
+            self._probes(),
+            *([self._restarts()] if "restarts" in faults else []),
+            *([self._herds()] if "herd" in faults else []),
+        ]
+        for part in parts:
+            self.world.env.process(part)
+        self.world.run(seconds)
+        return self
+
+    def lose_power(self) -> "Story":
+        """What is under way ends, then all lose their power, and what was acknowledged must be there."""
+        self.world.isolate(set())
+        self.world.run(0.5)
+        self.world.power_off(0.5)
+        self.world.run(self.world.bounds.contact + 0.01)
+        self.probe()
+        for node in self.world.serving:
+            self.loss.holds(node.name, node.gatekeeper, node.proxy)
+        self.loss.read_back(self._revision())
+        return self
+
+    def _revision(self) -> str | None:
+        """What GET answers, asked again as an operator does."""
+        for number in (0, 1, 2, 0, 1, 2):
+            answers = self.world.call(number, lambda gatekeeper, now, done: gatekeeper.read(now, done))
+            self.world.run(0.5)
+            if answers and answers[0][0] == 200:
+                return str(json.loads(answers[0][1])["revision"])
+        return None
+
+
+@cache
+def small(seed: int) -> Story:
+    return Story(11, 4, seed).tell(14.0).lose_power()
+
+
+@cache
+def large(seed: int) -> Story:
+    return Story(82, 6, seed).tell(6.0, founded=2.5).lose_power()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_all_rules_but_the_quota_hold_at_11_processes_while_everything_happens_together(seed: int) -> None:
+    story = small(seed)
+    assert story.orders_faults() == []
+    assert story.evacuations.judged > 50, "the rule was put to the test"
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_the_quota_holds_at_11_processes_while_everything_happens_together(seed: int) -> None:
+    story = small(seed)
+    assert story.quota.faults() == []
+    assert story.quota.refused > 100, "the limit was put to the test"
+
+
+def test_all_rules_but_the_quota_hold_at_82_processes_while_everything_happens_together() -> None:
+    story = large(1)
+    assert story.orders_faults() == []
+    assert story.evacuations.judged > 100
+
+
+def test_the_quota_holds_at_82_processes_while_everything_happens_together() -> None:
+    story = large(1)
+    assert story.quota.faults() == []
+    assert story.quota.refused > 100
+
+
+# ---- each checker finds a planted fault --------------------------------------------------------------------
+
+
+def found(story: Story, rule: str) -> bool:
+    return any(fault.startswith(rule) for fault in [*story.orders_faults(), *story.quota.faults()])
+
+
+def test_a_data_plane_that_is_not_told_what_its_disk_held_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    made, changed = Proxy.__init__, Proxy.changed
+    making: list[Proxy] = []
+
+    def init(self: Proxy, *args: Any) -> None:
+        making.append(self)
+        made(self, *args)
+        making.remove(self)
+
+    def told(self: Proxy) -> None:
+        if self not in making:
+            changed(self)
+
+    monkeypatch.setattr(Proxy, "__init__", init)
+    monkeypatch.setattr(Proxy, "changed", told)
+    story = Story(11, 4, 1).tell(8.0).lose_power()
+    assert found(story, "LOST") and found(story, "EVAC")
+
+
+def test_an_evacuation_that_is_dropped_when_it_comes_with_a_configuration_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    hold = Gatekeeper._hold
+
+    def dropping(self: Gatekeeper, found: dict[str, Value]) -> None:
+        held, before, tell = self.subscriber.values, self.evacuated, self.changed
+        new = [key for key, value in found.items() if key not in held or value > held[key]]
+
+        def changed() -> None:
+            self.evacuated = before
+            tell()
+
+        if CONFIG in new and any(key.startswith(EVACUATION) for key in new):
+            self.changed = changed
+        hold(self, found)
+        self.changed = tell
+
+    monkeypatch.setattr(Gatekeeper, "_hold", dropping)
+    story = Story(11, 4, 1).tell(8.0).lose_power()
+    assert found(story, "EVAC") and found(story, "LOST")
+
+
+def test_nodes_that_go_back_to_the_configuration_before_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    hold = Gatekeeper._hold
+
+    def returning(self: Gatekeeper, found: dict[str, Value]) -> None:
+        before = self.configuration
+        hold(self, found)
+        if self.replica is None and before is not None and self.configuration is not before:
+            self.configuration = before
+            self.changed()
+
+    monkeypatch.setattr(Gatekeeper, "_hold", returning)
+    story = Story(11, 4, 1).tell(8.0).lose_power()
+    assert found(story, "MIXED") and found(story, "CONFIG")
+
+
+def test_a_register_that_forgets_an_evacuation_when_power_is_lost_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    power_off = ServingWorld.power_off
+
+    def forgetting(self: ServingWorld, down: float = 1.0) -> World:
+        for node in self.nodes:
+            if node.disk is not None:
+                for key in [key for key in node.disk if key.startswith(EVACUATION)]:
+                    del node.disk[key]
+        return power_off(self, down)
+
+    monkeypatch.setattr(ServingWorld, "power_off", forgetting)
+    story = Story(11, 4, 1).tell(8.0).lose_power()
+    assert found(story, "LOST")
+
+
+def test_stores_that_begin_full_are_found_when_most_restart_in_a_rush(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    sound = Story(11, 4, 4).tell(10.0, faults=("herd",))
+    assert not found(sound, "QUOTA")
+    monkeypatch.setattr(admission, "FIRST_STORE", 1.0)
+    assert found(Story(11, 4, 4).tell(10.0, faults=("herd",)), "QUOTA")
+
+
+def test_accounts_that_are_not_brought_up_to_now_before_rates_change_are_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """No window is broken by it in these stories: what shows is that the views of the store drift apart."""
+    sound = Story(20, 6, 4).tell(8.0, faults=())
+    assert store_spread(sound.world, "t") <= 0.5
+    advance, heard = Account.advance, Admission.heard
+
+    def charging(self: Account, now: float, peer: Peer, rate: float) -> None:
+        self.others += rate - peer.used
+        peer.used, peer.since = rate, now
+
+    def hearing(self: Admission, *args: Any) -> None:
+        with monkeypatch.context() as patch:
+            patch.setattr(Account, "advance", lambda account, now: None)
+            heard(self, *args)
+
+    monkeypatch.setattr(Account, "takes", charging)
+    monkeypatch.setattr(Admission, "heard", hearing)
+    story = Story(20, 6, 4).tell(8.0, faults=())
+    assert Account.advance is advance and store_spread(story.world, "t") > 0.5
