--- a/tests/test_gatekeeper_calls.py
+++ b/tests/test_gatekeeper_calls.py
@@ -588,7 +588,7 @@
     play(story)
 
 
-def test_at_its_end_an_gatekeeper_finishes_the_upload_under_way(tmp_path: Path) -> None:
+def test_at_its_end_a_gatekeeper_finishes_the_upload_under_way(tmp_path: Path) -> None:
     async def story() -> None:
         async with stage(tmp_path, [well], servers=1) as made:
             reader, writer = await begun_upload(made)
