Who is late is worked out once a tick, not once a tenant

The rule of the least bucket stood twice.

Change: made once in tick; one function for the least bucket. Behaviour is the same.

--- a/millfront/dataplane/admission.py
+++ b/millfront/dataplane/admission.py
@@ -129,6 +129,10 @@
         """Requests beyond the store that the rule still allows: for what is let in and not told yet."""
         return (1.0 - SLACK) * self._slack(tenant)
 
+    def _least(self, tenant: Tenant) -> float:
+        """What a bucket may hold however small its share is: a whole request where n of them fit."""
+        return 1.0 if self.n <= self.spare(tenant) else 0.0
+
     def _slack(self, tenant: Tenant) -> float:
         b = self.bounds
         return b.rate_excess * (tenant.rate * b.rate_window + tenant.burst) + b.rate_extra
@@ -163,7 +167,7 @@
             # sent
             begun = FIRST_STORE * account.capacity + tenant.rate * (now - self.born)
             account.store = min(account.capacity, begun)
-            account.least = 1.0 if self.n <= self.spare(tenant) else 0.0
+            account.least = self._least(tenant)
             account.level, account.bucket = tenant.rate / self.n, account.store * account.share
         account.store = min(account.store, account.capacity)
 
@@ -267,6 +271,8 @@
         """
         lasted = max(now - self.ticked, 0.05)
         self.ticked, self.n = now, max(1, len(names))
+        late = silent | {name for name in names if now - self._heard.get(name, self.born) > LATE_S}
+        late.discard(self.name)
         for name, account in list(self.accounts.items()):
             tenant = self.tenants.get(name)
             if tenant is None or tenant.rate <= 0.0 or now - account.seen > IDLE_S:
@@ -274,16 +280,12 @@
                     del self.accounts[name]
                 continue
             self.account(now, tenant).advance(now)
-            self._others(now, tenant, account, names, silent)
+            self._others(now, tenant, account, names, late)
             self._step(lasted, tenant, account)
 
-    def _others(
-        self, now: float, tenant: Tenant, account: Account, names: set[str], silent: set[str]
-    ) -> None:
-        """Whoever is silent may have taken part in a rush that this process doesn't see."""
+    def _others(self, now: float, tenant: Tenant, account: Account, names: set[str], late: set[str]) -> None:
+        """Whoever is late may have taken part in a rush that this process doesn't see."""
         slice_ = tenant.rate / self.n
-        late = silent | {name for name in names if now - self._heard.get(name, self.born) > LATE_S}
-        late.discard(self.name)
         for name in late - account.peers.keys():
             account.peers[name] = Peer(since=now)
         for name, peer in list(account.peers.items()):
@@ -315,7 +317,7 @@
         asked_all = account.own_asked + sum(peer.asked_rate for peer in account.peers.values())
         account.share = (account.own_asked + SHARE_UNITS * even) / (asked_all + SHARE_UNITS)
         account.pressure = asked_all / quota
-        account.least = 1.0 if self.n <= self.spare(tenant) else 0.0
+        account.least = self._least(tenant)
         account.price = next_price(account.price, total, quota, HIGHEST_PRICE)
         room = max(quota - total, 0.0)
         least = max(0.25 * quota * even if total < quota else 0.0, LEAST_LEVEL)
