--- a/millfront/__main__.py
+++ b/millfront/__main__.py
@@ -5,10 +5,12 @@
 
 
 def main() -> int:
-    if sys.argv[1:] == ["gatekeeper"]:  # a role of the whole system: it starts without the commands' imports
+    if (
+        sys.argv[1:2] == ["gatekeeper"] and "--help" not in sys.argv
+    ):  # a role of the whole system: it starts without the commands' imports
         from millfront.gatekeeper import start
 
-        return start.run(os.environ)
+        return start.run(os.environ, sys.argv[2:])
     if len(sys.argv) > 1 or "_MILLFRONT_COMPLETE" in os.environ:
         from millfront.cli import commands
 
--- a/millfront/cli/gatekeeper.py
+++ b/millfront/cli/gatekeeper.py
@@ -26,11 +26,14 @@
 
 
 @click.command()
-def gatekeeper() -> None:
+@click.option(
+    "--metrics-port", default=0, type=click.IntRange(0, 65535), help="Serve /v1/metrics there, too."
+)
+def gatekeeper(metrics_port: int) -> None:
     """Serve as one process of the whole system; MILLFRONT_CONFIG names its settings file."""
     from millfront.gatekeeper import process
 
-    sys.exit(process.run(os.environ))
+    sys.exit(process.run(os.environ, metrics_port))
 
 
 group.add_command(gatekeeper)
--- a/millfront/gatekeeper/api.py
+++ b/millfront/gatekeeper/api.py
@@ -9,7 +9,7 @@
 from result import Result
 
 from millfront.control.configuration import Configuration, ConfigurationError
-from millfront.gatekeeper import status
+from millfront.gatekeeper import metrics, status
 from millfront.gatekeeper.node import Gatekeeper
 from millfront.node.bodies import Upload
 from millfront.node.clients import VirtualServer
@@ -20,7 +20,9 @@
 
 VALID_S = 2.0  # of an answer to clients: short, so that they leave soon where a gatekeeper is gone
 JSON: Fields = [(b"Content-Type", b"application/json")]
+TEXT: Fields = [(b"Content-Type", b"text/plain; version=0.0.4")]  # as metrics are scraped
 EVACUATION = "/v1/evacuation/"
+METRICS = "/v1/metrics"
 CLIENTS = 400  # connections held at once
 SHORT = 16 * 1024  # of a configuration: a longer one is read beside the loop (1 ms a route that is new)
 Check = Callable[[str, Callable[[Result[Configuration, ConfigurationError]], None]], None]
@@ -46,14 +48,14 @@
     def __init__(self, message: Message, caller: Caller) -> None:
         self.message, self.caller, self.over = message, caller, False
 
-    def answer(self, status: int, text: str = "") -> None:
+    def answer(self, status: int, text: str = "", kind: Fields = JSON) -> None:
         """Give the one answer; later ones are dropped. An error's text is wrapped in ``{"error": ...}``."""
         if not self.over:
             self.over = True
             body = text.encode()
             if status >= 400 and text:
                 body = json.dumps({"error": text}).encode()
-            fields = list(JSON) if body else []
+            fields = list(kind) if body else []
             if status == 503:
                 fields.append((b"Retry-After", b"0.3"))
             self.caller.give(Message(status, fields, fields, body))  # type: ignore[attr-defined]
@@ -101,6 +103,8 @@
             self._body(message, lambda body: self._put(call, body))
         elif path == "/v1/config" and "ctl" in self.serves and method == "GET":
             gatekeeper.read(now, call.answer)
+        elif path == METRICS and {"ctl", "metrics"} & self.serves and method == "GET":
+            call.answer(200, metrics.render(gatekeeper, now), TEXT)
         elif path == "/v1/gatekeeper" and "ctl" in self.serves and method == "GET":
             call.answer(200, json.dumps(status.of(gatekeeper, now)))
         elif path == "/v1/gatekeeper/events" and "ctl" in self.serves and method == "GET":
@@ -155,7 +159,7 @@
 def of(gatekeeper: Gatekeeper, now: Callable[[], float], bindings: Any, check: Check) -> list[ControlApi]:
     """An API for each address among the bindings; several names may share one."""
     by_address: dict[str, set[str]] = {}
-    for name in ("readiness", "ctl", "lookup"):
+    for name in ("readiness", "ctl", "lookup", "metrics"):
         if name in bindings:
             by_address.setdefault(bindings[name], set()).add(name)
     made = []
--- /dev/null
+++ b/millfront/gatekeeper/metrics.py
@@ -0,0 +1,55 @@
+"""The metrics of one process in the Prometheus text format. No I/O, no clock.
+
+Gauges say what holds now, counters (``_total``) what has happened since the process started. A label is one
+of a few known words, never the name of a client, a tenant or a server.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from millfront.gatekeeper.node import Gatekeeper
+from millfront.invariants import Invariant
+from millfront.membership.gossip import Liveness
+
+PREFIX = "millfront_"
+
+
+def render(gatekeeper: Gatekeeper, now: float) -> str:
+    """The text that a scrape is answered with; ``now`` in seconds on the process's steady clock."""
+    return "".join(f"{PREFIX}{name} {value:g}\n" for name, value in _samples(gatekeeper, now))
+
+
+def _samples(gatekeeper: Gatekeeper, now: float) -> Iterator[tuple[str, float]]:
+    yield from _state(gatekeeper, now)
+    yield from _membership(gatekeeper)
+    yield from _directory(gatekeeper)
+    yield from _invariants(gatekeeper)
+
+
+def _state(gatekeeper: Gatekeeper, now: float) -> Iterator[tuple[str, float]]:
+    configuration = gatekeeper.configuration
+    yield "up_seconds", round(now - gatekeeper.born, 3)
+    yield "ready", float(gatekeeper.ready(now))
+    yield "configuration_version", float(configuration.version if configuration is not None else 0)
+    yield "lease_seconds", round(max(0.0, gatekeeper.subscriber.lease_until() - now), 3)
+    yield "evacuated_zones", float(len(gatekeeper.evacuated))
+
+
+def _membership(gatekeeper: Gatekeeper) -> Iterator[tuple[str, float]]:
+    membership = gatekeeper.membership
+    by_liveness = Counter(record.liveness for record in membership.others())
+    for liveness in Liveness:
+        yield f'members{{liveness="{liveness.value}"}}', float(by_liveness[liveness])
+    yield "members_forgotten_total", float(membership.forgotten_total)
+    yield "members_relearned_total", float(membership.relearned_total)
+
+
+def _directory(gatekeeper: Gatekeeper) -> Iterator[tuple[str, float]]:
+    yield "directory_answers_total", float(gatekeeper.directory_answers)
+    yield "directory_oldest_record_seconds", round(gatekeeper.directory_oldest_s, 3)
+
+
+def _invariants(gatekeeper: Gatekeeper) -> Iterator[tuple[str, float]]:
+    for invariant in Invariant:
+        count = gatekeeper.invariants.violations[invariant]
+        yield f'invariant_violations_total{{invariant="{invariant.value}"}}', float(count)
--- a/millfront/gatekeeper/node.py
+++ b/millfront/gatekeeper/node.py
@@ -20,7 +20,8 @@
 from millfront.dataplane.admission import Admission
 from millfront.discovery.server_list import ServerList
 from millfront.environment import Settings
-from millfront.membership.gossip import PART, Liveness, Membership, holders
+from millfront.invariants import Invariant, Invariants
+from millfront.membership.gossip import PART, Liveness, MemberRecord, Membership, holders
 from millfront.register.coordinator import Coordinator
 from millfront.register.reconfiguration import Reconfiguration
 from millfront.register.recovery import SELF
@@ -30,6 +31,7 @@
 REST = "rest"  # the reference of what a member that is back asks for
 SUBSCRIBERS_S = 4.0  # a line on which nobody asked for so long is pushed nothing
 FRESH_S = 1.7  # records of the own region are due each second; clients are told of nobody later than this
+NAMED_SLACK_S = 3.0  # beyond `contact` clients may not be told of a member that is gone
 GONE_S = 1.5  # beyond its lease: the record may have been late, and it asked for it a moment after
 BEAT_S = 0.25
 SURE_SHARE = 0.66  # of apply_within: what is held refuses a route or key that no newer one allows
@@ -88,7 +90,8 @@
         }
         self.seeds_ctl = list(settings.seeds)
         seeds = self._posts(settings.seeds)
-        self.membership = Membership(settings.name, still, seeds, incarnation, seed)
+        self.invariants = Invariants(self._violated)
+        self.membership = Membership(settings.name, still, seeds, incarnation, seed, self.invariants)
         self.replica = Replica(kept, settings.fresh) if kept is not None and still["core"] else None
         life = f"{settings.name}.{incarnation}.{seed:x}"
         subscriber = Subscriber(life, LEASE_SHARE * settings.bounds.revoke_within)
@@ -108,6 +111,8 @@
         self.beats, self.beaten = 0, now
         self.event_log = EventLog()
         self.hinted_handoff = HintedHandoff()
+        self.directory_answers = 0
+        self.directory_oldest_s = 0.0  # the greatest age of a record by which a member was named
         self.disk_well = True  # as of the last sync
         self._standing: dict[str, str] = {}  # of the others, as last noted
         self._duty = False  # of the list of servers, as last noted
@@ -133,6 +138,9 @@
         self.event_log.write(self.now, part, text, **facts)
         self.io.say(part, text)
 
+    def _violated(self, invariant: Invariant, detail: str) -> None:
+        self.note("invariant", f"{invariant.value} is violated: {detail}")
+
     # ---- what is in force ------------------------------------------------------------------------
 
     def trusted(self, now: float) -> bool:
@@ -494,7 +502,18 @@
             )
             well = self.ready(now) if own else record.ready and fresh and record.liveness is Liveness.UP
             if well and record.identity is not None and record.identity["plain"]:
+                if not own:
+                    self._named(now, record)
                 all_.append(record.identity["plain"])
                 if record.identity["region"] == region:
                     near.append(record.identity["plain"])
+        self.directory_answers += 1
         return sorted(near if len(near) >= 2 else all_)[:64]
+
+    def _named(self, now: float, record: MemberRecord) -> None:
+        """Clients are told of a member: its record must be as recent as they rely on."""
+        age = now - record.heard
+        self.directory_oldest_s = max(self.directory_oldest_s, age)
+        bound = self.settings.bounds.contact + NAMED_SLACK_S
+        detail = f"{record.name} is named {age:.1f} s after its record"
+        self.invariants.check(Invariant.DIRECTORY_NAMES_LIVE, age < bound, detail)
--- a/millfront/gatekeeper/process.py
+++ b/millfront/gatekeeper/process.py
@@ -37,8 +37,11 @@
 class GatekeeperProcess:
     """The I/O of one gatekeeper: connections, disk, platform, signals."""
 
-    def __init__(self, settings: Settings, kept: dict[str, Value] | None, disk: "Disk | None") -> None:
-        self.settings, self.disk = settings, disk
+    def __init__(
+        self, settings: Settings, kept: dict[str, Value] | None, disk: "Disk | None", metrics_port: int = 0
+    ) -> None:
+        """:param metrics_port: where metrics are scraped besides ``ctl``; 0: nowhere"""
+        self.settings, self.disk, self.metrics_port = settings, disk, metrics_port
         self.loop = asyncio.get_running_loop()
         seed = int.from_bytes(os.urandom(6))  # of this incarnation alone: a clock may step back
         self.gatekeeper = Gatekeeper(settings, self, kept, self.now(), time.time_ns() // 1_000_000, seed)
@@ -135,6 +138,8 @@
         settings = self.settings
         await self.wire.listen(settings.listen_ip or settings.ip, settings.port)
         self.control_apis = api.of(self.gatekeeper, self.now, settings.bindings, self.check)
+        if self.metrics_port:
+            self._listen_for_scrapes()
         if "plain" in settings.bindings:
             self.proxy.server.listen(Address.parse(settings.bindings["plain"], "plain"))
         for made in (self.proxy.server, *(c.server for c in self.control_apis)):
@@ -149,6 +154,14 @@
         await self._end()
         beat.cancel()
 
+    def _listen_for_scrapes(self) -> None:
+        """A process serves also where its metrics can't be had."""
+        address = f"{self.settings.ip}:{self.metrics_port}"
+        try:
+            self.control_apis += api.of(self.gatekeeper, self.now, {"metrics": address}, self.check)
+        except OSError as fault:
+            logger.warning("metrics: can't be had at {}: {}", address, fault)
+
     async def _beat(self) -> None:
         due = self.loop.time()
         while True:
@@ -208,8 +221,11 @@
         return not self.gatekeeper.reconfiguration.may_go(self.now())
 
 
-def run(environment: Mapping[str, str]) -> int:
-    """Serve until SIGTERM. Exit code 0 after a planned end, 2 where the settings can't be used."""
+def run(environment: Mapping[str, str], metrics_port: int = 0) -> int:
+    """Serve until SIGTERM. Exit code 0 after a planned end, 2 where the settings can't be used.
+
+    :param metrics_port: where metrics are scraped besides ``ctl``; 0: nowhere
+    """
     match load(environment):
         case Err(fault):
             print(f"millfront: {fault}", file=sys.stderr)
@@ -235,7 +251,7 @@
     gc.freeze()
 
     async def serve() -> None:
-        await GatekeeperProcess(settings, kept, disk).run()
+        await GatekeeperProcess(settings, kept, disk, metrics_port).run()
 
     asyncio.run(serve())
     return 0
--- a/millfront/gatekeeper/start.py
+++ b/millfront/gatekeeper/start.py
@@ -10,13 +10,26 @@
 from typing import Any
 
 SPARED = ("ssl", "_hashlib")
+PORTS = 65536
+UNUSABLE = 2  # exit code
 
 
-def run(environment: Mapping[str, str]) -> int:
-    """The role `gatekeeper`; returns the exit code."""
+def run(environment: Mapping[str, str], options: list[str]) -> int:
+    """The role `gatekeeper`; returns the exit code.
+
+    :param options: of the command line: ``--metrics-port PORT``, or none
+    """
+    match options:
+        case []:
+            metrics_port = 0
+        case ["--metrics-port", port] if port.isdecimal() and int(port) < PORTS:
+            metrics_port = int(port)
+        case _:
+            print(f"millfront gatekeeper: can't use {' '.join(options)}", file=sys.stderr)
+            return UNUSABLE
     modules: dict[str, Any] = sys.modules
     for name in SPARED:
         modules.setdefault(name, None)
     from millfront.gatekeeper import process
 
-    return process.run(environment)
+    return process.run(environment, metrics_port)
--- a/millfront/membership/gossip.py
+++ b/millfront/membership/gossip.py
@@ -17,12 +17,16 @@
 from enum import Enum
 from typing import Any
 
+from millfront.invariants import Invariant, Invariants
+
 TICK_S = 1.0
 MESH = 64  # of a region that are told directly; of a larger one a view that is shuffled, and passes on
 VIEW = 8  # members in such a view
 SUSPECT_TICKS = 2.2  # a record that late may be one lost datagram
 LOST_TICKS = 3.2  # three lost in a row at 2% each would be one in 100,000
 FORGET_S = 60.0
+LOST_KEPT_S = 10.0 * FORGET_S  # so long it is remembered by which record a member was judged lost
+LOST_SWEEP_TICKS = 64
 PER_DATAGRAM = 10  # records in one datagram: keeps it near a kilobyte or two
 CARRIERS = 2  # of a region that tell another one: one may be gone without being missed yet
 RELAYS = 2  # of another region that get a single record and pass it on there
@@ -74,6 +78,14 @@
         return [self.name, self.incarnation, self.number, flags, age, totals, self.version]
 
 
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """A member was judged lost: its (incarnation, number) then, and when that was."""
+
+    stamp: tuple[int, int]
+    at: float
+
+
 def weight(key: str, name: str) -> bytes:
     """Rendezvous weight: who has most of a key's is its owner."""
     return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
@@ -87,7 +99,15 @@
 class Membership:
     """One process's picture of the fleet."""
 
-    def __init__(self, name: str, still: Message, seeds: list[str], incarnation: int, seed: int) -> None:
+    def __init__(
+        self,
+        name: str,
+        still: Message,
+        seeds: list[str],
+        incarnation: int,
+        seed: int,
+        invariants: Invariants | None = None,
+    ) -> None:
         """:param still: ``post`` (address), ``zone``, ``region``, ``plain``, ``core`` (it has a disk)
         :param seeds: addresses that may know more
         """
@@ -100,6 +120,9 @@
         self.view: list[str] = []
         self.heard_any = False
         self._wanting: set[str] = set()
+        self.invariants = invariants or Invariants()
+        self.forgotten_total = self.relearned_total = 0
+        self._last_lost: dict[str, Lost] = {}  # of members that were judged lost, by name
 
     # ---- who there is --------------------------------------------------------------------------
 
@@ -282,12 +305,24 @@
                 standing = Liveness.LOST
             elif silent > SUSPECT_TICKS:
                 standing = Liveness.SUSPECT
-            self._stands(record, standing)
+            self._stands(record, standing, now)
             if now - record.heard > FORGET_S:
                 del self.records[record.name]
+                self.forgotten_total += 1
+        if self.ticks % LOST_SWEEP_TICKS == 0:
+            oldest = now - LOST_KEPT_S
+            self._last_lost = {name: lost for name, lost in self._last_lost.items() if lost.at > oldest}
 
-    def _stands(self, record: MemberRecord, standing: Liveness) -> None:
+    def _stands(self, record: MemberRecord, standing: Liveness, now: float) -> None:
         """The one change of a record's standing."""
+        if standing is Liveness.LOST:
+            self._last_lost[record.name] = Lost(record.stamp, now)
+        elif standing is Liveness.UP and (lost := self._last_lost.get(record.name)) is not None:
+            self.invariants.check(
+                Invariant.MEMBER_NOT_REVIVED,
+                record.stamp > lost.stamp,
+                f"{record.name} is up by record {record.stamp}, lost at {lost.stamp}",
+            )
         record.liveness = standing
 
     # ---- messages ---------------------------------------------------------------------------------
@@ -336,10 +371,16 @@
             return
         record = self.records.get(name)
         if record is None:
-            record = self.records[name] = MemberRecord(name, -1, heard=now)
+            record = self._learn(now, name)
         record.identity = still
         self._wanting.discard(name)
 
+    def _learn(self, now: float, name: str) -> MemberRecord:
+        """A record for a name that is not known here, or is not any more."""
+        self.relearned_total += name in self._last_lost
+        record = self.records[name] = MemberRecord(name, -1, heard=now)
+        return record
+
     def _take_record(self, now: float, wire: list[Any]) -> None:
         name, incarnation, number, flags, age, totals, *more = wire
         if name == self.me.name:
@@ -348,7 +389,7 @@
             return
         record = self.records.get(name)
         if record is None:
-            record = self.records[name] = MemberRecord(name, -1, heard=now)
+            record = self._learn(now, name)
         if record.identity is None:
             self._wanting.add(name)
         if (incarnation, number) <= record.stamp:
@@ -365,4 +406,4 @@
         record.totals = record.totals | totals if flags & PART else totals
         record.version = more[0] if more else 0
         record.heard = now
-        self._stands(record, Liveness.UP)
+        self._stands(record, Liveness.UP, now)
--- /dev/null
+++ b/tests/test_departed_members.py
@@ -0,0 +1,85 @@
+"""What is said of a member that is gone: processes forget it, learn of it by hearsay, start without memory,
+were cut off or frozen while it ended; nobody names it to clients any more."""
+
+import pytest
+
+from millfront.membership.gossip import FORGET_S
+from tests.system_world import Node, World, document
+
+NAMED_S = 7.0  # `contact` and 3 s: so long after its end a member may still be named
+LOOK_S = 0.25
+
+
+def serving(seed: int) -> World:
+    """A fleet in which every process is ready, so that the directory names it."""
+    world = World(11, 4, seed).start().run(6.0)
+    world.put(5, document(1))
+    return world.run(3.0)
+
+
+def names(node: Node, gone: Node) -> bool:
+    """Whether this process tells clients of either region to go to the member that is gone."""
+    gatekeeper = node.gatekeeper
+    if gatekeeper is None or node.backlog is not None:
+        return False
+    return any(gone.plain in gatekeeper.resolve(node.now(), region) for region in ("a", "b"))
+
+
+def who_names(world: World, gone: Node, seconds: float) -> dict[str, float]:
+    """Processes that name it in the time that follows, each with when it did first."""
+    found: dict[str, float] = {}
+    ends = world.env.now + seconds
+    while world.env.now < ends:
+        world.run(LOOK_S)
+        for node in world.nodes:
+            if names(node, gone):
+                found.setdefault(node.name, round(float(world.env.now), 2))
+    return found
+
+
+@pytest.mark.parametrize("seed", [1, 3, 6])
+def test_a_member_that_all_forget_at_their_own_moment_does_not_come_back_by_hearsay(seed: int) -> None:
+    world = serving(seed)
+    gone = world.nodes[0]
+    gone.kill()
+    world.run(NAMED_S)
+    assert who_names(world, gone, 2.0 * FORGET_S + 10.0) == {}
+    left = [gatekeeper for gatekeeper in world.gatekeepers() if gone.name in gatekeeper.membership.records]
+    assert left == []
+
+
+@pytest.mark.parametrize("after", [8.0, 30.0, 55.0])
+def test_a_process_that_starts_names_no_member_that_ended_before(after: float) -> None:
+    world = serving(2)
+    gone = world.nodes[7]
+    gone.kill()
+    world.run(after)
+    for number in (1, 5, 10):  # with a disk, and without one in each region
+        world.nodes[number].kill()
+        world.run(0.5)
+        world.nodes[number].start()
+    assert who_names(world, gone, 6.0) == {}
+
+
+def test_a_part_that_was_cut_off_names_no_member_that_ended_meanwhile() -> None:
+    """The others hold a newer record of it than the part does: newer, but from before its end."""
+    world = serving(4)
+    gone, alone = world.nodes[4], {1, 9}
+    world.cut = lambda a, b: (a.number in alone) != (b.number in alone)
+    world.run(3.0)
+    gone.kill()
+    world.run(8.0)
+    world.cut = lambda a, b: False
+    assert who_names(world, gone, 10.0) == {}
+
+
+def test_a_process_that_was_frozen_names_no_member_that_ended_meanwhile() -> None:
+    """What waited in its buffers was written before the end, and is read long after it."""
+    world = serving(5)
+    gone, frozen = world.nodes[6], world.nodes[10]
+    frozen.freeze()
+    world.run(3.0)
+    gone.kill()
+    world.run(8.0)
+    frozen.thaw()
+    assert who_names(world, gone, 10.0) == {}
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from typing import Any
 
+from millfront.gatekeeper.api import METRICS
+
 ROOT = Path(__file__).parent.parent
 SYSTEM: dict[str, Any] = tomllib.loads((ROOT / "deploy/system.toml").read_text())
 REQUIREMENTS = [
@@ -69,6 +71,9 @@
     known = {node.value for node in ast.walk(main) if isinstance(node, ast.Constant)}
     assert SYSTEM["roles"]
     for role in SYSTEM["roles"].values():
-        *python, command = role["run"].split()
+        port, _, path = role["metrics"].partition("/")
+        *python, command, option, told = role["run"].split()
         assert python == ["python3", "-m", "millfront"]
         assert command in known, command
+        assert (option, told) == ("--metrics-port", port)
+        assert f"/{path}" == METRICS
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -21,6 +21,7 @@
     "membership",
     "transport",
     "environment",
+    "invariants",
 )
 # What runs above the layers and chooses among commands.
 ENTRY = "__main__"
--- /dev/null
+++ b/tests/test_operation_keys.py
@@ -0,0 +1,47 @@
+"""Requests with an operation key: the first one runs, a repeat is given its answer, nothing runs twice."""
+
+import asyncio
+from pathlib import Path
+
+from tests.system_world import document
+from tests.test_gatekeeper_calls import KEY, SEAL, play, quick, says, stage
+
+__all__ = ["quick"]  # a fixture: a core of one is founded at once
+
+KEYED = "Millfront-Operation-Key: k-1\r\n" + KEY
+
+
+def test_a_repeat_is_given_the_answer_of_the_first_run(tmp_path: Path) -> None:
+    async def story() -> None:
+        async with stage(tmp_path, [says(body=b"first", more=SEAL), says(body=b"second", more=SEAL)]) as made:
+            assert await made.put(document(2, {"t": ["key-1"]}, kind="keyed")) == 200
+            status, head, body = await made.ask("POST", "/p/a1", b"x", more=KEYED)
+            assert (status, body) == (200, b"first")
+            again, head_again, body_again = await made.ask("POST", "/p/a2", b"x", more=KEYED)
+            assert (again, body_again) == (200, b"first")
+            assert b"Millfront-Server-Seal: 1" in head and b"Millfront-Server-Seal: 1" in head_again
+            assert len(made.seen) == 1
+
+    play(story)
+
+
+def test_a_repeat_while_the_first_is_at_work_is_told_so(tmp_path: Path) -> None:
+    async def story() -> None:
+        goes_on = asyncio.Event()
+
+        async def slow(head: bytes, writer: asyncio.StreamWriter, number: int) -> None:
+            await goes_on.wait()
+            await says(body=b"first", more=SEAL)(head, writer, number)
+
+        async with stage(tmp_path, [slow]) as made:
+            assert await made.put(document(2, {"t": ["key-1"]}, kind="keyed")) == 200
+            first = asyncio.create_task(made.ask("POST", "/p/a1", b"x", more=KEYED))
+            while not made.seen:
+                await asyncio.sleep(0)
+            assert (await made.ask("POST", "/p/a2", b"x", more=KEYED))[0] == 409
+            goes_on.set()
+            assert (await first)[2] == b"first"
+            assert (await made.ask("POST", "/p/a3", b"x", more=KEYED))[2] == b"first"
+            assert len(made.seen) == 1
+
+    play(story)
