A member's record is dated by when it was written, not by when it came

Cause: a record passed on by others counted as heard at its arrival. A process that had forgotten a member after 60 s learnt it again from one that had not, and named it to clients; so did one that started, was cut off or was frozen while it ended. Change: a record that is passed on says how long ago it was written; liveness, forgetting and the directory go by that date; what was read after a standstill may be as old as the standstill; the directory names nobody by a record older than contact + 2 s. The record has a module and a type of its own.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -19,7 +19,7 @@
 from benchmarks.hollow import Fleet, Meter, settled
 from millfront.control.configuration import Tenant
 from millfront.gatekeeper.node import FRESH_S
-from millfront.membership.gossip import Liveness
+from millfront.membership.record import Liveness
 
 REST_S, MEASURED_S = 6.0, 10.0  # measured: whole times of the 5 s in which all greet the seeds
 ROSTER = frozenset(("cards", "hello", "want"))
@@ -143,7 +143,9 @@
     for gatekeeper in made.gatekeepers():
         region = gatekeeper.settings.region
         records = [c for c in gatekeeper.membership.live(region) if c is not gatekeeper.membership.me]
-        shares.append(sum(made.now - c.heard < FRESH_S for c in records) / len(records))
+        shares.append(
+            sum(gatekeeper.membership.silent(made.now, c) < FRESH_S for c in records) / len(records)
+        )
     return sum(shares) / len(shares)
 
 
--- a/benchmarks/capacity_state.py
+++ b/benchmarks/capacity_state.py
@@ -27,7 +27,8 @@
 from millfront.discovery.server_list import ServerList
 from millfront.environment import Bounds
 from millfront.gatekeeper.node import BEAT_S, TICK_BEATS, Gatekeeper
-from millfront.membership.gossip import PER_DATAGRAM, MemberRecord
+from millfront.membership.gossip import PER_DATAGRAM
+from millfront.membership.record import MemberRecord
 from millfront.register.values import Value
 from millfront.storage.disk import MAP_BYTES, Disk, DiskError
 from millfront.transport.connections import MOST_LINE, DecodeError, Transport, decoded, encoded
--- a/benchmarks/roster.py
+++ b/benchmarks/roster.py
@@ -12,7 +12,8 @@
 import sys
 from typing import Any
 
-from millfront.membership.gossip import Liveness, Membership
+from millfront.membership.gossip import Membership
+from millfront.membership.record import Liveness
 from millfront.transport.connections import encoded
 
 TICKS = 40
@@ -46,7 +47,7 @@
             out = fleet[to].tick(now)
             heapq.heappush(due, (now + 1.0, next(numbers), to, "", None))
         else:
-            out = fleet[to].take(now, back, message)
+            out = fleet[to].take(now, back, message).out
         sizes: dict[int, int] = {}
         for address, datagram in out:
             size = sizes.setdefault(id(datagram), 0) or len(encoded(datagram))
--- a/millfront/control/hinted_handoff.py
+++ b/millfront/control/hinted_handoff.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from millfront.membership.gossip import Liveness, MemberRecord
+from millfront.membership.record import Liveness, MemberRecord
 from millfront.register.values import Value
 
 YOUNG_S = 5.0  # a process seen for the first time that is older has been running, and lacks nothing
--- a/millfront/gatekeeper/metrics.py
+++ b/millfront/gatekeeper/metrics.py
@@ -9,7 +9,7 @@
 
 from millfront.gatekeeper.node import Gatekeeper
 from millfront.invariants import Invariant
-from millfront.membership.gossip import Liveness
+from millfront.membership.record import Liveness
 
 PREFIX = "millfront_"
 
--- a/millfront/gatekeeper/node.py
+++ b/millfront/gatekeeper/node.py
@@ -21,7 +21,8 @@
 from millfront.discovery.server_list import ServerList
 from millfront.environment import Settings
 from millfront.invariants import Invariant, Invariants
-from millfront.membership.gossip import PART, Liveness, MemberRecord, Membership, holders
+from millfront.membership.gossip import Membership, holders
+from millfront.membership.record import Liveness, MemberRecord
 from millfront.register.coordinator import Coordinator
 from millfront.register.reconfiguration import Reconfiguration
 from millfront.register.recovery import SELF
@@ -31,11 +32,13 @@
 REST = "rest"  # the reference of what a member that is back asks for
 SUBSCRIBERS_S = 4.0  # a line on which nobody asked for so long is pushed nothing
 FRESH_S = 1.7  # records of the own region are due each second; clients are told of nobody later than this
+NAMED_S = 2.0  # beyond `contact`, after its record was written, a member is named at the latest
 NAMED_SLACK_S = 3.0  # beyond `contact` clients may not be told of a member that is gone
 GONE_S = 1.5  # beyond its lease: the record may have been late, and it asked for it a moment after
 BEAT_S = 0.25
 SURE_SHARE = 0.66  # of apply_within: what is held refuses a route or key that no newer one allows
 STILL_S = 2.0  # without a beat: this process was frozen, and what it knows of others is from before
+CATCH_UP_S = 0.25  # after that, until it has read all that came meanwhile
 WHOLE = 12  # totals of so many tenants go with each tick's record; of more, those that moved
 WHOLE_TICKS = 16  # and all of them each so many ticks
 MOVED_S = 5.5  # several ticks: a few messages may be lost
@@ -109,6 +112,7 @@
         self.to = 0  # how many it was pushed to
         self.born = now
         self.beats, self.beaten = 0, now
+        self.stood_still, self.catches_up_until = 0.0, now
         self.event_log = EventLog()
         self.hinted_handoff = HintedHandoff()
         self.directory_answers = 0
@@ -212,6 +216,8 @@
 
     def beat(self, now: float) -> None:
         """Every BEAT_S."""
+        if now - self.beaten >= STILL_S:
+            self.stood_still, self.catches_up_until = now - self.beaten, now + CATCH_UP_S
         self.now = self.beaten = now
         self.beats += 1
         if self.beats % TICK_BEATS == 1:
@@ -316,7 +322,7 @@
         for name, word in configurations.items():
             before = self._standing.get(name, "new")
             if word != before and "suspect" not in (word, before):
-                heard = round(now - self.membership.records[name].heard, 2)
+                heard = round(now - self.membership.records[name].written, 2)
                 self.event_log.write(now, "membership", f"{name} is {word}", before=before, heard_ago=heard)
         kept = {name: word for name, word in self._standing.items() if configurations.get(name) == "suspect"}
         self._standing = configurations | kept
@@ -467,12 +473,18 @@
         if kind == "core":
             self._hear_of_core(message["v"])
             return
-        for address, answer in self.membership.take(now, back, message):
+        received = self.membership.take(now, back, message, self._held_up(now))
+        for address, answer in received.out:
             self.io.datagram(address, answer)
-        for name, incarnation, _, flags, age, totals, *_ in message.get("c", ()):
-            record = self.membership.records.get(name)
-            if record is not None and record is not self.membership.me and record.heard == now:
-                self.admission.heard(now, name, incarnation, age, totals, not flags & PART)
+        for told in received.taken:
+            self.admission.heard(now, told.name, told.incarnation, told.age, told.totals, not told.part)
+
+    def _held_up(self, now: float) -> float:
+        """Seconds that what is read now may have waited here: this process did nothing since its last beat,
+        or has only just gone on and still reads what came meanwhile."""
+        if now - self.beaten >= STILL_S:
+            return now - self.beaten
+        return self.stood_still if now < self.catches_up_until else 0.0
 
     def polled(self, now: float, number: int, entries: list[Any] | None) -> None:
         """The platform's answer, or None where it gave none."""
@@ -497,10 +509,7 @@
             return []
         for record in self.membership.live():
             own = record is self.membership.me
-            fresh = (
-                now - record.heard < FRESH_S or (record.identity or {}).get("region") != self.settings.region
-            )
-            well = self.ready(now) if own else record.ready and fresh and record.liveness is Liveness.UP
+            well = self.ready(now) if own else self._serves_clients(now, record)
             if well and record.identity is not None and record.identity["plain"]:
                 if not own:
                     self._named(now, record)
@@ -510,9 +519,18 @@
         self.directory_answers += 1
         return sorted(near if len(near) >= 2 else all_)[:64]
 
+    def _serves_clients(self, now: float, record: MemberRecord) -> bool:
+        """Whether clients may be sent to another gatekeeper, by its newest record here."""
+        if not record.ready or record.liveness is not Liveness.UP:
+            return False
+        if now - record.written > self.settings.bounds.contact + NAMED_S:
+            return False
+        near = (record.identity or {}).get("region") == self.settings.region
+        return not near or self.membership.silent(now, record) < FRESH_S
+
     def _named(self, now: float, record: MemberRecord) -> None:
         """Clients are told of a member: its record must be as recent as they rely on."""
-        age = now - record.heard
+        age = now - record.written
         self.directory_oldest_s = max(self.directory_oldest_s, age)
         bound = self.settings.bounds.contact + NAMED_SLACK_S
         detail = f"{record.name} is named {age:.1f} s after its record"
--- a/millfront/gatekeeper/status.py
+++ b/millfront/gatekeeper/status.py
@@ -107,7 +107,7 @@
             "ready": gatekeeper.ready(now) if record is me else record.ready,
             "leaving": record.leaving,
             "version": f"{version if record is me else record.version:08x}",
-            "heard_ago": 0.0 if record is me else round(now - record.heard, 2),
+            "heard_ago": 0.0 if record is me else round(now - record.written, 2),
         }
         for record in sorted(gatekeeper.membership.records.values(), key=lambda record: record.name)
     ]
--- a/millfront/membership/gossip.py
+++ b/millfront/membership/gossip.py
@@ -4,7 +4,9 @@
 tenants' totals. Records spread by partial views that are shuffled: each tick a process tells its view within
 the region, and the few owners of a key tell another region. A record of a higher (incarnation, number)
 replaces a lower one, so that a late or a double one changes nothing. A process that finds a record of itself
-above its own (it restarted, its clock went back) refutes it by a higher incarnation. What never changes in an
+above its own (it restarted, its clock went back) refutes it by a higher incarnation. Who is heard of is judged
+by when a record was written, never by when it came: a record that is passed on says how old it is, so that
+nobody learns of a member that is gone as if it had just spoken (`record.py`). What never changes in an
 incarnation (addresses, zone) travels apart, and is asked for when it is wanting. Between regions a message
 goes to one or two only, who pass it on to their own. A record may be told in part: of its totals only what
 has moved lately. Times are seconds on the caller's steady clock.
@@ -13,11 +15,11 @@
 import hashlib
 import math
 import random
-from dataclasses import dataclass, field
-from enum import Enum
+from dataclasses import dataclass
 from typing import Any
 
 from millfront.invariants import Invariant, Invariants
+from millfront.membership.record import PART, Liveness, Lost, MemberRecord, Message, ToldRecord
 
 TICK_S = 1.0
 MESH = 64  # of a region that are told directly; of a larger one a view that is shuffled, and passes on
@@ -31,59 +33,17 @@
 CARRIERS = 2  # of a region that tell another one: one may be gone without being missed yet
 RELAYS = 2  # of another region that get a single record and pass it on there
 CARRIED = 9  # a larger region is not carried whole by a few: each process sends its own record to relays
-READY, LEAVING, PART, KEEPS = 1, 2, 4, 8  # flags of a record
 SHUFFLE_TICKS = 5
 
-Message = dict[str, Any]
 Out = tuple[str, Message]  # address, message
 
 
-class Liveness(Enum):
-    """Of another process, as seen from here."""
-
-    UP = "up"
-    SUSPECT = "suspect"
-    LOST = "lost"
-
-
-@dataclass(slots=True)
-class MemberRecord:
-    """What one process tells of itself. ``totals``: tenant -> [sent, asked], units since its start."""
-
-    name: str
-    incarnation: int
-    number: int = 0
-    ready: bool = False
-    leaving: bool = False
-    keeps: bool = False  # its replica votes and has caught up
-    version: int = 0  # of the configuration in force there
-    totals: dict[str, list[float]] = field(default_factory=dict)
-    age: float = 0.0  # seconds that its process had run when it was written
-    identity: Message | None = None  # what never changes: post, zone, region, plain, core
-    heard: float = 0.0  # when it last rose here
-    liveness: Liveness = Liveness.UP
-    told: int = -1  # number when last passed on by us
-    part: bool = False  # not all of its totals were heard in this life
-
-    @property
-    def stamp(self) -> tuple[int, int]:
-        """(incarnation, number): of two records of one process the higher is the newer."""
-        return self.incarnation, self.number
-
-    def wire(self, moved: dict[str, list[float]] | None = None) -> list[Any]:
-        """:param moved: of its totals these alone"""
-        flags = READY * self.ready | LEAVING * self.leaving | PART * (self.part or moved is not None)
-        flags |= KEEPS * self.keeps
-        totals, age = self.totals if moved is None else moved, round(self.age, 3)
-        return [self.name, self.incarnation, self.number, flags, age, totals, self.version]
-
-
 @dataclass(frozen=True, slots=True)
-class Lost:
-    """A member was judged lost: its (incarnation, number) then, and when that was."""
+class Received:
+    """What became of a message: the records in it that were news, and what is to be sent."""
 
-    stamp: tuple[int, int]
-    at: float
+    taken: list[ToldRecord]
+    out: list[Out]
 
 
 def weight(key: str, name: str) -> bytes:
@@ -119,6 +79,7 @@
         self.ticks = 0
         self.view: list[str] = []
         self.heard_any = False
+        self.hops = 0.0  # as of the last tick
         self._wanting: set[str] = set()
         self.invariants = invariants or Invariants()
         self.forgotten_total = self.relearned_total = 0
@@ -154,8 +115,9 @@
         :param gone_after: seconds after which a lost one is known to admit nothing; infinite if that can't be
         """
         names, silent = set(), set()
+        oldest = now - gone_after - TICK_S * self.hops  # what is under way may still be heard
         for record in self.records.values():
-            if record is not self.me and now - record.heard > gone_after:
+            if record is not self.me and record.written < oldest:
                 continue
             names.add(record.name)
             if record is not self.me and record.liveness is not Liveness.UP and not record.leaving:
@@ -189,10 +151,10 @@
             out += [(seed, self.hello()) for seed in self.seeds if seed != self.me.identity["post"]]  # type: ignore[index]
         out += self._to_a_lost_one()
         self._shuffle()
-        wires = [self.me.wire(moved)]
+        wires = [self.me.wire(moved=moved)]
         if len(self.live(self._region)) > MESH:  # updates of others are passed on from here, too, once
             others = [c for c in self.others() if c.told < c.number and c.identity is not None]
-            wires += [record.wire() for record in others]
+            wires += [self._wire(now, record) for record in others]
             for record in others:
                 record.told = record.number
         datagrams = self._datagrams(wires)
@@ -202,7 +164,7 @@
             if (address := self.address(name))
             for datagram in datagrams
         ]
-        return out + self._to_other_regions(wires[0])
+        return out + self._to_other_regions(now, wires[0])
 
     @property
     def _region(self) -> str:
@@ -214,7 +176,7 @@
         :param moved: of the totals those to be told; None: all
         """
         self.me.number += 1
-        wire = self.me.wire(moved)
+        wire = self.me.wire(moved=moved)
         datagram = {"t": "cards", "c": [wire]}
         return [(post, datagram) for post in self._mates()] + self._to_relays(wire)
 
@@ -237,7 +199,7 @@
         up = [record.name for record in self.live(region) if record.liveness is Liveness.UP]
         return holders(f"relay {self.me.name}", up or self.live_names(region), RELAYS)
 
-    def _to_other_regions(self, wire: list[Any]) -> list[Out]:
+    def _to_other_regions(self, now: float, wire: list[Any]) -> list[Out]:
         """Each tick: of a small region a few carry all records, each to one there who passes them on."""
         near = self.live(self._region)
         if len(near) > CARRIED or wire[3] & PART:  # too much to be carried whole by a few
@@ -248,7 +210,7 @@
                 continue
             there = [c for c in self.live(other) if c.liveness is Liveness.UP] or self.live(other)
             if address := self.address(self.random.choice(there).name):
-                datagrams = self._datagrams([record.wire() for record in near])
+                datagrams = self._datagrams([self._wire(now, record) for record in near])
                 out += [(address, datagram | {"p": 1}) for datagram in datagrams]
         return out
 
@@ -294,25 +256,25 @@
 
     def silent(self, now: float, record: MemberRecord) -> float:
         """Ticks since another's record was due."""
-        return (now - record.heard) / TICK_S - self._hops()
+        return (now - record.written) / TICK_S - self.hops
 
     def _judge(self, now: float) -> None:
-        hops = self._hops()
+        self.hops = self._hops()
         for record in self.others():
-            silent = (now - record.heard) / TICK_S - hops
-            standing = Liveness.UP
-            if silent > LOST_TICKS:
-                standing = Liveness.LOST
-            elif silent > SUSPECT_TICKS:
-                standing = Liveness.SUSPECT
-            self._stands(record, standing, now)
-            if now - record.heard > FORGET_S:
+            self._stands(record, self._standing(now, record), now)
+            if now - record.written > FORGET_S:
                 del self.records[record.name]
                 self.forgotten_total += 1
         if self.ticks % LOST_SWEEP_TICKS == 0:
             oldest = now - LOST_KEPT_S
             self._last_lost = {name: lost for name, lost in self._last_lost.items() if lost.at > oldest}
 
+    def _standing(self, now: float, record: MemberRecord) -> Liveness:
+        silent = self.silent(now, record)
+        if silent > LOST_TICKS:
+            return Liveness.LOST
+        return Liveness.SUSPECT if silent > SUSPECT_TICKS else Liveness.UP
+
     def _stands(self, record: MemberRecord, standing: Liveness, now: float) -> None:
         """The one change of a record's standing."""
         if standing is Liveness.LOST:
@@ -327,6 +289,10 @@
 
     # ---- messages ---------------------------------------------------------------------------------
 
+    def _wire(self, now: float, record: MemberRecord) -> list[Any]:
+        """A record as this process passes it on: with how long ago it was written."""
+        return record.wire() if record is self.me else record.wire(now - record.written)
+
     def _datagrams(self, wires: list[list[Any]]) -> list[Message]:
         """Cards in datagrams of bounded size."""
         parts = range(0, len(wires), PER_DATAGRAM)
@@ -346,14 +312,18 @@
         datagram = {"t": "cards", "c": [self.me.wire()]}
         return [(c.identity["post"], datagram) for c in self.others() if c.identity is not None]
 
-    def take(self, now: float, back: str, message: Message) -> list[Out]:
-        """A message from another process, whose address is `back`."""
+    def take(self, now: float, back: str, message: Message, held_up: float = 0.0) -> Received:
+        """A message from another process, whose address is `back`.
+
+        :param held_up: seconds that it may have waited here before it was read, at the most
+        """
         self.heard_any = True
+        told = [ToldRecord.of(wire) for wire in message.get("c", ())]
+        taken = [record for record in told if self._take_record(now, record, held_up)]
         for name, still in message.get("x", {}).items():
-            self._introduce(now, name, still)
-        for incarnation_record in message.get("c", ()):
-            self._take_record(now, incarnation_record)
-        out = self._passed_on(message["c"]) if message.get("p") else []
+            self._introduce(name, still)
+        # What was held up is passed on by nobody: it would arrive as if it had just been written
+        out = self._passed_on(message["c"]) if message.get("p") and not held_up else []
         kind = message["t"]
         asked = [name for name in message.get("w", ()) if name in self.records]
         if kind == "hello":
@@ -361,49 +331,45 @@
         for at in range(0, len(asked), PER_DATAGRAM):
             records = [self.records[name] for name in asked[at : at + PER_DATAGRAM]]
             still = {record.name: record.identity for record in records if record.identity is not None}
-            out.append((back, {"t": "cards", "c": [record.wire() for record in records], "x": still}))
+            wires = [self._wire(now, record) for record in records]
+            out.append((back, {"t": "cards", "c": wires, "x": still}))
         if self._wanting and kind == "cards":
             out.append((back, {"t": "want", "w": sorted(self._wanting)[:PER_DATAGRAM]}))
-        return out
+        return Received(taken, out)
 
-    def _introduce(self, now: float, name: str, still: Message) -> None:
-        if name == self.me.name or not isinstance(still, dict):
-            return
+    def _introduce(self, name: str, still: Message) -> None:
+        """What never changes of a member whose record is known."""
         record = self.records.get(name)
-        if record is None:
-            record = self._learn(now, name)
+        if record is None or record is self.me or not isinstance(still, dict):
+            return
         record.identity = still
         self._wanting.discard(name)
 
-    def _learn(self, now: float, name: str) -> MemberRecord:
+    def _learn(self, name: str) -> MemberRecord:
         """A record for a name that is not known here, or is not any more."""
         self.relearned_total += name in self._last_lost
-        record = self.records[name] = MemberRecord(name, -1, heard=now)
+        record = self.records[name] = MemberRecord(name, -1, liveness=Liveness.LOST)
         return record
 
-    def _take_record(self, now: float, wire: list[Any]) -> None:
-        name, incarnation, number, flags, age, totals, *more = wire
-        if name == self.me.name:
-            if (incarnation, number) > self.me.stamp:  # of an earlier life: refuted
-                self.me.incarnation, self.me.number = incarnation + 1, 0
-            return
-        record = self.records.get(name)
+    def _take_record(self, now: float, told: ToldRecord, held_up: float) -> bool:
+        """Whether it is newer than what is known of its process; then it is kept."""
+        if told.name == self.me.name:
+            if told.stamp > self.me.stamp:  # of an earlier life: refuted
+                self.me.incarnation, self.me.number = told.incarnation + 1, 0
+            return False
+        written = now - told.silence - held_up
+        record = self.records.get(told.name)
         if record is None:
-            record = self._learn(now, name)
+            if now - written > FORGET_S:  # whoever told it is about to forget it
+                return False
+            record = self._learn(told.name)
         if record.identity is None:
-            self._wanting.add(name)
-        if (incarnation, number) <= record.stamp:
-            return
-        if incarnation != record.incarnation:
-            record.told, record.part, record.totals = -1, True, {}
-        record.incarnation, record.number, record.age = incarnation, number, age
-        record.ready, record.leaving, record.keeps = (
-            bool(flags & READY),
-            bool(flags & LEAVING),
-            bool(flags & KEEPS),
-        )
-        record.part = record.part and bool(flags & PART)
-        record.totals = record.totals | totals if flags & PART else totals
-        record.version = more[0] if more else 0
-        record.heard = now
-        self._stands(record, Liveness.UP, now)
+            self._wanting.add(told.name)
+        stamp, known = told.stamp, record.stamp
+        if stamp == known:
+            record.written = min(record.written, written)
+        if stamp <= known:
+            return False
+        record.take(told, written)
+        self._stands(record, self._standing(now, record), now)
+        return True
--- a/millfront/register/reconfiguration.py
+++ b/millfront/register/reconfiguration.py
@@ -21,7 +21,8 @@
 
 from millfront.control.delivery import Subscriber
 from millfront.environment import Settings
-from millfront.membership.gossip import SUSPECT_TICKS, TICK_S, Liveness, Membership, holders
+from millfront.membership.gossip import SUSPECT_TICKS, TICK_S, Membership, holders
+from millfront.membership.record import Liveness
 from millfront.register.coordinator import Coordinator, Phase, Round
 from millfront.register.placement import Choice, Seat, chosen, fewest
 from millfront.register.recovery import SELF, Recovery
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,7 +6,8 @@
 import pytest
 
 from millfront.membership import gossip
-from millfront.membership.gossip import RELAYS, Liveness, holders
+from millfront.membership.gossip import RELAYS, holders
+from millfront.membership.record import Liveness
 from tests.system_world import World, document
 
 
