--- a/millfront/discovery/server_list.py
+++ b/millfront/discovery/server_list.py
@@ -76,7 +76,8 @@
     def __init__(self) -> None:
         self.servers: dict[str, Server] = {}
         self.number = 0  # the fence: of the list held
-        self.heard = -1e9  # when it was last confirmed
+        self.heard = -1e9  # as of when it is held: the platform was asked for it then, or later
+        self.asked = -1e9  # when the call under way began
         self.asking = False
         self.rests_until = -1e9
         self.version = 0  # rises with each change
@@ -92,9 +93,9 @@
             return False
         return now - self.heard >= (POLL_S if duty else DEPUTY_S if deputy else STALE_S)
 
-    def begin(self) -> int:
+    def begin(self, now: float) -> int:
         """A call to the platform begins; returns its number."""
-        self.asking = True
+        self.asking, self.asked = True, now
         return self.number + 1
 
     def failed(self, now: float) -> None:
@@ -107,7 +108,7 @@
         if number <= self.number:
             return None  # somebody else's came in between
         before, had = self.number, {s.ident: (s.phase, s.cold_until > now) for s in self._listed()}
-        self._replace(now, number, entries)
+        self._replace(now, number, entries, self.asked)
         changed = []
         for entry in entries:
             server = self.servers[entry[0]]
@@ -117,12 +118,13 @@
         return {"t": "list", "f": number, "p": before, "e": changed, "g": gone}
 
     def whole(self, now: float) -> Message:
-        """For one that has missed something."""
+        """For one that has missed something; it says how old it is."""
         entries = [
             [s.ident, s.service, s.address, s.zone, s.capacity, int(s.phase), max(0.0, s.cold_until - now)]
             for s in self._listed()
         ]
-        return {"t": "list", "f": self.number, "p": 0, "e": entries, "g": []}
+        age = round(now - self.heard, 3)
+        return {"t": "list", "f": self.number, "p": 0, "e": entries, "g": [], "a": age}
 
     def take(self, now: float, message: Message) -> bool:
         """What another process was told; False: this one lacks what came before, and asks for the whole."""
@@ -137,25 +139,26 @@
             for ident in message["g"]:
                 if ident in self.servers:
                     self.servers[ident].become(Phase.GONE, now)
-            self._note(now, number)
+            self._note(now, number, now)
         else:
-            self._replace(now, number, message["e"])
+            as_of = now - message.get("a", 0.0)
+            self._replace(now, number, message["e"], max(as_of, self.heard))
         return True
 
     def _listed(self) -> list[Server]:
         return [s for s in self.servers.values() if s.phase is not Phase.GONE]
 
-    def _replace(self, now: float, number: int, entries: list[Told]) -> None:
+    def _replace(self, now: float, number: int, entries: list[Told], as_of: float) -> None:
         for entry in entries:
             self._entry(now, entry)
         named = {entry[0] for entry in entries}
         for server in self._listed():
             if server.ident not in named:
                 server.become(Phase.GONE, now)
-        self._note(now, number)
+        self._note(now, number, as_of)
 
-    def _note(self, now: float, number: int) -> None:
-        self.number, self.heard = number, now
+    def _note(self, now: float, number: int, as_of: float) -> None:
+        self.number, self.heard = number, as_of
         self.version += 1
         for ident in [s.ident for s in self.servers.values() if s.gone_at and now - s.gone_at > FORGET_S]:
             del self.servers[ident]
--- a/millfront/gatekeeper/node.py
+++ b/millfront/gatekeeper/node.py
@@ -229,7 +229,7 @@
         duty = self.membership.has_duty("list")
         deputy = self.membership.has_duty("list", self.settings.region)
         if self.server_list.due(now, duty, deputy) and self._may_poll(now):
-            self.io.poll(self.server_list.begin())
+            self.io.poll(self.server_list.begin(now))
         self.subscribers = {via: at for via, at in self.subscribers.items() if now - at < SUBSCRIBERS_S}
 
     def _gone_after(self) -> float:
--- a/millfront/membership/gossip.py
+++ b/millfront/membership/gossip.py
@@ -4,9 +4,9 @@
 tenants' totals. Records spread by partial views that are shuffled: each tick a process tells its view within
 the region, and the few owners of a key tell another region. A record of a higher (incarnation, number)
 replaces a lower one, so that a late or a double one changes nothing. A process that finds a record of itself
-above its own (it restarted, its clock went back) refutes it by a higher incarnation. Who is heard of is judged
-by when a record was written, never by when it came: a record that is passed on says how old it is, so that
-nobody learns of a member that is gone as if it had just spoken (`record.py`). What never changes in an
+above its own (it restarted, its clock went back) refutes it by a higher incarnation. Who is heard of is
+judged by when a record was written, never by when it came: a record that is passed on says how old it is, so
+that nobody learns of a member that is gone as if it had just spoken (`record.py`). What never changes in an
 incarnation (addresses, zone) travels apart, and is asked for when it is wanting. Between regions a message
 goes to one or two only, who pass it on to their own. A record may be told in part: of its totals only what
 has moved lately. Times are seconds on the caller's steady clock.
--- a/tests/test_departed_members.py
+++ b/tests/test_departed_members.py
@@ -3,8 +3,10 @@
 
 import pytest
 
+from millfront.discovery.server_list import POLL_S, STALE_S, ServerList
 from millfront.membership.gossip import FORGET_S
-from tests.system_world import Node, World, document
+from millfront.register.reconfiguration import RELIEVED_S
+from tests.system_world import Node, World, document, members
 
 NAMED_S = 7.0  # `contact` and 3 s: so long after its end a member may still be named
 LOOK_S = 0.25
@@ -83,3 +85,41 @@
     world.run(8.0)
     frozen.thaw()
     assert who_names(world, gone, 10.0) == {}
+
+
+@pytest.mark.parametrize("seed", [1, 3])
+def test_a_core_member_that_is_gone_for_good_is_removed_though_all_have_forgotten_it(seed: int) -> None:
+    """Each time that it came back by hearsay it counted as heard of, and its removal was put off."""
+    world = World(11, 4, seed, spares=1).start().run(9.0)
+    world.nodes[0].kill()
+    world.run(RELIEVED_S + 20.0)
+    assert members(world) == {(1, 2, 3)}
+
+
+SERVERS = [["i-1", "shop", "10.0.2.1:80", "aa", 3, 0, 0.0]]
+
+
+def polled(at: float) -> ServerList:
+    """A list that the platform gave at that time."""
+    server_list = ServerList()
+    server_list.polled(at + 0.1, server_list.begin(at), SERVERS)
+    return server_list
+
+
+def test_a_list_of_servers_is_as_old_at_who_is_handed_it_as_at_who_hands_it_over() -> None:
+    old = polled(at=10.0)
+    new = ServerList()
+    assert new.take(40.0, old.whole(40.0))
+    assert new.known() and new.due(40.0, duty=False, deputy=False)
+    new.take(10.5, old.whole(10.5))  # the same list once more confirms nothing
+    assert new.due(40.0, duty=False, deputy=False)
+
+
+def test_the_platforms_answer_is_as_old_as_the_question() -> None:
+    """A process that stood still between them reads an answer from before."""
+    server_list = ServerList()
+    server_list.polled(41.0, server_list.begin(1.0), SERVERS)
+    assert server_list.due(41.0, duty=False, deputy=False)
+    fresh = polled(at=41.0)
+    assert not fresh.due(41.0 + POLL_S / 2, duty=True, deputy=True)
+    assert not fresh.due(41.0 + STALE_S / 2, duty=False, deputy=False)
--- a/tests/test_gatekeeper_calls.py
+++ b/tests/test_gatekeeper_calls.py
@@ -674,8 +674,8 @@
 
     play(story)
     server_list = ServerList()
-    server_list.polled(1.0, server_list.begin(), [["i-1", "shop", "10.0.2.1:80", "aa", 3, 0, 0.0]])
-    server_list.begin()
+    server_list.polled(1.0, server_list.begin(1.0), [["i-1", "shop", "10.0.2.1:80", "aa", 3, 0, 0.0]])
+    server_list.begin(2.0)
     server_list.failed(2.0)
     assert server_list.servers["i-1"].phase.name == "READY"  # what was known stays
     assert not server_list.due(2.1, True, True) and server_list.due(2.6, True, True)  # and the platform rests
