--- a/benchmarks/capacity_state.py
+++ b/benchmarks/capacity_state.py
@@ -388,7 +388,7 @@
 
 
 def polled(book: ServerList, entries: list[Any]) -> None:
-    book.polled(2.0, book.begin(), entries)
+    book.polled(2.0, book.begin(1.0), entries)
 
 
 def looked_through(load_balancer: LoadBalancer) -> int:
@@ -421,7 +421,7 @@
             ServerList(),
             LoadBalancer("z0", {f"z{k}": f"r{k % 13}" for k in range(36)}, 1),
         )
-        book.polled(1.0, book.begin(), entries)
+        book.polled(1.0, book.begin(1.0), entries)
         load_balancer.listed(book.servers.values())
         held = tracemalloc.get_traced_memory()[0] / 2**20
         tracemalloc.stop()
@@ -443,7 +443,7 @@
         load_balancer, book = LoadBalancer("z0", {f"z{k}": f"r{k % 13}" for k in range(36)}, 1), ServerList()
         book.polled(
             1.0,
-            book.begin(),
+            book.begin(1.0),
             [[f"i-{k}", "shop", f"10.2.0.{k}:80", f"z{k % 36}", 2, 0, 0.0] for k in range(count)],
         )
         load_balancer.listed(book.servers.values())
