Operation keys: a key runs once, and a repeat is given the first run's answer

Change: a gatekeeper claims a key at the core before it sends the request; a majority must grant it, synced, and grants it to one request only; else it is refused early, with a promise. The answer is kept, synced, by the key's owner and its successor among the members of the allowed regions, before the client gets it. A replica that may have forgotten claims grants none until it has gathered those of a majority, or the window has passed. lmdb folders share one module.

--- a/benchmarks/capacity_state.py
+++ b/benchmarks/capacity_state.py
@@ -30,7 +30,8 @@
 from millfront.membership.gossip import PER_DATAGRAM
 from millfront.membership.record import MemberRecord
 from millfront.register.values import Value
-from millfront.storage.disk import MAP_BYTES, Disk, DiskError
+from millfront.storage.disk import MAP_BYTES, Disk
+from millfront.storage.lmdb_folder import DiskError
 from millfront.transport.connections import MOST_LINE, DecodeError, Transport, decoded, encoded
 
 ROUTES, TENANTS, SERVICES, SERVERS = 5300, 30_000, 290, 6600  # the target's
--- a/benchmarks/hollow.py
+++ b/benchmarks/hollow.py
@@ -17,6 +17,7 @@
 from millfront.control.configuration import Tenant
 from millfront.environment import Bounds, Settings
 from millfront.gatekeeper.node import BEAT_S, Gatekeeper
+from millfront.operations.store import Batch
 from millfront.register.replica import Persist
 from millfront.register.values import Value
 from millfront.transport.connections import decoded, encoded
@@ -181,6 +182,13 @@
 
         self.fleet.after(SYNC_S, self, synced)
 
+    def persist_operations(self, batch: Batch) -> None:
+        def synced() -> None:
+            if self.gatekeeper is not None:
+                self.gatekeeper.operations.synced(batch, True)
+
+        self.fleet.after(SYNC_S, self, synced)
+
     def poll(self, number: int) -> None:
         self.fleet.polls += 1
         gatekeeper = self.gatekeeper
--- a/millfront/control/configuration.py
+++ b/millfront/control/configuration.py
@@ -16,7 +16,7 @@
 from millfront.environment import seconds
 from millfront.register.values import digest_of as digest_of
 
-KINDS = ("idempotent", "effectful", "upload")
+KINDS = ("idempotent", "effectful", "upload", "keyed")
 MOST_OVER_S = 60.0  # a target time so far above its route's deadline is taken for an error
 MOST_RIGHT = 4096
 _right: set[str] = set()  # digests of entries whose form is right
--- a/millfront/dataplane/proxy.py
+++ b/millfront/dataplane/proxy.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING, Any
 
 from millfront.control.configuration import Route, Tenant
+from millfront.dataplane.keyed_requests import KEY, KIND, KeyedRequests
 from millfront.dataplane.load_balancer import LoadBalancer, ServerState
 from millfront.dataplane.retries import RequestProgress, RetryBudget
 from millfront.node.bodies import EACH, PART, ROOM_PART, Room, Ways
@@ -25,6 +26,7 @@
 from millfront.node.stages import relay
 from millfront.node.stages.send import Send, ServerSideFlow
 from millfront.node.stages.take_in import NotTaken
+from millfront.operations.claims import PendingClaim
 
 if TYPE_CHECKING:
     from millfront.gatekeeper.node import Gatekeeper
@@ -91,6 +93,8 @@
     timer: asyncio.TimerHandle | None = None
     answer: Message | None = None  # a server's own error, to be relayed if nothing better comes
     revoked: bool = False
+    operation_key: bytes = b""
+    claim: PendingClaim | None = None  # of its operation key, from the claim until the end
 
     @property
     def deadline_us(self) -> int:
@@ -151,6 +155,7 @@
         self.server = VirtualServer(self.clock, self, self.take_in, self.admit, None, sockets * 2 // 3)
         self.server.room = Room(memory // ROOM_PART)
         self.server.may_promise = lambda request: request.progress.promises()
+        self.keyed = KeyedRequests(self, gatekeeper.operations.claims)
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.sizes: dict[str, float] = {}  # by route: bytes of an answer
         self.open = 0
@@ -233,9 +238,12 @@
         progress = RequestProgress(route.repeatable, route.max_tries)
         arrival = Arrival(message, max(1000, int(wait * 1e6)))
         attempt = fields.get(ID, b"")
-        return ClientRequest(
+        request = ClientRequest(
             arrival, attempt, route, "", host, path, key, tenant, came_us, progress, whole=not message.more
         )
+        if route.kind == KIND:
+            request.operation_key = fields.get(KEY, b"")
+        return request
 
     def _denied(self, status: int, why: str) -> NotTaken:
         """What is held here does not allow it. A client tries no more after that: where a newer version may
@@ -263,7 +271,10 @@
             request.counted = True
         request.service = self._arm(request.route)
         self.retry_budget(request.service).request(now, self.gatekeeper.membership.count())
-        self.go(request)
+        if request.operation_key:
+            self.keyed.begin(request, request.operation_key)
+        else:
+            self.go(request)
         return None if request.over else request
 
     def _flush(self) -> None:
@@ -316,7 +327,7 @@
         if all(name != request.service for name, _ in route.arms):
             request.service = self._arm(route)
         service = configuration.services.get(request.service)
-        homes, possible = self._homes(request)
+        homes, possible = self.homes(request)
         if not possible:  # a home of the route and another of the tenant: no server may have it
             self.give_up(request)
             return
@@ -345,7 +356,8 @@
             after = max(COPY_SHARE * request.route.target, COPY_WORKS * work)
             request.timer = asyncio.get_running_loop().call_later(after, self._copy, request)
 
-    def _homes(self, request: ClientRequest) -> tuple[frozenset[str], bool]:
+    def homes(self, request: ClientRequest) -> tuple[frozenset[str], bool]:
+        """Regions in which it may be served and stored (none named: all), and whether there can be any."""
         homes = request.route.homes
         if request.tenant is not None and request.tenant.homes:
             homes = homes & request.tenant.homes if homes else request.tenant.homes
@@ -444,16 +456,16 @@
         request.progress.ended(ending)
         if seen is not None:
             self._learn(now, seen, flow.number, ending, request)
-        if request.over or request.streams not in (-1, flow.number):
+        if request.over:
+            self._end_of_left(request, ending, answer)
+            return
+        if request.streams not in (-1, flow.number):
             return  # another's answer is, or was, the client's
         if ending is Ending.SERVED:
-            if answer is not None:
-                size = self.sizes.get(request.route.name, 1000.0)
-                self.sizes[request.route.name] = size + 0.05 * (len(answer.body) - size)
-            self.finish(request)
-            request.caller.served(answer)
+            self._served(request, answer)
             return
         if request.streams == flow.number:
+            self.keyed.unknown(request)
             self.finish(request)
             request.caller.cut()
             return
@@ -463,6 +475,33 @@
             return  # another one is under way
         self.next_try(request, ending)
 
+    def _served(self, request: ClientRequest, answer: Message | None) -> None:
+        """A server's success, whole (`answer`), or the end of one that went to the client as it came."""
+        if answer is None or request.streams >= 0:
+            self.keyed.unknown(request)
+            self.finish(request)
+            request.caller.served(answer)
+            return
+        size = self.sizes.get(request.route.name, 1000.0)
+        self.sizes[request.route.name] = size + 0.05 * (len(answer.body) - size)
+        self.keyed.answered(request, answer, lambda: self._deliver(request, answer))
+
+    def _deliver(self, request: ClientRequest, answer: Message) -> None:
+        if not request.over:
+            self.finish(request)
+            request.caller.served(answer)
+
+    def _end_of_left(self, request: ClientRequest, ending: Ending, answer: Message | None) -> None:
+        """A try has ended whose client has gone: what became of its operation key is told all the same."""
+        if request.claim is None or request.progress.out:
+            return
+        if ending in (Ending.SERVED, Ending.ERRORED) and answer is not None and request.streams < 0:
+            self.keyed.answered(request, answer, lambda: None)
+        elif request.progress.promises():
+            self.keyed.withdraw(request)
+        else:
+            self.keyed.unknown(request)
+
     def _learn(
         self, now: float, seen: ServerState, number: int, ending: Ending, request: ClientRequest
     ) -> None:
@@ -498,20 +537,26 @@
         if request.progress.out:
             return  # a copy could not go: the one under way ends it
         if request.answer is not None:
-            self.finish(request)
             answer, request.answer = request.answer, None
-            request.caller.served(answer)
+            self.keyed.answered(request, answer, lambda: self._deliver(request, answer))
         elif request.progress.promises():
-            if request.counted and request.tenant is not None:
-                self.gatekeeper.admission.give_back(request.tenant)
+            self.keyed.withdraw(request)
+            self.not_counted(request)
             if request.revoked and self.gatekeeper.sure(self.now()):
                 self.refuse(request, 401, 0.0)
             else:
                 self.refuse(request, 503, 0.15 + 0.25 * self.random.random())
         else:
+            self.keyed.unknown(request)
             late = self.clock.now() >= request.deadline_us - 5_000
             self.refuse(request, 504 if late else 502, 0.0)
 
+    def not_counted(self, request: ClientRequest) -> None:
+        """It reaches no server: its tenant's quota gets back what it was let in for."""
+        if request.counted and request.tenant is not None:
+            request.counted = False
+            self.gatekeeper.admission.give_back(request.tenant)
+
     def refuse(self, request: ClientRequest, status: int, after_s: float) -> None:
         """Answer with the gatekeeper's own status.
 
@@ -545,3 +590,6 @@
         for flow in list(request.flows.values()):
             if request.progress.repeatable or not request.whole:
                 flow.cancel()
+        held = request.claim is not None and request.claim.decided is None  # granted, and sent to none
+        if held and not request.flows and request.progress.promises():
+            self.keyed.withdraw(request)
--- a/millfront/environment.py
+++ b/millfront/environment.py
@@ -54,6 +54,7 @@
     warmup_excess: float = 1.5
     warmup_extra: float = 5.0
     evacuate_within: float = 5.0
+    dedupe_window: float = 60.0
     ttl_max: float = 5.0
 
 
@@ -150,6 +151,7 @@
                         "retry_window",
                         "rate_window",
                         "evacuate_within",
+                        "dedupe_window",
                         "ttl_max",
                     ]
                 },
--- a/millfront/gatekeeper/metrics.py
+++ b/millfront/gatekeeper/metrics.py
@@ -23,6 +23,7 @@
     yield from _state(gatekeeper, now)
     yield from _membership(gatekeeper)
     yield from _directory(gatekeeper)
+    yield from _operations(gatekeeper)
     yield from _invariants(gatekeeper)
 
 
@@ -49,6 +50,16 @@
     yield "directory_oldest_record_seconds", round(gatekeeper.directory_oldest_s, 3)
 
 
+def _operations(gatekeeper: Gatekeeper) -> Iterator[tuple[str, float]]:
+    operations = gatekeeper.operations
+    for outcome, count in operations.claims.outcomes.items():
+        yield f'operations_total{{outcome="{outcome.name.lower()}"}}', float(count)
+    if (store := operations.store) is not None:
+        yield "operations_held", float(len(store.operations))
+        yield "operations_complete", float(store.complete)
+        yield "operations_answer_bytes", float(store.answers_bytes)
+
+
 def _invariants(gatekeeper: Gatekeeper) -> Iterator[tuple[str, float]]:
     for invariant in Invariant:
         count = gatekeeper.invariants.violations[invariant]
--- a/millfront/gatekeeper/node.py
+++ b/millfront/gatekeeper/node.py
@@ -20,9 +20,11 @@
 from millfront.dataplane.admission import Admission
 from millfront.discovery.server_list import ServerList
 from millfront.environment import Settings
+from millfront.gatekeeper.operations import Operations, OperationsIO
 from millfront.invariants import Invariant, Invariants
 from millfront.membership.gossip import Membership, holders
 from millfront.membership.record import Liveness, MemberRecord
+from millfront.operations.messages import PREFIX as OPERATION
 from millfront.register.coordinator import Coordinator
 from millfront.register.reconfiguration import Reconfiguration
 from millfront.register.recovery import SELF
@@ -47,7 +49,7 @@
 Message = dict[str, Any]
 
 
-class NodeIO(Protocol):
+class NodeIO(OperationsIO, Protocol):
     """What a gatekeeper asks of its I/O."""
 
     def datagram(self, address: str, message: Message) -> None:
@@ -80,8 +82,11 @@
         now: float,
         incarnation: int,
         seed: int,
+        kept_operations: dict[str, str] | None = None,
     ) -> None:
-        """:param kept: what the disk has; None: this process has no disk and keeps nothing"""
+        """:param kept: what the disk has; None: this process has no disk and keeps nothing
+        :param kept_operations: the disk's rows of operation keys
+        """
         self.settings, self.io, self.name = settings, io, settings.name
         still = {
             "post": settings.post_address,
@@ -120,6 +125,8 @@
         self.disk_well = True  # as of the last sync
         self._standing: dict[str, str] = {}  # of the others, as last noted
         self._duty = False  # of the list of servers, as last noted
+        rows = (kept_operations or {}) if self.replica is not None else None
+        self.operations = Operations(self, rows, life)
         self.reconfiguration = Reconfiguration(self)
         if self.replica is not None and self.replica.votes:
             self._hold(dict(self.replica.values))
@@ -224,6 +231,7 @@
             self._tick(now)
         self.beat_rounds(now)
         self.reconfiguration.beat(now)
+        self.operations.beat(now)
         self._follow(now)
         self._stand(now)
         duty = self.membership.has_duty("list")
@@ -392,6 +400,8 @@
         """Something came on a held connection; answers go back on it."""
         self.now = now
         match message["t"]:
+            case str() as kind if kind.startswith(OPERATION):
+                self.operations.message(via, message)
             case "fetch" | "piece?" if message["r"] == REST:
                 self.io.back(via, self.subscriber.handed(message) | {"r": REST})
             case "found" | "piece" if message["r"] == REST:
--- a/millfront/gatekeeper/process.py
+++ b/millfront/gatekeeper/process.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from loguru import logger
@@ -20,12 +21,14 @@
 from millfront.gatekeeper import api
 from millfront.gatekeeper.node import BEAT_S, Gatekeeper
 from millfront.node.config import Address
+from millfront.operations.store import Batch
 from millfront.register.replica import Persist
 from millfront.register.values import Value
 from millfront.transport.connections import Line, Message, Transport
 
 if TYPE_CHECKING:
     from millfront.storage.disk import Disk
+    from millfront.storage.operations_disk import OperationsDisk
 
 LOOK_BEATS = 8  # between two looks at the settings file, 2 s
 LEAVE_S = 0.6  # of the grace, from SIGTERM until clients are no longer taken on
@@ -38,13 +41,21 @@
     """The I/O of one gatekeeper: connections, disk, platform, signals."""
 
     def __init__(
-        self, settings: Settings, kept: dict[str, Value] | None, disk: "Disk | None", metrics_port: int = 0
+        self,
+        settings: Settings,
+        kept: dict[str, Value] | None,
+        disk: "Disk | None",
+        metrics_port: int = 0,
+        operations_disk: "OperationsDisk | None" = None,
+        kept_operations: dict[str, str] | None = None,
     ) -> None:
         """:param metrics_port: where metrics are scraped besides ``ctl``; 0: nowhere"""
         self.settings, self.disk, self.metrics_port = settings, disk, metrics_port
+        self.operations_disk = operations_disk
         self.loop = asyncio.get_running_loop()
         seed = int.from_bytes(os.urandom(6))  # of this incarnation alone: a clock may step back
-        self.gatekeeper = Gatekeeper(settings, self, kept, self.now(), time.time_ns() // 1_000_000, seed)
+        incarnation = time.time_ns() // 1_000_000
+        self.gatekeeper = Gatekeeper(settings, self, kept, self.now(), incarnation, seed, kept_operations)
         self.proxy = Proxy(self.gatekeeper, seed, self.now)
         self.wire = Transport(
             lambda line, message: self.gatekeeper.message(self.now(), line, message),
@@ -52,6 +63,7 @@
             settings.listen_ip,
         )
         self.threads, self.readers = ThreadPoolExecutor(1), ThreadPoolExecutor(1)
+        self.operations_threads = ThreadPoolExecutor(1)
         self.control_apis: list[api.ControlApi] = []
         self.ending = asyncio.Event()
         self.file_of: int | None = None  # when the settings file was changed, as far as it was read
@@ -80,6 +92,10 @@
         """Sync it in the disk's thread, then tell `Gatekeeper.synced` whether it held."""
         self.start(self._persist(persist))
 
+    def persist_operations(self, batch: Batch) -> None:
+        """Sync it in a thread, then tell `Operations.synced` whether it held."""
+        self.start(self._persist_operations(batch))
+
     def poll(self, number: int) -> None:
         """Ask the platform for its list, then tell `Gatekeeper.polled`."""
         self.start(self._poll(number))
@@ -100,7 +116,7 @@
             logger.opt(exception=wrong).error("gatekeeper: a task failed")
 
     async def _persist(self, persist: Persist) -> None:
-        from millfront.storage.disk import DiskError
+        from millfront.storage.lmdb_folder import DiskError
 
         assert self.disk is not None
         try:
@@ -111,6 +127,20 @@
             return
         self.gatekeeper.synced(self.now(), persist, True)
 
+    async def _persist_operations(self, batch: Batch) -> None:
+        from millfront.storage.lmdb_folder import DiskError
+
+        well = self.operations_disk is not None
+        if self.operations_disk is not None:
+            store = self.operations_disk.store
+            try:
+                await self.loop.run_in_executor(self.operations_threads, store, batch.rows, batch.drop)
+            except DiskError as fault:
+                logger.warning("disk: {}", fault)
+                well = False
+        self.gatekeeper.now = self.now()
+        self.gatekeeper.operations.synced(batch, well)
+
     def check(self, text: str, then: Callable[[Result[Configuration, ConfigurationError]], None]) -> None:
         """Read a long configuration in a thread, so that traffic goes on."""
 
@@ -221,6 +251,36 @@
         return not self.gatekeeper.reconfiguration.may_go(self.now())
 
 
+@dataclass(frozen=True, slots=True)
+class Disks:
+    """What a machine with a disk keeps, and what was there at the start."""
+
+    register: "Disk | None" = None
+    kept: dict[str, Value] | None = None
+    operations: "OperationsDisk | None" = None
+    kept_operations: dict[str, str] | None = None
+
+
+def _open_disks(settings: Settings) -> Disks:
+    if settings.state_dir is None or "control" not in settings.serves:
+        return Disks()
+    from millfront.storage.disk import Disk  # lmdb: only where there is a disk
+    from millfront.storage.lmdb_folder import DiskError
+    from millfront.storage.operations_disk import OperationsDisk
+
+    register, operations = Disk(settings.state_dir), OperationsDisk(settings.state_dir)
+    try:
+        kept, why = register.load()
+    except DiskError as fault:
+        logger.warning("disk: nothing can be kept here: {}", fault)
+        return Disks()
+    kept_operations, why_not = operations.load()
+    for wrong in (why, why_not):
+        if wrong:
+            logger.warning("disk: what was kept can't be read and is set aside: {}", wrong)
+    return Disks(register, kept, operations, kept_operations)
+
+
 def run(environment: Mapping[str, str], metrics_port: int = 0) -> int:
     """Serve until SIGTERM. Exit code 0 after a planned end, 2 where the settings can't be used.
 
@@ -235,23 +295,14 @@
     logger.remove()
     form = "{time:HH:mm:ss.SSS} {level} {message}"
     logger.add(sys.stderr, format=form, level=settings.log_level, serialize=settings.log_json)
-    disk, kept = None, None
-    if settings.state_dir is not None and "control" in settings.serves:
-        from millfront.storage.disk import Disk, DiskError  # lmdb: only where there is a disk
-
-        disk = Disk(settings.state_dir)
-        try:
-            kept, why = disk.load()
-            if why:
-                logger.warning("disk: what was kept can't be read and is set aside: {}", why)
-        except DiskError as fault:
-            logger.warning("disk: nothing can be kept here: {}", fault)
-            disk = kept = None
+    disks = _open_disks(settings)
     gc.collect()
     gc.freeze()
 
     async def serve() -> None:
-        await GatekeeperProcess(settings, kept, disk, metrics_port).run()
+        await GatekeeperProcess(
+            settings, disks.kept, disks.register, metrics_port, disks.operations, disks.kept_operations
+        ).run()
 
     asyncio.run(serve())
     return 0
--- a/millfront/invariants.py
+++ b/millfront/invariants.py
@@ -17,6 +17,9 @@
     MEMBER_NOT_REVIVED = "member_not_revived"
     """A member that was judged lost is up again only by a record newer than the one it was judged by."""
 
+    OPERATION_RUNS_ONCE = "operation_runs_once"
+    """A request whose key a majority has granted is the first: no replica knows that it has run."""
+
     DIRECTORY_NAMES_LIVE = "directory_names_live"
     """An answer of the directory names no member whose newest record is older than the bound for it."""
 
--- /dev/null
+++ b/millfront/operations/store.py
@@ -0,0 +1,232 @@
+"""The part of a replica that holds operations: who may run which, and the answers of those that ran. No I/O,
+no clock.
+
+A claim is granted to the first request that asks, and to no other until it is withdrawn or the window is
+over; it is synced before it is granted. Syncs are batched: while one is under way, what comes waits for the
+next. A replica that may have forgotten claims (its disk was lost, it is a new member) is not complete: it
+grants nothing until it has gathered the records of so many others that each majority has one of them, or
+until all that it can have forgotten is past the window.
+
+Times are seconds on the caller's clock. What is read from the disk counts from the reading: longer than need
+be, never shorter. Derivation: docs/design/operation-keys.md.
+"""
+
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+from millfront.operations.messages import (
+    Claim,
+    Claimed,
+    Finish,
+    Finished,
+    Gather,
+    Message,
+    Records,
+    State,
+    StoredAnswer,
+    Verdict,
+    Withdraw,
+)
+
+COMPLETE = "complete"  # the row that marks a disk that has forgotten nothing
+MARGIN_S = 5.0  # beyond the window: a request is claimed a moment after it was sent
+PAGE = 300  # records in one answer to a replica that gathers
+ANSWERS_BYTES = 16 * 1024 * 1024  # of all answers kept here; one beyond that is known as UNKNOWN
+SWEEP_S = 5.0
+
+
+@dataclass(slots=True)
+class Operation:
+    """One operation that was claimed here."""
+
+    attempt: str
+    since: float  # when it was claimed here
+    state: State = State.RUNNING
+    answer: StoredAnswer | None = None
+
+    def row(self) -> str:
+        """As it is kept on the disk."""
+        kept = self.answer.wire() if self.answer is not None else None
+        return json.dumps([self.attempt, self.state.value, kept], separators=(",", ":"))
+
+    @classmethod
+    def of(cls, row: str, now: float) -> "Operation":
+        """Read a row; it counts from now."""
+        attempt, state, kept = json.loads(row)
+        return cls(attempt, now, State(state), StoredAnswer.of(kept) if kept is not None else None)
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A message for whoever is at the other end of ``via``."""
+
+    via: Any
+    message: Message
+
+
+@dataclass(slots=True)
+class Batch:
+    """Rows to be synced together; then `OperationStore.synced` is called with it."""
+
+    rows: dict[str, str] = field(default_factory=dict)
+    drop: set[str] = field(default_factory=set)
+    granted: list[tuple[Any, Claim]] = field(default_factory=list)
+    replies: list[Reply] = field(default_factory=list)
+    completes: bool = False
+
+    def __bool__(self) -> bool:
+        return bool(self.rows or self.drop)
+
+    def put(self, name: str, row: str) -> None:
+        """Keep a row."""
+        self.rows[name] = row
+        self.drop.discard(name)
+
+    def remove(self, name: str) -> None:
+        """Keep it no longer."""
+        self.rows.pop(name, None)
+        self.drop.add(name)
+
+
+class OperationStore:
+    """The operations that one replica holds."""
+
+    def __init__(self, kept: dict[str, str], fresh: bool, window: float, now: float) -> None:
+        """:param kept: the disk's rows
+        :param fresh: the whole system starts for the first time: nothing can be forgotten
+        :param window: seconds in which an operation runs once
+        """
+        self.window, self.born = window, now
+        self.complete = COMPLETE in kept or fresh
+        self.operations = {name: Operation.of(row, now) for name, row in kept.items() if name != COMPLETE}
+        self.answers_bytes = sum(self._size(operation) for operation in self.operations.values())
+        self._next, self._syncing = Batch(), False
+        self._swept = now
+        if self.complete and COMPLETE not in kept:
+            self._next.put(COMPLETE, "1")
+
+    @staticmethod
+    def _size(operation: Operation) -> int:
+        return operation.answer.size if operation.answer is not None else 0
+
+    # ---- calls -------------------------------------------------------------------------------------
+
+    def claim(self, now: float, via: Any, claim: Claim, epoch: int) -> list[Reply]:
+        """Grant an operation to the first request; granted is replied once it is synced.
+
+        :param epoch: of the core that this replica votes in; 0: it does not vote
+        """
+        if not self.complete or claim.epoch != epoch:
+            return [self._claimed(via, claim, Verdict.NO)]
+        held = self.operations.get(claim.operation)
+        if held is None or now - held.since > self.window + MARGIN_S:
+            self._forget(claim.operation)
+            made = self.operations[claim.operation] = Operation(claim.attempt, now)
+            self._next.put(claim.operation, made.row())
+            self._next.granted.append((via, claim))
+            return []
+        if held.attempt == claim.attempt:
+            self._next.put(claim.operation, held.row())  # asked again: it may not be synced yet
+            self._next.granted.append((via, claim))
+            return []
+        age = now - held.since
+        told = Claimed(claim.operation, claim.attempt, Verdict.HAD, held.state, age, held.answer)
+        return [Reply(via, told.wire())]
+
+    @staticmethod
+    def _claimed(via: Any, claim: Claim, verdict: Verdict) -> Reply:
+        return Reply(via, Claimed(claim.operation, claim.attempt, verdict).wire())
+
+    def withdraw(self, withdraw: Withdraw) -> None:
+        """The request that claimed it was not sent and never will be: another one may claim it."""
+        held = self.operations.get(withdraw.operation)
+        if held is not None and held.attempt == withdraw.attempt and held.state is State.RUNNING:
+            self._forget(withdraw.operation)
+            self._next.remove(withdraw.operation)
+
+    def finish(self, now: float, via: Any, finish: Finish) -> list[Reply]:
+        """Keep how an operation ended; replied once it is synced."""
+        held = self.operations.get(finish.operation)
+        if held is None:  # this replica did not answer the claim in time
+            held = self.operations[finish.operation] = Operation(finish.attempt, now)
+        if held.attempt != finish.attempt:
+            return []
+        answer = finish.answer
+        if answer is not None and self.answers_bytes + answer.size > ANSWERS_BYTES:
+            answer = None
+        if held.state is State.RUNNING:
+            held.state = State.ANSWERED if answer is not None else State.UNKNOWN
+            held.answer = answer
+            self.answers_bytes += self._size(held)
+        self._next.put(finish.operation, held.row())
+        self._next.replies.append(Reply(via, Finished(finish.operation, finish.attempt).wire()))
+        return []
+
+    def page(self, gather: Gather, epoch: int) -> Records | None:
+        """Records for a replica that gathers; None: this one is not complete, or of another epoch.
+
+        Answers are left out: they may be bound to a region that the other replica is not in."""
+        if not self.complete or gather.epoch != epoch:
+            return None
+        names = sorted(name for name in self.operations if name > gather.after)
+        rows = {name: self._row_without_answer(name) for name in names[:PAGE]}
+        return Records(epoch, rows, len(names) <= PAGE)
+
+    def _row_without_answer(self, name: str) -> str:
+        held = self.operations[name]
+        state = State.UNKNOWN if held.state is State.ANSWERED else held.state
+        return Operation(held.attempt, held.since, state).row()
+
+    # ---- the disk ----------------------------------------------------------------------------------
+
+    def next_batch(self) -> Batch | None:
+        """What is to be synced now; None: nothing, or a sync is under way."""
+        if self._syncing or not self._next:
+            return None
+        batch, self._next, self._syncing = self._next, Batch(), True
+        return batch
+
+    def synced(self, batch: Batch, well: bool) -> list[Reply]:
+        """The disk is done with a batch; returns what may be replied now."""
+        self._syncing = False
+        if batch.completes and well:
+            self.complete = True
+        verdict = Verdict.GRANTED if well else Verdict.NO
+        replies = [self._claimed(via, claim, verdict) for via, claim in batch.granted]
+        if well:
+            return replies + batch.replies
+        for _, claim in batch.granted:
+            self.withdraw(Withdraw(claim.operation, claim.attempt))
+        return replies
+
+    # ---- time --------------------------------------------------------------------------------------
+
+    def tick(self, now: float) -> None:
+        """Forget what is past the window; called now and then."""
+        if now - self._swept < SWEEP_S:
+            return
+        self._swept = now
+        oldest = now - self.window - MARGIN_S
+        for name in [name for name, held in self.operations.items() if held.since < oldest]:
+            self._forget(name)
+            self._next.remove(name)
+        if not self.complete and self.born < oldest:
+            self._become_complete()  # whatever it has forgotten is past the window
+
+    def gathered(self, now: float, rows: dict[str, str]) -> None:
+        """What enough others hold; once it is synced this replica is complete."""
+        for name, row in rows.items():
+            if name not in self.operations:
+                self.operations[name] = Operation.of(row, now)
+                self._next.put(name, row)
+        self._become_complete()
+
+    def _become_complete(self) -> None:
+        self._next.put(COMPLETE, "1")
+        self._next.completes = True
+
+    def _forget(self, name: str) -> None:
+        held = self.operations.pop(name, None)
+        if held is not None:
+            self.answers_bytes -= self._size(held)
--- a/millfront/storage/disk.py
+++ b/millfront/storage/disk.py
@@ -9,7 +9,6 @@
 """
 
 import json
-import os
 import zlib
 from collections.abc import Iterable
 from pathlib import Path
@@ -17,6 +16,7 @@
 import lmdb
 
 from millfront.register.values import Value
+from millfront.storage.lmdb_folder import DiskError, LmdbFolder
 
 FORMAT = 2
 PACKED_FROM = 4096  # characters
@@ -25,10 +25,6 @@
 EARLIER_ROLE = "office"  # what the role was called: the platform names a role's folder after it
 
 
-class DiskError(Exception):
-    """The disk can't be used, or what is on it can't be read."""
-
-
 def _folder(state_dir: Path) -> Path:
     """Where the data lies: a role that was renamed and has none yet finds it under its earlier name."""
     folder, earlier = state_dir / FOLDER, state_dir.parent / EARLIER_ROLE / FOLDER
@@ -39,8 +35,7 @@
     """The register's values on the disk of one machine."""
 
     def __init__(self, state_dir: str) -> None:
-        self.folder = _folder(Path(state_dir))
-        self._env: lmdb.Environment | None = None
+        self._files = LmdbFolder(_folder(Path(state_dir)), MAP_BYTES)
 
     def load(self) -> tuple[dict[str, Value], str]:
         """What is kept, and what was wrong with it (empty: nothing).
@@ -48,38 +43,30 @@
         :raises DiskError: nothing can be kept here
         """
         why = ""
-        if self.folder.exists():
+        if self._files.folder.exists():
             try:
                 return self._read(), ""
             except (lmdb.Error, ValueError, OSError, zlib.error) as wrong:
                 why = f"{wrong}"
-                self._set_aside()
+                self._files.set_aside()
         try:
-            self._open()
+            self._files.open()
         except (lmdb.Error, OSError) as wrong:
             raise DiskError(str(wrong)) from None
         return {}, why
 
-    def _open(self) -> lmdb.Environment:
-        if self._env is None:
-            self.folder.mkdir(parents=True, exist_ok=True)
-            self._env = lmdb.open(str(self.folder), map_size=MAP_BYTES, lock=False, max_readers=4)
-            parent = os.open(self.folder, os.O_RDONLY)
-            try:
-                os.fsync(parent)
-            finally:
-                os.close(parent)
-        return self._env
+    @property
+    def folder(self) -> Path:
+        """Where the data lies."""
+        return self._files.folder
 
     def close(self) -> None:
         """Close the database; the next load or store opens it again."""
-        if self._env is not None:
-            self._env.close()
-            self._env = None
+        self._files.close()
 
     def _read(self) -> dict[str, Value]:
         found = {}
-        with self._open().begin() as reading:
+        with self._files.open().begin() as reading:
             told = reading.get(b"format")
             if told is not None and int(bytes(told)) > FORMAT:
                 raise ValueError(f"format {int(bytes(told))} is newer than {FORMAT}")
@@ -88,13 +75,6 @@
                     found[bytes(key).decode()] = _value(bytes(value))
         return found
 
-    def _set_aside(self) -> None:
-        self.close()
-        number = 0
-        while (aside := self.folder.with_name(f"{FOLDER}.aside-{number}")).exists():
-            number += 1
-        os.rename(self.folder, aside)
-
     def store(self, values: dict[str, Value], drop: Iterable[str] = ()) -> None:
         """Sync all or nothing; waits for the disk.
 
@@ -103,7 +83,7 @@
         :raises DiskError: nothing of it counts
         """
         try:
-            with self._open().begin(write=True) as writing:
+            with self._files.open().begin(write=True) as writing:
                 writing.put(b"format", b"%d" % FORMAT)
                 for key, value in values.items():
                     held = writing.get(key.encode())
--- /dev/null
+++ b/millfront/storage/lmdb_folder.py
@@ -0,0 +1,48 @@
+"""One lmdb environment in a folder of its own. Thin I/O: opened late, synced with each write, set aside where
+it can't be read."""
+
+import os
+from pathlib import Path
+
+import lmdb
+
+
+class DiskError(Exception):
+    """The disk can't be used, or what is on it can't be read."""
+
+
+class LmdbFolder:
+    """An environment of a fixed size; its folder is made and synced when it is first opened."""
+
+    def __init__(self, folder: Path, map_bytes: int) -> None:
+        self.folder, self.map_bytes = folder, map_bytes
+        self._env: lmdb.Environment | None = None
+
+    def open(self) -> lmdb.Environment:
+        """The environment.
+
+        :raises lmdb.Error, OSError: it can't be had
+        """
+        if self._env is None:
+            self.folder.mkdir(parents=True, exist_ok=True)
+            self._env = lmdb.open(str(self.folder), map_size=self.map_bytes, lock=False, max_readers=4)
+            parent = os.open(self.folder, os.O_RDONLY)
+            try:
+                os.fsync(parent)
+            finally:
+                os.close(parent)
+        return self._env
+
+    def close(self) -> None:
+        """Close the environment; it is opened again where it is needed."""
+        if self._env is not None:
+            self._env.close()
+            self._env = None
+
+    def set_aside(self) -> None:
+        """Rename the folder, so that a new one takes its place and nothing is deleted."""
+        self.close()
+        number = 0
+        while (aside := self.folder.with_name(f"{self.folder.name}.aside-{number}")).exists():
+            number += 1
+        os.rename(self.folder, aside)
--- a/tests/system_world.py
+++ b/tests/system_world.py
@@ -11,6 +11,7 @@
 
 from millfront.environment import Bounds, Settings
 from millfront.gatekeeper.node import BEAT_S, Gatekeeper
+from millfront.operations.store import Batch
 from millfront.register.replica import Persist
 from millfront.register.values import Value
 
@@ -62,6 +63,7 @@
         self.ip = f"10.0.0.{number + 1}"
         self.address, self.plain = f"{self.ip}:{PORT}", f"{self.ip}:80"
         self.disk: dict[str, Value] | None = {} if disk else None
+        self.operation_rows: dict[str, str] = {}  # on the same disk
         self.refuses = False  # its disk
         self.gatekeeper: Gatekeeper | None = None
         self.life = 0
@@ -110,6 +112,24 @@
 
         self.world.env.process(syncing())
 
+    def persist_operations(self, batch: Batch) -> None:
+        life = self.life
+
+        def syncing() -> Generator[Any, Any, None]:
+            yield self.world.env.timeout(SYNC_S)
+            self.goes_on(synced)
+
+        def synced() -> None:
+            if self.gatekeeper is not None and self.life == life:
+                if not self.refuses:
+                    self.operation_rows |= batch.rows
+                    for name in batch.drop:
+                        self.operation_rows.pop(name, None)
+                self.gatekeeper.now = self.now()
+                self.gatekeeper.operations.synced(batch, not self.refuses)
+
+        self.world.env.process(syncing())
+
     def poll(self, number: int) -> None:
         life = self.life
 
@@ -143,7 +163,13 @@
         kept = dict(self.disk) if self.disk is not None else None
         incarnation = int(self.world.env.now * 1000) + 1
         self.gatekeeper = Gatekeeper(
-            settings, self, kept, self.now(), incarnation, self.number * 1000 + self.life
+            settings,
+            self,
+            kept,
+            self.now(),
+            incarnation,
+            self.number * 1000 + self.life,
+            dict(self.operation_rows),
         )
         gatekeeper = self.gatekeeper
 
@@ -200,7 +226,7 @@
 
     def wipe(self) -> None:
         self.kill()
-        self.disk = {}
+        self.disk, self.operation_rows = {}, {}
 
 
 class World:
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -20,7 +20,7 @@
 from millfront.register.recovery import Recovery, Stage
 from millfront.register.replica import Replica
 from millfront.register.values import Value
-from millfront.storage import disk
+from millfront.storage import disk, lmdb_folder
 from millfront.transport.connections import encoded
 from tests.system_world import Node, World, document
 
@@ -452,7 +452,7 @@
     made.load()
     made.store({"config": Value(4, "a", "four"), "evacuation/aa": Value(1, "n", "1")})
     unpackable = "".join(digest_of(str(n)) for n in range(60_000))
-    with pytest.raises(disk.DiskError, match="full: nothing was changed"):
+    with pytest.raises(lmdb_folder.DiskError, match="full: nothing was changed"):
         made.store({"config": Value(5, "b", unpackable), "evacuation/aa": Value(2, "n", "0")})
     made.store({"config": Value(6, "c", "six")})
     made.close()
@@ -465,7 +465,7 @@
 ) -> None:
     made = disk.Disk(str(tmp_path))
     made.load()
-    with made._open().begin(write=True) as writing:  # as format 1 wrote it
+    with made._files.open().begin(write=True) as writing:  # as format 1 wrote it
         writing.put(b"format", b"1")
         writing.put(b"config", json.dumps([1, "a", long(1)]).encode())
     assert made._read()["config"] == Value(1, "a", long(1))
--- a/tests/test_gatekeeper_calls.py
+++ b/tests/test_gatekeeper_calls.py
@@ -151,10 +151,12 @@
         zones={"aa": "a", "ba": "b"}, cloud=cloud, cloud_rate=9.0, cloud_lag=0.5, bounds=Bounds(),
     )  # fmt: skip
     from millfront.storage.disk import Disk
+    from millfront.storage.operations_disk import OperationsDisk
 
-    disk = Disk(str(tmp_path))
+    disk, operations = Disk(str(tmp_path)), OperationsDisk(str(tmp_path))
     kept, _ = disk.load()
-    made.service = GatekeeperProcess(settings, kept, disk)
+    rows, _ = operations.load()
+    made.service = GatekeeperProcess(settings, kept, disk, 0, operations, rows)
     running = asyncio.get_running_loop().create_task(made.service.run())
     try:
         await asyncio.sleep(0)
@@ -168,6 +170,7 @@
         for server in made.servers:
             server.close()
         made.service.threads.shutdown()
+        made.service.operations_threads.shutdown()
 
 
 @pytest.fixture(autouse=True)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -16,6 +16,7 @@
     "dataplane",
     "discovery",
     "control",
+    "operations",
     "storage",
     "register",
     "membership",
--- a/tests/test_system_parts.py
+++ b/tests/test_system_parts.py
@@ -16,7 +16,8 @@
 from millfront.environment import Bounds
 from millfront.node.endings import Ending
 from millfront.register.values import Value
-from millfront.storage.disk import Disk, DiskError
+from millfront.storage.disk import Disk
+from millfront.storage.lmdb_folder import DiskError
 from millfront.transport import connections
 from tests.system_world import ZONES, document
 
