--- a/millfront/dataplane/keyed_requests.py
+++ b/millfront/dataplane/keyed_requests.py
@@ -18,6 +18,7 @@
 KEY = b"millfront-operation-key"
 KIND = "keyed"  # of routes whose requests carry a key
 ATTEMPT_ID = b"millfront-attempt-id"  # each answer has its own request's
+WIDEN_S = 0.1  # two ways to another region and a sync: then all members of the core are asked
 CLAIM_SHARE = 0.22  # of the target time that a request waits for a majority at most
 KEPT_S = 0.15  # that an answer waits at most for the owner and the successor of its key
 AT_WORK_MARGIN_S = 1.0  # beyond the route's deadline a request that was claimed may be at work
@@ -40,8 +41,9 @@
         pending = self.claims.begin(operation, at_work_s, partial(self._decided, request))
         if pending is not None and not request.over:
             request.claim = pending
-            wait = CLAIM_SHARE * request.route.target
-            asyncio.get_running_loop().call_later(wait, self.claims.expire, pending)
+            loop, wait = asyncio.get_running_loop(), CLAIM_SHARE * request.route.target
+            loop.call_later(min(WIDEN_S, wait / 2), self.claims.widen, pending)
+            loop.call_later(wait, self.claims.expire, pending)
 
     def _decided(self, request: "ClientRequest", outcome: Outcome, answer: StoredAnswer | None) -> None:
         if outcome is Outcome.RUN:
--- a/millfront/gatekeeper/node.py
+++ b/millfront/gatekeeper/node.py
@@ -266,10 +266,10 @@
         return self.membership.heard_any or now - self.born > 1.0
 
     def _follow(self, now: float) -> None:
-        for name, message in self.subscriber.tick(now, self._near()):
+        for name, message in self.subscriber.tick(now, self.near_replicas()):
             self.to_replica(now, name, self.subscriber.core.all[name], message)  # type: ignore[union-attr]
 
-    def _near(self) -> list[str]:
+    def near_replicas(self) -> list[str]:
         """Core members by distance: this one, its zone, its region, the others; lost ones last."""
         records, settings = self.membership.records, self.settings
 
--- a/millfront/gatekeeper/operations.py
+++ b/millfront/gatekeeper/operations.py
@@ -67,6 +67,10 @@
         record = self.gatekeeper.membership.records.get(name)
         return record.identity["region"] if record is not None and record.identity is not None else None
 
+    def nearest(self) -> list[str]:
+        """The members of the core, the nearest and soundest first."""
+        return self.gatekeeper.near_replicas()
+
     def reachable(self, name: str) -> bool:
         """Whether a member can be expected to answer."""
         record = self.gatekeeper.membership.records.get(name)
--- a/millfront/operations/claims.py
+++ b/millfront/operations/claims.py
@@ -2,7 +2,8 @@
 the request ended. No I/O, no clock.
 
 A request may be sent once a majority of the core has granted its claim: two majorities have a member in
-common, and a member grants a key to one request only. Everything else is refused early, with a promise that
+common, and a member grants a key to one request only. The nearest majority is asked first, the others where
+that does not do. Everything else is refused early, with a promise that
 it has not run. The answer is kept by the key's owner and its successor: of the core members in regions where
 it may be stored, the first two by rendezvous hashing.
 """
@@ -25,7 +26,7 @@
     Verdict,
     Withdraw,
 )
-from millfront.register.values import Core
+from millfront.register.values import Core, digest_of
 
 COPIES = 2  # of an answer: the key's owner has it, and its successor
 
@@ -51,6 +52,9 @@
     def region_of(self, name: str) -> str | None:
         """Where a member is; None where that is not known."""
 
+    def nearest(self) -> list[str]:
+        """The members of the core, the nearest and soundest first."""
+
     def reachable(self, name: str) -> bool:
         """Whether a member can be expected to answer."""
 
@@ -70,6 +74,7 @@
     core: Core
     at_work_s: float  # so long another request may be at work
     decided: Decided | None
+    asked: set[str] = field(default_factory=set)
     granted: set[str] = field(default_factory=set)
     had: dict[str, Claimed] = field(default_factory=dict)
     silent: set[str] = field(default_factory=set)  # members that can't say
@@ -81,8 +86,9 @@
     """The claims of one gatekeeper."""
 
     def __init__(self, peers: Peers, life: str, invariants: Invariants) -> None:
-        """:param life: of this life of the process: begins the name of each attempt"""
-        self.peers, self.life, self.invariants = peers, life, invariants
+        """:param life: of this life of the process, which no other one has"""
+        self.peers, self.invariants = peers, invariants
+        self.life = digest_of(life)  # begins the name of each attempt
         self.outcomes = dict.fromkeys(Outcome, 0)
         self._pending: dict[str, PendingClaim] = {}  # by attempt
         self._count = 0
@@ -99,14 +105,33 @@
             self._decide(decided, Outcome.REFUSED)
             return None
         self._count += 1
-        attempt = f"{self.life}.{self._count}"
+        attempt = f"{self.life}.{self._count:x}"
         pending = PendingClaim(operation, attempt, core, at_work_s, decided)
         self._pending[attempt] = pending
-        wire = Claim(operation, attempt, core.epoch).wire()
+        self._ask(pending, self._fewest(core))
+        return pending
+
+    def _fewest(self, core: Core) -> list[str]:
+        """The nearest that are a majority by themselves."""
+        chosen: list[str] = []
+        for name in self.peers.nearest():
+            if core.majority(chosen):
+                break
+            chosen.append(name)
+        return chosen
+
+    def _ask(self, pending: PendingClaim, names: list[str]) -> None:
+        pending.asked.update(names)
+        wire = Claim(pending.operation, pending.attempt, pending.core.epoch).wire()
         # This process's own replica may answer at once, and end the claim: it is asked last
-        for name in sorted(core.all, key=lambda name: name == self.peers.name):
+        for name in sorted(names, key=lambda name: name == self.peers.name):
             self.peers.send(name, wire)
-        return pending
+
+    def widen(self, pending: PendingClaim) -> None:
+        """Those who were asked don't all grant it, or are slow: the others are asked as well."""
+        rest = [name for name in pending.core.all if name not in pending.asked]
+        if rest and pending.decided is not None:
+            self._ask(pending, rest)
 
     def _decide(self, decided: Decided, outcome: Outcome, answer: StoredAnswer | None = None) -> None:
         self.outcomes[outcome] += 1
@@ -135,6 +160,10 @@
                 self._end(pending, Outcome.REPEAT, told.answer)
                 return
         heard = pending.granted | pending.had.keys() | pending.silent
+        if pending.had or pending.silent:
+            self.widen(pending)
+        if pending.decided is None or pending.asked != pending.core.all.keys():
+            return
         if all(name in heard or not self.peers.reachable(name) for name in pending.core.all):
             self._without_majority(pending)
 
@@ -174,7 +203,7 @@
         if self._pending.pop(pending.attempt, None) is None:
             return
         wire = Withdraw(pending.operation, pending.attempt).wire()
-        for name in pending.core.all:
+        for name in pending.asked:
             self.peers.send(name, wire)
 
     def finish(
