Soak: real processes under overlapping troubles with the invariants on; directory and request modules

The directory, a client's request and the router have modules of their own. A claim's age counts for the invariant only where the replica has not restarted since.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -18,7 +18,7 @@
 from benchmarks.capacity_state import document
 from benchmarks.hollow import Fleet, Meter, settled
 from millfront.control.configuration import Tenant
-from millfront.gatekeeper.node import FRESH_S
+from millfront.gatekeeper.directory import FRESH_S
 from millfront.membership.record import Liveness
 
 REST_S, MEASURED_S = 6.0, 10.0  # measured: whole times of the 5 s in which all greet the seeds
--- a/millfront/dataplane/keyed_requests.py
+++ b/millfront/dataplane/keyed_requests.py
@@ -8,12 +8,13 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from millfront.dataplane.client_request import ClientRequest
 from millfront.node.http import Fields, Message
 from millfront.operations.claims import OperationClaims, Outcome, PendingClaim
 from millfront.operations.messages import StoredAnswer, operation_id
 
 if TYPE_CHECKING:
-    from millfront.dataplane.proxy import ClientRequest, Proxy
+    from millfront.dataplane.proxy import Proxy
 
 KEY = b"millfront-operation-key"
 KIND = "keyed"  # of routes whose requests carry a key
@@ -33,7 +34,7 @@
 
     # ---- before it is sent ---------------------------------------------------------------------------
 
-    def begin(self, request: "ClientRequest", key: bytes) -> None:
+    def begin(self, request: ClientRequest, key: bytes) -> None:
         """Claim the request's key; it is sent once that is granted, or answered."""
         tenant = request.tenant.name if request.tenant is not None else ""
         operation = operation_id(tenant, key.decode("latin-1"))
@@ -45,7 +46,7 @@
             loop.call_later(min(WIDEN_S, wait / 2), self.claims.widen, pending)
             loop.call_later(wait, self.claims.expire, pending)
 
-    def _decided(self, request: "ClientRequest", outcome: Outcome, answer: StoredAnswer | None) -> None:
+    def _decided(self, request: ClientRequest, outcome: Outcome, answer: StoredAnswer | None) -> None:
         if outcome is Outcome.RUN:
             self._granted(request)
             return
@@ -64,7 +65,7 @@
         else:
             self.proxy.give_up(request)
 
-    def _granted(self, request: "ClientRequest") -> None:
+    def _granted(self, request: ClientRequest) -> None:
         if request.over:  # its client left meanwhile
             self.withdraw(request)
         else:
@@ -72,16 +73,16 @@
 
     # ---- after it was sent ---------------------------------------------------------------------------
 
-    def answered(self, request: "ClientRequest", answer: Message, deliver: Callable[[], None]) -> None:
+    def answered(self, request: ClientRequest, answer: Message, deliver: Callable[[], None]) -> None:
         """A server has run it: its answer is kept, then delivered."""
         self._finish(request, _stored(answer), deliver)
 
-    def unknown(self, request: "ClientRequest") -> None:
+    def unknown(self, request: ClientRequest) -> None:
         """It was sent, and no answer came, or a longer one than is kept."""
         self._finish(request, None, lambda: None)
 
     def _finish(
-        self, request: "ClientRequest", answer: StoredAnswer | None, deliver: Callable[[], None]
+        self, request: ClientRequest, answer: StoredAnswer | None, deliver: Callable[[], None]
     ) -> None:
         claim, request.claim = request.claim, None
         if claim is None:
@@ -92,7 +93,7 @@
         if claim.kept is not None:
             asyncio.get_running_loop().call_later(KEPT_S, self.claims.let_go, claim)
 
-    def withdraw(self, request: "ClientRequest") -> None:
+    def withdraw(self, request: ClientRequest) -> None:
         """It was not run by any server, and will not be."""
         claim: PendingClaim | None = request.claim
         request.claim = None
--- a/millfront/dataplane/proxy.py
+++ b/millfront/dataplane/proxy.py
@@ -9,24 +9,24 @@
 import itertools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
-from millfront.control.configuration import Route, Tenant
+from millfront.control.configuration import Route
+from millfront.dataplane.client_request import Arrival, ClientRequest, Sending, promise
 from millfront.dataplane.keyed_requests import KEY, KIND, KeyedRequests
 from millfront.dataplane.load_balancer import LoadBalancer, ServerState
 from millfront.dataplane.retries import RequestProgress, RetryBudget
+from millfront.dataplane.router import Router
 from millfront.node.bodies import EACH, PART, ROOM_PART, Room, Ways
 from millfront.node.clients import VirtualServer
 from millfront.node.config import Address
-from millfront.node.endings import Ended, Ending
+from millfront.node.endings import Ending
 from millfront.node.host import Caller, Clock
 from millfront.node.http import Fields, Message, passed_on
 from millfront.node.members import Members, PoolMember
 from millfront.node.stages import relay
 from millfront.node.stages.send import Send, ServerSideFlow
 from millfront.node.stages.take_in import NotTaken
-from millfront.operations.claims import PendingClaim
 
 if TYPE_CHECKING:
     from millfront.gatekeeper.node import Gatekeeper
@@ -47,93 +47,6 @@
 FLOW = itertools.count(1)
 
 
-def promise(answer: Message | None) -> bool:
-    """Whether to the client this says that it has not run and never will, which a server says by
-    Millfront-Not-Executed alone."""
-    return answer is not None and answer.start in (408, 429, 503)
-
-
-@dataclass(frozen=True, slots=True)
-class Arrival:
-    """What the flows of the present program ask of a request."""
-
-    message: Message
-    timeout_us: int
-
-
-@dataclass(frozen=True, slots=True)
-class Sending:
-    """The chosen server for one try, and its time limit in microseconds."""
-
-    backend: str
-    timeout_us: int = 0
-
-
-@dataclass(slots=True, eq=False)
-class ClientRequest:
-    """One client's request, open until its one answer."""
-
-    arrival: Arrival
-    attempt: bytes
-    route: Route
-    service: str
-    host: str
-    path: str
-    key: str
-    tenant: Tenant | None
-    came_us: int
-    progress: RequestProgress
-    caller: Any = None
-    over: bool = False
-    whole: bool = True
-    streams: int = -1
-    counted: bool = False
-    flows: dict[int, ServerSideFlow] = field(default_factory=dict)
-    seen: dict[int, ServerState] = field(default_factory=dict)
-    timer: asyncio.TimerHandle | None = None
-    answer: Message | None = None  # a server's own error, to be relayed if nothing better comes
-    revoked: bool = False
-    operation_key: bytes = b""
-    claim: PendingClaim | None = None  # of its operation key, from the claim until the end
-
-    @property
-    def deadline_us(self) -> int:
-        """When the client's time limit ends, in microseconds on the proxy's clock."""
-        return self.came_us + self.arrival.timeout_us
-
-
-class Router:
-    """Route, for the flows: asked again just before a request is written."""
-
-    def __init__(self, proxy: "Proxy") -> None:
-        self.proxy = proxy
-
-    def __call__(self, backend: Any) -> PoolMember:
-        """The member for a chosen server.
-
-        :raises Ended: with `Ending.NOT_SENT`; it is unknown, or not ready
-        """
-        member = self.proxy.members.get(backend)
-        if member is None:
-            raise Ended(Ending.NOT_SENT, "no such server")
-        self.check(member)
-        return member
-
-    def check(self, member: PoolMember, flow: Any = None) -> None:
-        """Refuse a member that is not ready, or a request that is no longer allowed to it.
-
-        :raises Ended: with `Ending.NOT_SENT`; nothing was written
-        """
-        if not member.ready:
-            raise Ended(Ending.NOT_SENT, f"{member.id} is draining or gone")
-        if flow is None:
-            return
-        if not self.proxy.still_allowed(flow.opened):
-            raise Ended(Ending.NOT_SENT, "not allowed any more")
-        if self.proxy.evacuated(flow):
-            raise Ended(Ending.NOT_SENT, f"the zone of {member.id} is evacuated")
-
-
 class Proxy:
     """Clients' side and servers' side of one process."""
 
--- /dev/null
+++ b/millfront/dataplane/router.py
@@ -0,0 +1,42 @@
+"""Which connection a try goes out on: asked for the chosen server, and again just before the request is
+written, when the server, its zone or the request may not be allowed any more."""
+
+from typing import TYPE_CHECKING, Any
+
+from millfront.node.endings import Ended, Ending
+from millfront.node.members import PoolMember
+
+if TYPE_CHECKING:
+    from millfront.dataplane.proxy import Proxy
+
+
+class Router:
+    """Route, for the flows: asked again just before a request is written."""
+
+    def __init__(self, proxy: "Proxy") -> None:
+        self.proxy = proxy
+
+    def __call__(self, backend: Any) -> PoolMember:
+        """The member for a chosen server.
+
+        :raises Ended: with `Ending.NOT_SENT`; it is unknown, or not ready
+        """
+        member = self.proxy.members.get(backend)
+        if member is None:
+            raise Ended(Ending.NOT_SENT, "no such server")
+        self.check(member)
+        return member
+
+    def check(self, member: PoolMember, flow: Any = None) -> None:
+        """Refuse a member that is not ready, or a request that is no longer allowed to it.
+
+        :raises Ended: with `Ending.NOT_SENT`; nothing was written
+        """
+        if not member.ready:
+            raise Ended(Ending.NOT_SENT, f"{member.id} is draining or gone")
+        if flow is None:
+            return
+        if not self.proxy.still_allowed(flow.opened):
+            raise Ended(Ending.NOT_SENT, "not allowed any more")
+        if self.proxy.evacuated(flow):
+            raise Ended(Ending.NOT_SENT, f"the zone of {member.id} is evacuated")
--- a/millfront/gatekeeper/metrics.py
+++ b/millfront/gatekeeper/metrics.py
@@ -46,8 +46,8 @@
 
 
 def _directory(gatekeeper: Gatekeeper) -> Iterator[tuple[str, float]]:
-    yield "directory_answers_total", float(gatekeeper.directory_answers)
-    yield "directory_oldest_record_seconds", round(gatekeeper.directory_oldest_s, 3)
+    yield "directory_answers_total", float(gatekeeper.directory.answers)
+    yield "directory_oldest_record_seconds", round(gatekeeper.directory.oldest_s, 3)
 
 
 def _operations(gatekeeper: Gatekeeper) -> Iterator[tuple[str, float]]:
--- a/millfront/gatekeeper/node.py
+++ b/millfront/gatekeeper/node.py
@@ -20,10 +20,11 @@
 from millfront.dataplane.admission import Admission
 from millfront.discovery.server_list import ServerList
 from millfront.environment import Settings
+from millfront.gatekeeper.directory import Directory
 from millfront.gatekeeper.operations import Operations, OperationsIO
 from millfront.invariants import Invariant, Invariants
 from millfront.membership.gossip import Membership, holders
-from millfront.membership.record import Liveness, MemberRecord
+from millfront.membership.record import Liveness
 from millfront.operations.messages import PREFIX as OPERATION
 from millfront.register.coordinator import Coordinator
 from millfront.register.reconfiguration import Reconfiguration
@@ -33,9 +34,6 @@
 
 REST = "rest"  # the reference of what a member that is back asks for
 SUBSCRIBERS_S = 4.0  # a line on which nobody asked for so long is pushed nothing
-FRESH_S = 1.7  # records of the own region are due each second; clients are told of nobody later than this
-NAMED_S = 2.0  # beyond `contact`, after its record was written, a member is named at the latest
-NAMED_SLACK_S = 3.0  # beyond `contact` clients may not be told of a member that is gone
 GONE_S = 1.5  # beyond its lease: the record may have been late, and it asked for it a moment after
 BEAT_S = 0.25
 SURE_SHARE = 0.66  # of apply_within: what is held refuses a route or key that no newer one allows
@@ -120,8 +118,7 @@
         self.stood_still, self.catches_up_until = 0.0, now
         self.event_log = EventLog()
         self.hinted_handoff = HintedHandoff()
-        self.directory_answers = 0
-        self.directory_oldest_s = 0.0  # the greatest age of a record by which a member was named
+        self.directory = Directory(self.membership, settings, self.invariants)
         self.disk_well = True  # as of the last sync
         self._standing: dict[str, str] = {}  # of the others, as last noted
         self._duty = False  # of the list of servers, as last noted
@@ -514,34 +511,6 @@
 
     def resolve(self, now: float, region: str) -> list[str]:
         """Where clients of that region go: its gatekeepers that are ready and heard of; else all such."""
-        near, all_ = [], []
         if now - self.beaten >= STILL_S:
             return []
-        for record in self.membership.live():
-            own = record is self.membership.me
-            well = self.ready(now) if own else self._serves_clients(now, record)
-            if well and record.identity is not None and record.identity["plain"]:
-                if not own:
-                    self._named(now, record)
-                all_.append(record.identity["plain"])
-                if record.identity["region"] == region:
-                    near.append(record.identity["plain"])
-        self.directory_answers += 1
-        return sorted(near if len(near) >= 2 else all_)[:64]
-
-    def _serves_clients(self, now: float, record: MemberRecord) -> bool:
-        """Whether clients may be sent to another gatekeeper, by its newest record here."""
-        if not record.ready or record.liveness is not Liveness.UP:
-            return False
-        if now - record.written > self.settings.bounds.contact + NAMED_S:
-            return False
-        near = (record.identity or {}).get("region") == self.settings.region
-        return not near or self.membership.silent(now, record) < FRESH_S
-
-    def _named(self, now: float, record: MemberRecord) -> None:
-        """Clients are told of a member: its record must be as recent as they rely on."""
-        age = now - record.written
-        self.directory_oldest_s = max(self.directory_oldest_s, age)
-        bound = self.settings.bounds.contact + NAMED_SLACK_S
-        detail = f"{record.name} is named {age:.1f} s after its record"
-        self.invariants.check(Invariant.DIRECTORY_NAMES_LIVE, age < bound, detail)
+        return self.directory.addresses(now, region, self.ready(now))
--- a/millfront/operations/claims.py
+++ b/millfront/operations/claims.py
@@ -168,7 +168,7 @@
             self._without_majority(pending)
 
     def _run(self, pending: PendingClaim) -> None:
-        ran = [name for name, told in pending.had.items() if told.state is not State.RUNNING]
+        ran = [name for name, told in pending.had.items() if told.exact and told.state is not State.RUNNING]
         detail = f"{pending.operation} is granted, and {' '.join(ran)} know that it has run"
         self.invariants.check(Invariant.OPERATION_RUNS_ONCE, not ran, detail)
         decided, pending.decided = pending.decided, None
--- a/millfront/operations/messages.py
+++ b/millfront/operations/messages.py
@@ -99,12 +99,13 @@
     state: State | None = None  # of the other request's
     age: float = 0.0  # seconds since that was claimed here
     answer: StoredAnswer | None = None
+    exact: bool = True  # the age is; else it was claimed longer ago, before this replica started
 
     def wire(self) -> Message:
         """Read again by `of`."""
         message: Message = {"t": CLAIMED, "o": self.operation, "a": self.attempt, "v": self.verdict.value}
         if self.state is not None:
-            message |= {"s": self.state.value, "y": round(self.age, 3)}
+            message |= {"s": self.state.value, "y": round(self.age, 3)} | ({} if self.exact else {"x": 0})
         if self.answer is not None:
             message["w"] = self.answer.wire()
         return message
@@ -115,7 +116,8 @@
         state = State(message["s"]) if "s" in message else None
         answer = StoredAnswer.of(message["w"]) if "w" in message else None
         verdict = Verdict(message["v"])
-        return cls(message["o"], message["a"], verdict, state, message.get("y", 0.0), answer)
+        exact = "x" not in message
+        return cls(message["o"], message["a"], verdict, state, message.get("y", 0.0), answer, exact)
 
 
 @dataclass(frozen=True, slots=True)
--- a/millfront/operations/store.py
+++ b/millfront/operations/store.py
@@ -44,6 +44,7 @@
     since: float  # when it was claimed here
     state: State = State.RUNNING
     answer: StoredAnswer | None = None
+    exact: bool = True  # it was claimed at `since`, not before
 
     def row(self) -> str:
         """As it is kept on the disk."""
@@ -54,7 +55,8 @@
     def of(cls, row: str, now: float) -> "Operation":
         """Read a row; it counts from now."""
         attempt, state, kept = json.loads(row)
-        return cls(attempt, now, State(state), StoredAnswer.of(kept) if kept is not None else None)
+        answer = StoredAnswer.of(kept) if kept is not None else None
+        return cls(attempt, now, State(state), answer, exact=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,7 +133,7 @@
             self._next.granted.append((via, claim))
             return []
         age = now - held.since
-        told = Claimed(claim.operation, claim.attempt, Verdict.HAD, held.state, age, held.answer)
+        told = Claimed(claim.operation, claim.attempt, Verdict.HAD, held.state, age, held.answer, held.exact)
         return [Reply(via, told.wire())]
 
     @staticmethod
@@ -196,6 +198,7 @@
         replies = [self._claimed(via, claim, verdict) for via, claim in batch.granted]
         if well:
             return replies + batch.replies
+        self._next.drop |= batch.drop - self._next.rows.keys()
         for _, claim in batch.granted:
             self.withdraw(Withdraw(claim.operation, claim.attempt))
         return replies
--- a/millfront/rehearsal/system.py
+++ b/millfront/rehearsal/system.py
@@ -66,10 +66,11 @@
     return time.monotonic() - began
 
 
-def document(version: int, keys: Iterable[str], routes: int = 1, note: str = "") -> str:
+def document(version: int, keys: Iterable[str], routes: int = 1, note: str = "", orders: bool = False) -> str:
     """A configuration: one service, `routes` routes, a tenant for each key.
 
     :param note: makes documents of one version differ
+    :param orders: there is a route /orders/ whose requests carry an operation key
     """
     paths = ["/pages/", *(f"/more{number}/" for number in range(1, routes))]
     route = {"host": HOST, "variant_tag": "idempotent", "deadline": "3s", "target_time": "800ms",
@@ -81,12 +82,34 @@
             {"variant": "services", "meta": {"name": "shop"}, "spec": {"warmup": "3s", "warmup_rate_s": 2}},
             *({"variant": "routes", "meta": {"name": f"r{number}"}, "spec": route | {"path_prefix": path}}
               for number, path in enumerate(paths)),
+            *([{"variant": "routes", "meta": {"name": "orders"},
+                "spec": route | {"path_prefix": "/orders/", "variant_tag": "keyed"}}] if orders else []),
             *({"variant": "tenants", "meta": {"name": f"of-{key}"}, "spec": tenant | {"api_keys": [key]}}
               for key in [*keys, *([note] if note else [])]),
         ],
     })  # fmt: skip
 
 
+class PeerServer(ThreadingHTTPServer):
+    """Listens for `Peer`, and keeps which orders ran."""
+
+    daemon_threads = True
+
+    def __init__(self) -> None:
+        super().__init__(("127.0.0.1", 0), Peer)
+        self.orders: dict[str, list[str]] = {}  # by operation key, the seal of each run
+        self.lost_share = 0.0  # of the orders that run, whose answer is lost
+        self.random = random.Random(0)
+        self._lock = threading.Lock()
+
+    def run_order(self, key: str) -> tuple[str, bool]:
+        """An order runs: its seal, and whether its answer is lost."""
+        with self._lock:
+            runs = self.orders.setdefault(key, [])
+            runs.append(f"{key}.{len(runs)}")
+            return runs[-1], self.random.random() < self.lost_share
+
+
 class Peer(BaseHTTPRequestHandler):
     """The platform's list of one server, and that server."""
 
@@ -114,6 +137,22 @@
             self.end_headers()
             self.wfile.write(body)
 
+    def do_POST(self) -> None:
+        self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        assert isinstance(self.server, PeerServer)
+        seal, lost = self.server.run_order(self.headers.get("Millfront-Operation-Key", ""))
+        if lost:
+            self.close_connection = True
+            return
+        body = f"order {seal}\n".encode()
+        self.send_response(200)
+        self.send_header("Millfront-Attempt-Id", self.headers.get("Millfront-Attempt-Id", ""))
+        self.send_header("Millfront-Server-Seal", seal)
+        self.send_header("Content-Length", str(len(body)))
+        with contextlib.suppress(OSError):  # who asked was killed
+            self.end_headers()
+            self.wfile.write(body)
+
 
 def free_ports(count: int) -> list[int]:
     """On 127.0.0.1; the system's addresses are others, which nobody else uses."""
@@ -133,7 +172,7 @@
         self.folder, self.count, self.bounds = folder, count, dict(bounds)
         self.plain, self.ctl, port = free_ports(3)
         self.links = Links(count, port, random.Random(seed))
-        self.peer = ThreadingHTTPServer(("127.0.0.1", 0), Peer)
+        self.peer = PeerServer()
         self.running: dict[int, subprocess.Popen[bytes]] = {}
         self.names = list(REGIONS)[:count]
         self._attempt = itertools.count(1)
@@ -286,6 +325,24 @@
         """The status of readiness."""
         return self.call(number, "GET", "/v1/readiness", within=2.0).status
 
+    def metrics(self, number: int) -> dict[str, float]:
+        """Its figures by name; empty where it does not answer."""
+        answer = self.call(number, "GET", "/v1/metrics", within=2.0)
+        lines = answer.text.splitlines() if answer.status == 200 else []
+        return {name: float(value) for name, _, value in (line.rpartition(" ") for line in lines)}
+
+    def named(self, number: int, region: str) -> list[str]:
+        """The addresses that clients of a region are told to go to; none where it does not answer."""
+        answer = self.call(number, "GET", f"/v1/resolve?region={region}", within=1.0)
+        return list(answer.json()["addresses"]) if answer.status == 200 else []
+
+    def order(self, number: int, key: str, operation: str) -> Answer:
+        """A client's request with an operation key."""
+        fields = {"Host": HOST, "Authorization": f"Token {key}", "Millfront-Deadline-Ms": "3000",
+                  "Millfront-Attempt-Id": str(next(self._attempt)),
+                  "Millfront-Operation-Key": operation}  # fmt: skip
+        return self.call(number, "POST", "/orders/1", "one", fields=fields, port=self.plain, within=4.0)
+
     def page(self, number: int, key: str) -> int:
         """The status of a client's request with that key."""
         fields = {"Host": HOST, "Authorization": f"Token {key}", "Millfront-Deadline-Ms": "3000",
--- a/tests/test_call_once.py
+++ b/tests/test_call_once.py
@@ -19,8 +19,9 @@
 import pytest
 
 from millfront.dataplane import load_balancer
+from millfront.dataplane.client_request import ClientRequest
 from millfront.dataplane.load_balancer import State
-from millfront.dataplane.proxy import ClientRequest, Proxy
+from millfront.dataplane.proxy import Proxy
 from millfront.dataplane.retries import RequestProgress
 from millfront.node.endings import Ending
 from millfront.node.http import Message
--- a/tests/test_operation_claims.py
+++ b/tests/test_operation_claims.py
@@ -261,3 +261,32 @@
     assert found.keys() == kept.keys()
     assert all(Operation.of(row, 0.0).answer is None for row in found.values())
     assert store({}).page(Gather(2), 2) is None
+
+
+# ---- who has the answer ------------------------------------------------------------------------------
+
+
+def test_an_answer_is_kept_only_where_it_may_be_stored() -> None:
+    """By the owner and its successor of the allowed region; the claim, which tells nothing, by a majority."""
+    story = Story(4)
+    node, operation = story.world.nodes[9], operation_id("t", "homed")
+    gatekeeper = node.gatekeeper
+    assert gatekeeper is not None
+    gatekeeper.now = node.now()
+    granted: list[Outcome] = []
+    claims = gatekeeper.operations.claims
+    pending = claims.begin(operation, 4.0, lambda outcome, _: granted.append(outcome))
+    assert pending is not None
+    story.world.run(1.0)
+    assert granted == [Outcome.RUN]
+    kept: list[bool] = []
+    claims.finish(pending, StoredAnswer(200, (), b"private"), frozenset({"b"}), lambda: kept.append(True))
+    story.world.run(1.0)
+    assert kept == [True]
+    holders = {
+        other.zone[0]
+        for other in story.world.nodes[:4]
+        for row in other.operation_rows.items()
+        if row[0] == operation and Operation.of(row[1], 0.0).answer is not None
+    }
+    assert holders == {"b"}
