A process that stood still answers the directory once it has heard of others again

Cause: after a standstill all others look silent until their next record, so that it would have named itself alone to all clients. Change: no answer for 1.2 s then (clients ask another); another incarnation is no violation, also a lower one after a clock went back.

--- a/millfront/gatekeeper/node.py
+++ b/millfront/gatekeeper/node.py
@@ -38,6 +38,7 @@
 BEAT_S = 0.25
 SURE_SHARE = 0.66  # of apply_within: what is held refuses a route or key that no newer one allows
 STILL_S = 2.0  # without a beat: this process was frozen, and what it knows of others is from before
+HEARS_S = 1.2  # after that, until all others have been heard of anew: their records are due each second
 CATCH_UP_S = 0.25  # after that, until it has read all that came meanwhile
 WHOLE = 12  # totals of so many tenants go with each tick's record; of more, those that moved
 WHOLE_TICKS = 16  # and all of them each so many ticks
@@ -115,7 +116,7 @@
         self.to = 0  # how many it was pushed to
         self.born = now
         self.beats, self.beaten = 0, now
-        self.stood_still, self.catches_up_until = 0.0, now
+        self.stood_still, self.catches_up_until, self.hears_again_at = 0.0, now, now
         self.event_log = EventLog()
         self.hinted_handoff = HintedHandoff()
         self.directory = Directory(self.membership, settings, self.invariants)
@@ -222,6 +223,7 @@
         """Every BEAT_S."""
         if now - self.beaten >= STILL_S:
             self.stood_still, self.catches_up_until = now - self.beaten, now + CATCH_UP_S
+            self.hears_again_at = now + HEARS_S
         self.now = self.beaten = now
         self.beats += 1
         if self.beats % TICK_BEATS == 1:
@@ -511,6 +513,6 @@
 
     def resolve(self, now: float, region: str) -> list[str]:
         """Where clients of that region go: its gatekeepers that are ready and heard of; else all such."""
-        if now - self.beaten >= STILL_S:
+        if now - self.beaten >= STILL_S or now < self.hears_again_at:
             return []
         return self.directory.addresses(now, region, self.ready(now))
--- a/millfront/membership/gossip.py
+++ b/millfront/membership/gossip.py
@@ -280,9 +280,11 @@
         if standing is Liveness.LOST:
             self._last_lost[record.name] = Lost(record.stamp, now)
         elif standing is Liveness.UP and (lost := self._last_lost.get(record.name)) is not None:
+            # Another incarnation is another life, also a lower one, of a machine whose clock went back
+            newer = record.stamp > lost.stamp or record.incarnation != lost.stamp[0]
             self.invariants.check(
                 Invariant.MEMBER_NOT_REVIVED,
-                record.stamp > lost.stamp,
+                newer,
                 f"{record.name} is up by record {record.stamp}, lost at {lost.stamp}",
             )
         record.liveness = standing
--- a/millfront/rehearsal/system.py
+++ b/millfront/rehearsal/system.py
@@ -102,6 +102,9 @@
         self.random = random.Random(0)
         self._lock = threading.Lock()
 
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Who asked was killed."""
+
     def run_order(self, key: str) -> tuple[str, bool]:
         """An order runs: its seal, and whether its answer is lost."""
         with self._lock:
--- a/tests/test_departed_members.py
+++ b/tests/test_departed_members.py
@@ -84,7 +84,12 @@
     gone.kill()
     world.run(8.0)
     frozen.thaw()
+    world.run(0.3)
+    assert frozen.gatekeeper is not None
+    assert frozen.gatekeeper.resolve(frozen.now(), "a") == []  # it has not heard of anybody again yet
     assert who_names(world, gone, 10.0) == {}
+    others = [node.plain for node in world.nodes if node.zone[0] == "b" and node is not gone]
+    assert frozen.gatekeeper.resolve(frozen.now(), "b") == sorted(others)
 
 
 @pytest.mark.parametrize("seed", [1, 3])
