Soak: no second disk is lost before the first one has recovered

Change: a strike that loses a disk waits until the one before has recovered; its test looks at all strikes before.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -31,7 +31,9 @@
 SETTLED_S = 30.0  # after all troubles have ended everything works again
 MOST_AT_ONCE = 3
 WINDOW_S = 60.0
-RECOVERS_S = 6.0  # from the start of a process with an empty disk
+RECOVERS_S = (
+    12.0  # from the start of a process with an empty disk, with the others still or cut off meanwhile
+)
 PAUSE_S = 0.02
 SMALL_S, LONG_S = 14.0, 90.0
 
@@ -72,10 +74,8 @@
     while at < seconds - 1.0:
         under_way = [strike for strike in strikes if strike.at + strike.lasts > at]
         trouble = rng.choice(list(Trouble))
-        # As many disks as are borne may be lost at once: while one process is down no other loses its disk
-        down = [
-            strike for strike in under_way if strike.trouble in (Trouble.KILLED, Trouble.WIPED, Trouble.OFF)
-        ]
+        # As many disks as are borne may be lost at once: beside one that is down no other loses its disk
+        down = [strike for strike in strikes if strike.trouble in DOWN and strike.back > at]
         struck = {strike.process for strike in under_way}
         free = [process for process in range(COUNT) if process not in struck]
         if len(under_way) < MOST_AT_ONCE and free and not (down and trouble in (Trouble.WIPED, Trouble.OFF)):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -29,7 +29,8 @@
         most = max(most, len(beside) + 1)
         assert all(other.process != strike.process for other in beside)
         if strike.trouble in LOSES_A_DISK:
-            assert not [other for other in beside if other.trouble in DOWN]
+            earlier = [other for other in strikes if other.at < strike.at and other.trouble in DOWN]
+            assert all(other.back <= strike.at for other in earlier)
     assert 2 <= most <= MOST_AT_ONCE <= COUNT
 
 
