A second cause of DRAIN brought about: two lists of servers under one number; red

Hypothesis: two processes ask the platform at once, their lists have one number, and the next change of one is applied to the other's list, so that what only one had seen is missed until the next whole list.

--- a/millfront/discovery/server_list.py
+++ b/millfront/discovery/server_list.py
@@ -73,7 +73,9 @@
 class ServerList:
     """The servers as this process knows them."""
 
-    def __init__(self) -> None:
+    def __init__(self, name: str = "") -> None:
+        """:param name: of this life of the process"""
+        self.name = name
         self.servers: dict[str, Server] = {}
         self.number = 0  # the fence: of the list held
         self.heard = -1e9  # as of when it is held: the platform was asked for it then, or later
--- /dev/null
+++ b/tests/test_server_list.py
@@ -0,0 +1,93 @@
+"""The list of servers among processes of which more than one asks the platform at a time, as happens when
+ownership moves: whoever holds a list as of some time knows what the platform showed then."""
+
+import random
+from typing import Any
+
+import pytest
+
+from millfront.discovery.server_list import Phase, ServerList
+
+PROCESSES, SERVERS, STEPS = 4, 6, 120
+WAY_S = 1.0  # a message that takes longer does not come: its connection is given up
+Message = dict[str, Any]
+
+
+class Fleet:
+    """Processes that tell each other lists, with messages that wait, overtake one another or are lost."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.lists = [ServerList(f"process-{number}") for number in range(PROCESSES)]
+        self.draining: dict[str, float] = {}  # by server, since when the platform shows it
+        self.waiting: list[tuple[float, int, int, Message]] = []  # sent when, from, to, message
+        self.now = 100.0
+
+    def platform(self) -> list[Any]:
+        return [
+            [f"i-{n}", "shop", f"10.0.2.{n}:80", "aa", 3, int(f"i-{n}" in self.draining), 0.0]
+            for n in range(SERVERS)
+        ]
+
+    def step(self) -> None:
+        self.now += self.random.uniform(0.01, 0.3)
+        draw = self.random.random()
+        if draw < 0.1:
+            self.draining.setdefault(f"i-{self.random.randrange(SERVERS)}", self.now)
+        elif draw < 0.35:
+            self.poll(self.random.randrange(PROCESSES))
+        elif self.waiting:
+            self.deliver(self.waiting.pop(self.random.randrange(len(self.waiting))))
+
+    def poll(self, number: int) -> None:
+        polled = self.lists[number]
+        call = polled.begin(self.now)
+        told = polled.polled(self.now, call, self.platform())
+        if told is not None:
+            for to in range(PROCESSES):
+                if to != number:
+                    self.send(number, to, told)
+
+    def send(self, sender: int, to: int, message: Message) -> None:
+        self.waiting.append((self.now, sender, to, message))
+
+    def deliver(self, waited: tuple[float, int, int, Message]) -> None:
+        sent, sender, to, message = waited
+        if self.now - sent > WAY_S or self.random.random() < 0.1:
+            return
+        if message["t"] == "list?":
+            self.send(to, sender, self.lists[to].whole(self.now))
+        elif not self.lists[to].take(self.now, message):
+            self.send(to, sender, {"t": "list?"})
+
+    def faults(self) -> list[str]:
+        """Servers that a process holds as ready, and that the platform showed as draining long enough before."""
+        return [
+            f"process {number} holds {ident} as ready as of {held.heard:.2f}, draining since {since:.2f}"
+            for number, held in enumerate(self.lists)
+            for ident, since in self.draining.items()
+            if since <= held.heard - WAY_S and held.servers[ident].phase is Phase.READY
+        ]
+
+
+@pytest.mark.parametrize("first", range(0, 200, 50))
+def test_who_holds_a_list_knows_what_the_platform_showed_when_it_was_asked(first: int) -> None:
+    for seed in range(first, first + 50):
+        fleet = Fleet(seed)
+        for _ in range(STEPS):
+            fleet.step()
+            assert fleet.faults() == [], seed
+
+
+def test_two_that_ask_at_once_are_told_apart() -> None:
+    """Both lists have one number; the second one's next change is no change of the first one's list."""
+    one, other, third = (ServerList(name) for name in ("one", "other", "third"))
+    ready, draining = [["i-1", "shop", "10.0.2.1:80", "aa", 3, phase, 0.0] for phase in (0, 1)]
+    first = one.polled(1.0, one.begin(1.0), [ready])
+    assert first is not None and third.take(1.1, first)
+    assert other.polled(1.2, other.begin(1.2), [draining]) is not None  # of the same number
+    later = other.polled(2.0, other.begin(2.0), [draining])  # nothing has changed there
+    assert later is not None
+    if not third.take(2.1, later):
+        assert third.take(2.2, other.whole(2.2))
+    assert third.servers["i-1"].phase is Phase.DRAINING
