A list of servers is named by its number and by who asked for it

Cause: two that ask the platform at once give their lists one number; the next change of one was applied to the other's list, and what only one had seen was missed: a server that leaves went on being sent requests. Change: lists are ordered by (number, who asked); a change is applied to the very list that it was made from, else the whole is asked for.

--- a/benchmarks/capacity_state.py
+++ b/benchmarks/capacity_state.py
@@ -430,7 +430,9 @@
         raw = len(json.dumps(whole, separators=(",", ":")))
         other.take(1.0, whole)
         poll = timed(partial(polled, book, entries), 5)[1]
-        changed = {"t": "list", "f": other.number + 1, "p": other.number, "e": entries[:10], "g": []}
+        number, asker = other.stamp
+        changed = {"t": "list", "f": number + 1, "w": asker, "p": number, "q": asker, "a": 0.0}
+        changed |= {"e": entries[:10], "g": []}
         take = timed(partial(other.take, 3.0, changed))[1]
         listed = timed(partial(load_balancer.listed, book.servers.values()), 5)[1]
         cold = timed(partial(looked_through, load_balancer), 5)[1]
--- a/millfront/discovery/server_list.py
+++ b/millfront/discovery/server_list.py
@@ -1,10 +1,11 @@
 """Service discovery: which servers there are, by the platform's list. No I/O, no clock.
 
 One process asks the platform (the owner of a key) and tells the others what has changed, each time under a
-number above all it has seen: the fence. What comes under a lower number is of a process that owns the key no
-longer, and is not taken. Who has heard nothing for STALE_S asks the platform itself. Of one instance of a
-server (``ident``) the phase only goes forward, ready, draining, gone, so that an old list brings nothing
-back. Times are seconds on the caller's clock.
+number above all it has seen, and its own name: the fence. Two may ask at once while ownership moves and give
+their lists one number; so a change is applied only to the very list that it was made from. What comes under a
+lower number is of a process that owns the key no longer, and is not taken. Who has heard nothing for STALE_S
+asks the platform itself. Of one instance of a server (``ident``) the phase only goes forward, ready,
+draining, gone, so that an old list brings nothing back. Times are seconds on the caller's clock.
 """
 
 from dataclasses import dataclass
@@ -50,6 +51,8 @@
                 self.gone_at = now
 
 
+Stamp = tuple[int, str]
+NO_LIST: Stamp = (0, "")
 Told = list[Any]  # ident, service, address, zone, capacity, draining, cold seconds left
 
 
@@ -78,12 +81,18 @@
         self.name = name
         self.servers: dict[str, Server] = {}
         self.number = 0  # the fence: of the list held
+        self.asker = ""  # who asked the platform for it: two may ask at once, and give it one number
         self.heard = -1e9  # as of when it is held: the platform was asked for it then, or later
         self.asked = -1e9  # when the call under way began
         self.asking = False
         self.rests_until = -1e9
         self.version = 0  # rises with each change
 
+    @property
+    def stamp(self) -> Stamp:
+        """Of the list held: its number, and who asked for it. A list with a higher one replaces it."""
+        return self.number, self.asker
+
     def known(self) -> bool:
         """Whether any list has been received yet."""
         return self.number > 0
@@ -109,15 +118,16 @@
         self.asking = False
         if number <= self.number:
             return None  # somebody else's came in between
-        before, had = self.number, {s.ident: (s.phase, s.cold_until > now) for s in self._listed()}
-        self._replace(now, number, entries, self.asked)
+        before, had = self.stamp, {s.ident: (s.phase, s.cold_until > now) for s in self._listed()}
+        self._replace(now, (number, self.name), entries, self.asked)
         changed = []
         for entry in entries:
             server = self.servers[entry[0]]
             if had.get(entry[0]) != (server.phase, server.cold_until > now):
                 changed.append(entry)
         gone = [ident for ident in had if self.servers[ident].phase is Phase.GONE]
-        return {"t": "list", "f": number, "p": before, "e": changed, "g": gone}
+        told = {"t": "list", "f": number, "w": self.name, "p": before[0], "q": before[1]}
+        return told | {"e": changed, "g": gone, "a": round(now - self.asked, 3)}
 
     def whole(self, now: float) -> Message:
         """For one that has missed something; it says how old it is."""
@@ -126,41 +136,42 @@
             for s in self._listed()
         ]
         age = round(now - self.heard, 3)
-        return {"t": "list", "f": self.number, "p": 0, "e": entries, "g": [], "a": age}
+        told = {"t": "list", "f": self.number, "w": self.asker, "p": 0, "q": ""}
+        return told | {"e": entries, "g": [], "a": age}
 
     def take(self, now: float, message: Message) -> bool:
         """What another process was told; False: this one lacks what came before, and asks for the whole."""
-        number, before = message["f"], message["p"]
-        if number < self.number or (number == self.number and before):
+        stamp, before = (message["f"], message["w"]), (message["p"], message["q"])
+        as_of = now - message["a"]
+        if stamp < self.stamp or (stamp == self.stamp and before != NO_LIST):
             return True
-        if before and before != self.number:
+        if before not in (NO_LIST, self.stamp):
             return False
-        if before:
+        if before != NO_LIST:
             for entry in message["e"]:
                 self._entry(now, entry)
             for ident in message["g"]:
                 if ident in self.servers:
                     self.servers[ident].become(Phase.GONE, now)
-            self._note(now, number, now)
+            self._note(now, stamp, as_of)
         else:
-            as_of = now - message.get("a", 0.0)
-            self._replace(now, number, message["e"], max(as_of, self.heard))
+            self._replace(now, stamp, message["e"], max(as_of, self.heard) if stamp == self.stamp else as_of)
         return True
 
     def _listed(self) -> list[Server]:
         return [s for s in self.servers.values() if s.phase is not Phase.GONE]
 
-    def _replace(self, now: float, number: int, entries: list[Told], as_of: float) -> None:
+    def _replace(self, now: float, stamp: Stamp, entries: list[Told], as_of: float) -> None:
         for entry in entries:
             self._entry(now, entry)
         named = {entry[0] for entry in entries}
         for server in self._listed():
             if server.ident not in named:
                 server.become(Phase.GONE, now)
-        self._note(now, number, as_of)
+        self._note(now, stamp, as_of)
 
-    def _note(self, now: float, number: int, as_of: float) -> None:
-        self.number, self.heard = number, as_of
+    def _note(self, now: float, stamp: Stamp, as_of: float) -> None:
+        (self.number, self.asker), self.heard = stamp, as_of
         self.version += 1
         for ident in [s.ident for s in self.servers.values() if s.gone_at and now - s.gone_at > FORGET_S]:
             del self.servers[ident]
--- a/millfront/gatekeeper/node.py
+++ b/millfront/gatekeeper/node.py
@@ -103,7 +103,7 @@
         life = f"{settings.name}.{incarnation}.{seed:x}"
         subscriber = Subscriber(life, LEASE_SHARE * settings.bounds.revoke_within)
         super().__init__(Coordinator(life), subscriber, now, seed)  # now: as of the last event
-        self.server_list = ServerList()
+        self.server_list = ServerList(life)
         self.admission = Admission(settings.bounds, now, seed, settings.name)
         self.configuration: configurations.Configuration | None = None
         self.evacuated: PSet[str] = pset()
--- a/tests/test_server_list.py
+++ b/tests/test_server_list.py
@@ -8,8 +8,9 @@
 
 from millfront.discovery.server_list import Phase, ServerList
 
-PROCESSES, SERVERS, STEPS = 4, 6, 120
-WAY_S = 1.0  # a message that takes longer does not come: its connection is given up
+PROCESSES, SERVERS, STEPS = 4, 6, 400
+WAY_S = 0.3  # a message that takes longer does not come: its connection is given up
+HOPS = 3  # a list's age leaves out its way at each
 Message = dict[str, Any]
 
 
@@ -30,7 +31,7 @@
         ]
 
     def step(self) -> None:
-        self.now += self.random.uniform(0.01, 0.3)
+        self.now += self.random.uniform(0.005, 0.05)
         draw = self.random.random()
         if draw < 0.1:
             self.draining.setdefault(f"i-{self.random.randrange(SERVERS)}", self.now)
@@ -61,12 +62,12 @@
             self.send(to, sender, {"t": "list?"})
 
     def faults(self) -> list[str]:
-        """Servers that a process holds as ready, and that the platform showed as draining long enough before."""
+        """Servers that a process holds as ready, and the platform showed as draining long enough before."""
         return [
             f"process {number} holds {ident} as ready as of {held.heard:.2f}, draining since {since:.2f}"
             for number, held in enumerate(self.lists)
             for ident, since in self.draining.items()
-            if since <= held.heard - WAY_S and held.servers[ident].phase is Phase.READY
+            if since <= held.heard - HOPS * WAY_S and held.servers[ident].phase is Phase.READY
         ]
 
 
--- a/tests/test_system_world.py
+++ b/tests/test_system_world.py
@@ -183,7 +183,7 @@
     server_list = world.nodes[6].gatekeeper.server_list  # type: ignore[union-attr]
     world.servers[0] = ["i-2", "shop", "10.0.2.1:80", "aa", 3, 0, 0.0]
     world.run(2.0)
-    server_list.take(0.0, {"t": "list", "f": 1, "p": 0, "e": [entry], "g": []})
+    server_list.take(0.0, {"t": "list", "f": 1, "w": "", "p": 0, "q": "", "e": [entry], "g": [], "a": 0.0})
     assert (
         server_list.servers["i-1"].phase.name == "GONE" and server_list.servers["i-2"].phase.name == "READY"
     )
