--- a/benchmarks/hollow.py
+++ b/benchmarks/hollow.py
@@ -142,7 +142,7 @@
             (gatekeeper.admission, "admit", "tenants: admit"),
             (gatekeeper, "_hand_over", "poste restante"),
             (gatekeeper, "_note_others", "daybook"),
-            (gatekeeper, "_near", "follower"),
+            (gatekeeper, "near_replicas", "follower"),
             (gatekeeper.subscriber, "tick", "follower"),
             (gatekeeper.subscriber, "take", "follower"),
             (gatekeeper, "_keep", "keeper"),
--- a/millfront/discovery/server_list.py
+++ b/millfront/discovery/server_list.py
@@ -141,8 +141,9 @@
 
     def take(self, now: float, message: Message) -> bool:
         """What another process was told; False: this one lacks what came before, and asks for the whole."""
-        stamp, before = (message["f"], message["w"]), (message["p"], message["q"])
-        as_of = now - message["a"]
+        # An earlier version, beside which this one is started, names nobody and tells no age
+        stamp, before = (message["f"], message.get("w", "")), (message["p"], message.get("q", ""))
+        as_of = now - message.get("a", 0.0)
         if stamp < self.stamp or (stamp == self.stamp and before != NO_LIST):
             return True
         if before not in (NO_LIST, self.stamp):
