Operation keys: nothing is encoded for requests without a key

Cause: read again: each served answer's fields were decoded to be stored, also where no key is held; a reply list that was always empty; the attempt id's header stood twice. Change: only for a held claim; the store's finish returns nothing; one name in client_request. No decision changes.

--- a/millfront/dataplane/client_request.py
+++ b/millfront/dataplane/client_request.py
@@ -12,6 +12,8 @@
 from millfront.node.stages.send import ServerSideFlow
 from millfront.operations.claims import PendingClaim
 
+ATTEMPT_ID = b"millfront-attempt-id"  # the client's; an answer bears that of its own request
+
 
 def promise(answer: Message | None) -> bool:
     """Whether to the client this says that it has not run and never will, which a server says by
--- a/millfront/dataplane/keyed_requests.py
+++ b/millfront/dataplane/keyed_requests.py
@@ -8,7 +8,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from millfront.dataplane.client_request import ClientRequest
+from millfront.dataplane.client_request import ATTEMPT_ID, ClientRequest
 from millfront.node.http import Fields, Message
 from millfront.operations.claims import OperationClaims, Outcome, PendingClaim
 from millfront.operations.messages import StoredAnswer, operation_id
@@ -18,7 +18,6 @@
 
 KEY = b"millfront-operation-key"
 KIND = "keyed"  # of routes whose requests carry a key
-ATTEMPT_ID = b"millfront-attempt-id"  # each answer has its own request's
 WIDEN_S = 0.1  # two ways to another region and a sync: then all members of the core are asked
 CLAIM_SHARE = 0.22  # of the target time that a request waits for a majority at most
 KEPT_S = 0.15  # that an answer waits at most for the owner and the successor of its key
@@ -75,7 +74,8 @@
 
     def answered(self, request: ClientRequest, answer: Message, deliver: Callable[[], None]) -> None:
         """A server has run it: its answer is kept, then delivered."""
-        self._finish(request, _stored(answer), deliver)
+        stored = _stored(answer) if request.claim is not None else None  # most requests have no key
+        self._finish(request, stored, deliver)
 
     def unknown(self, request: ClientRequest) -> None:
         """It was sent, and no answer came, or a longer one than is kept."""
--- a/millfront/gatekeeper/operations.py
+++ b/millfront/gatekeeper/operations.py
@@ -106,7 +106,7 @@
         elif kind == WITHDRAW:
             store.withdraw(Withdraw.of(message))
         elif kind == FINISH:
-            self._reply(store.finish(now, via, Finish.of(message)))
+            store.finish(now, via, Finish.of(message))
         elif kind == GATHER and (records := store.page(Gather.of(message), epoch)) is not None:
             self._reply([Reply(via, records.wire())])
         self._flush()
--- a/millfront/operations/claims.py
+++ b/millfront/operations/claims.py
@@ -3,9 +3,9 @@
 
 A request may be sent once a majority of the core has granted its claim: two majorities have a member in
 common, and a member grants a key to one request only. The nearest majority is asked first, the others where
-that does not do. Everything else is refused early, with a promise that
-it has not run. The answer is kept by the key's owner and its successor: of the core members in regions where
-it may be stored, the first two by rendezvous hashing.
+that does not do. Everything else is refused early, with a promise that it has not run. The answer is kept by
+the key's owner and its successor: of the core members in regions where it may be stored, the first two by
+rendezvous hashing.
 """
 
 from collections.abc import Callable
--- a/millfront/operations/store.py
+++ b/millfront/operations/store.py
@@ -147,13 +147,13 @@
             self._forget(withdraw.operation)
             self._next.remove(withdraw.operation)
 
-    def finish(self, now: float, via: Any, finish: Finish) -> list[Reply]:
+    def finish(self, now: float, via: Any, finish: Finish) -> None:
         """Keep how an operation ended; replied once it is synced."""
         held = self.operations.get(finish.operation)
         if held is None:  # this replica did not answer the claim in time
             held = self.operations[finish.operation] = Operation(finish.attempt, now)
         if held.attempt != finish.attempt:
-            return []
+            return
         answer = finish.answer
         if answer is not None and self.answers_bytes + answer.size > ANSWERS_BYTES:
             answer = None
@@ -163,7 +163,6 @@
             self.answers_bytes += self._size(held)
         self._next.put(finish.operation, held.row())
         self._next.replies.append(Reply(via, Finished(finish.operation, finish.attempt).wire()))
-        return []
 
     def page(self, gather: Gather, epoch: int) -> Records | None:
         """Records for a replica that gathers; None: this one is not complete, or of another epoch.
