A server's own 503 is never the stored answer of a key

Cause: read again: where the client had left, a 408, 429 or 503 of the server without Millfront-Not-Executed was kept, and would have been given to a repeat as a promise that the operation has not run, though it has. Change: it is known as unknown, as where the client waits; the repeat gets 502. Measured: the new test fails on the code before and passes now.

--- a/millfront/dataplane/proxy.py
+++ b/millfront/dataplane/proxy.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 from millfront.control.configuration import Route
-from millfront.dataplane.client_request import Arrival, ClientRequest, Sending, promise
+from millfront.dataplane.client_request import ATTEMPT_ID, Arrival, ClientRequest, Sending, promise
 from millfront.dataplane.keyed_requests import KEY, KIND, KeyedRequests
 from millfront.dataplane.load_balancer import LoadBalancer, ServerState
 from millfront.dataplane.retries import RequestProgress, RetryBudget
@@ -31,7 +31,7 @@
 if TYPE_CHECKING:
     from millfront.gatekeeper.node import Gatekeeper
 
-ID, DEADLINE = b"millfront-attempt-id", b"millfront-deadline-ms"
+DEADLINE = b"millfront-deadline-ms"
 TENANT, TARGET = b"millfront-tenant-name", b"millfront-target-instance"
 SEAL, NOT_RUN, LOAD = b"millfront-server-seal", b"millfront-not-executed", b"millfront-server-load"
 OWN_FIELDS = (b"authorization", DEADLINE, TENANT, TARGET)
@@ -150,7 +150,7 @@
             wait = min(wait, int(text) / 1e3)
         progress = RequestProgress(route.repeatable, route.max_tries)
         arrival = Arrival(message, max(1000, int(wait * 1e6)))
-        attempt = fields.get(ID, b"")
+        attempt = fields.get(ATTEMPT_ID, b"")
         request = ClientRequest(
             arrival, attempt, route, "", host, path, key, tenant, came_us, progress, whole=not message.more
         )
@@ -317,7 +317,7 @@
         request: ClientRequest = flow.opened
         fields = dict(reversed(answer.fields))
         seen = request.seen.get(flow.number)
-        if fields.get(ID, b"") != request.attempt:
+        if fields.get(ATTEMPT_ID, b"") != request.attempt:
             return Ending.MALFORMED
         if seen is not None and (told := fields.get(LOAD)) is not None:
             self._reported(seen, told)
@@ -408,8 +408,9 @@
         """A try has ended whose client has gone: what became of its operation key is told all the same."""
         if request.claim is None or request.progress.out:
             return
-        if ending in (Ending.SERVED, Ending.ERRORED) and answer is not None and request.streams < 0:
-            self.keyed.answered(request, answer, lambda: None)
+        kept = answer if ending in (Ending.SERVED, Ending.ERRORED) and request.streams < 0 else None
+        if kept is not None and not promise(kept):
+            self.keyed.answered(request, kept, lambda: None)
         elif request.progress.promises():
             self.keyed.withdraw(request)
         else:
--- a/tests/test_operation_keys.py
+++ b/tests/test_operation_keys.py
@@ -45,3 +45,33 @@
             assert len(made.seen) == 1
 
     play(story)
+
+
+def test_a_servers_own_503_is_no_answer_for_a_repeat_though_the_first_client_has_left(tmp_path: Path) -> None:
+    """It has run: given to a repeat, that 503 would promise that it has not."""
+
+    async def story() -> None:
+        left = asyncio.Event()
+
+        async def refuses(head: bytes, writer: asyncio.StreamWriter, number: int) -> None:
+            await left.wait()
+            await says(status="503 Busy", body=b"")(head, writer, number)
+
+        async with stage(tmp_path, [refuses, says(body=b"second", more=SEAL)]) as made:
+            assert await made.put(document(2, {"t": ["key-1"]}, kind="keyed")) == 200
+            first = asyncio.create_task(made.ask("POST", "/p/a1", b"x", more=KEYED))
+            while not made.seen:
+                await asyncio.sleep(0)
+            first.cancel()
+            await asyncio.gather(first, return_exceptions=True)
+            proxy = made.service.proxy
+            await made.until(lambda: proxy.open == 0)  # the gatekeeper has seen that it left
+            left.set()
+            status = 409
+            async with asyncio.timeout(5):
+                while status == 409:
+                    status = (await made.ask("POST", "/p/a2", b"x", more=KEYED))[0]
+            assert status == 502
+            assert len(made.seen) == 1
+
+    play(story)
