--- a/tests/system_world.py
+++ b/tests/system_world.py
@@ -14,6 +14,7 @@
 from millfront.operations.store import Batch
 from millfront.register.replica import Persist
 from millfront.register.values import Value
+from tests.platform_model import Platform
 
 ZONES = {"aa": "a", "ab": "a", "ba": "b", "bb": "b"}
 PORT = 7000
@@ -134,8 +135,7 @@
         life = self.life
 
         def asking() -> Generator[Any, Any, None]:
-            told = None if self.world.platform_down else json.loads(json.dumps(self.world.servers))
-            yield self.world.env.timeout(0.05)
+            told = yield from self.world.platform.listed(ZONES[self.zone])
             self.goes_on(lambda: polled(told))
 
         def polled(told: Any) -> None:
@@ -242,8 +242,7 @@
         self.loss = self.lost_answers = 0.0
         self.cut: Callable[[Node, Node], bool] = lambda a, b: False
         self.late = False  # held connections outlive a cut: what was sent meanwhile comes when it ends
-        self.servers: list[Any] = [["i-1", "shop", "10.0.2.1:80", "aa", 3, 0, 0.0]]
-        self.platform_down = False
+        self.platform = Platform(self.env)
         self.polls = 0
         self.nodes = [Node(self, number, number < disks or number >= n) for number in range(n + spares)]
         self.spares = set(range(n, n + spares))
@@ -279,6 +278,15 @@
                 node.start(fresh=True)
         return self
 
+    @property
+    def servers(self) -> list[Any]:
+        """The entries of the platform's list."""
+        return self.platform.servers
+
+    @servers.setter
+    def servers(self, entries: list[Any]) -> None:
+        self.platform.servers = entries
+
     def run(self, seconds: float) -> "World":
         self.env.run(until=self.env.now + seconds)
         return self
--- /dev/null
+++ b/tests/test_discovery_at_size.py
@@ -0,0 +1,111 @@
+"""A server that drains is known to every gatekeeper within `drain_within`, where the list has many pages, the
+platform takes few calls, and the gatekeepers that ask it are lost.
+
+A world of 40 gatekeepers, six with a disk, and a list of 281 servers in six pages, of which the platform
+answers 50 calls a second: a deployment of 82 has these figures, and takes too long to play in simulated time.
+"""
+
+from collections.abc import Collection
+from typing import Any
+
+import pytest
+
+from millfront.discovery.server_list import Phase
+from millfront.environment import Bounds
+from tests.system_world import ZONES, Node, World, document
+
+COUNT, DISKS = 40, 6
+SERVERS, PAGE, RATE_PER_S = 281, 50, 50.0
+DRAIN_WITHIN_S = 2.5
+REACH_S = 0.1  # from a choice by the old list until the server has the request
+CONTACT_S = 4.0
+STARTED_S = 5.0  # of ten that the machines have before traffic
+
+
+def entries() -> list[Any]:
+    """The platform's whole list."""
+    zones = list(ZONES)
+    return [
+        [f"i-{n}", "shop", f"10.1.{n // 200}.{n % 200}:80", zones[n % 4], 3, 0, 0.0] for n in range(SERVERS)
+    ]
+
+
+def world(seed: int) -> World:
+    """All machines start together for the first time."""
+    made = World(COUNT, DISKS, seed, Bounds(drain_within=DRAIN_WITHIN_S, contact=CONTACT_S))
+    made.platform.servers, made.platform.page, made.platform.rate_per_s = entries(), PAGE, RATE_PER_S
+    return made.start()
+
+
+def calm_world(seed: int) -> World:
+    """All have the list, whatever became of the start."""
+    made = world(seed)
+    made.platform.rate_per_s = 100.0 * RATE_PER_S
+    made.run(8.0)
+    made.platform.rate_per_s = RATE_PER_S
+    made.put(0, document(1))
+    made.run(2.0)
+    assert all(gatekeeper.server_list.known() for gatekeeper in made.gatekeepers())
+    return made
+
+
+def pollers(made: World) -> list[Node]:
+    """Who asked for the lists that are held now."""
+    askers = {gatekeeper.server_list.asker for gatekeeper in made.gatekeepers()}
+    return [n for n in made.nodes if n.gatekeeper is not None and n.gatekeeper.server_list.name in askers]
+
+
+def drain(made: World, number: int) -> str:
+    """From now on the list shows that server as draining; returns its ident."""
+    made.platform.servers[number][5] = 1
+    return str(made.platform.servers[number][0])
+
+
+def unaware(made: World, ident: str, but: Collection[Node] = ()) -> list[str]:
+    """Gatekeepers that would still choose that server."""
+    left_out = {node.name for node in but}
+    return [
+        gatekeeper.name
+        for gatekeeper in made.gatekeepers()
+        if gatekeeper.name not in left_out
+        and gatekeeper.server_list.known()
+        and gatekeeper.server_list.servers[ident].phase is Phase.READY
+    ]
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_all_have_the_list_soon_after_they_start_together(seed: int) -> None:
+    made = world(seed).run(STARTED_S)
+    assert [g.name for g in made.gatekeepers() if not g.server_list.known()] == []
+    calls = made.platform.calls
+    made.run(5.0)
+    assert made.platform.calls - calls <= 5.0 * RATE_PER_S  # one asks, and not the whole fleet
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_the_poller_is_lost_as_a_server_begins_to_drain(seed: int) -> None:
+    made = calm_world(seed)
+    for number in range(0, 60, 20):
+        made.run(0.1 * seed)
+        for poller in pollers(made):
+            poller.kill()
+        ident = drain(made, number)
+        made.run(DRAIN_WITHIN_S - REACH_S)
+        assert unaware(made, ident) == [], number
+        made.run(CONTACT_S)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_half_of_all_gatekeepers_start_again_together(seed: int) -> None:
+    made = calm_world(seed)
+    herd = [node for node in made.nodes[DISKS:] if node.number % 2]
+    for node in herd:
+        node.kill()
+    made.run(2.0)
+    for node in herd:
+        node.start()
+    for number in range(0, 200, 20):  # servers leave one after another while these come back
+        ident = drain(made, number)
+        made.run(DRAIN_WITHIN_S - REACH_S)
+        assert unaware(made, ident, herd if number < 40 else ()) == [], number
+    assert all(gatekeeper.server_list.known() for gatekeeper in made.gatekeepers())
