Discovery: gatekeepers ask the platform in turn, by times derived from drain_within

With the one that asks lost, all asked at once, the platform refused nearly all, and nobody read six pages in a row.

--- a/benchmarks/capacity_state.py
+++ b/benchmarks/capacity_state.py
@@ -487,7 +487,7 @@
     async def read(address: str) -> None:
         began, calls, spent = time.monotonic(), Platform.calls, time.process_time()
         try:
-            told = f"{len(await listed(address))} entries"
+            told = f"{len((await listed(address)).entries)} entries"
         except PlatformError as fault:
             told = f"not read: {fault}"
         took, spent = time.monotonic() - began, time.process_time() - spent
--- a/benchmarks/hollow.py
+++ b/benchmarks/hollow.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from millfront.control.configuration import Tenant
+from millfront.discovery.server_list import PlatformList
 from millfront.environment import Bounds, Settings
 from millfront.gatekeeper.node import BEAT_S, Gatekeeper
 from millfront.operations.store import Batch
@@ -193,7 +194,9 @@
         self.fleet.polls += 1
         gatekeeper = self.gatekeeper
         assert gatekeeper is not None
-        self.fleet.after(0.05, self, lambda: gatekeeper.polled(self.fleet.now, number, self.fleet.servers))
+        self.fleet.after(
+            0.05, self, lambda: gatekeeper.polled(self.fleet.now, number, PlatformList(self.fleet.servers))
+        )
 
     def say(self, part: str, text: str) -> None:
         pass
--- a/millfront/dataplane/proxy.py
+++ b/millfront/dataplane/proxy.py
@@ -17,6 +17,7 @@
 from millfront.dataplane.load_balancer import LoadBalancer, ServerState
 from millfront.dataplane.retries import RequestProgress, RetryBudget
 from millfront.dataplane.router import Router
+from millfront.invariants import Invariant
 from millfront.node.bodies import EACH, PART, ROOM_PART, Room, Ways
 from millfront.node.clients import VirtualServer
 from millfront.node.config import Address
@@ -84,6 +85,11 @@
         stopped = self.load_balancer.listed(self.gatekeeper.server_list.servers.values())
         for server in self.gatekeeper.server_list.servers.values():
             if server.ident not in stopped:
+                known = self.members.get(server.ident)
+                detail = f"{server.ident} is ready again"
+                self.gatekeeper.invariants.check(
+                    Invariant.SERVER_NOT_REVIVED, known is None or known.ready, detail
+                )
                 self.members.listed(server.ident, server.address, Address.parse(server.address, "address"))
         for ident in stopped:
             self.members.stopped(ident)
--- a/millfront/discovery/platform_client.py
+++ b/millfront/discovery/platform_client.py
@@ -1,4 +1,8 @@
-"""The platform's list of servers, asked over HTTP. Thin I/O."""
+"""The platform's list of servers, asked over HTTP. Thin I/O.
+
+The pages of one read go over one connection where the platform keeps it open: from another region each
+connection more is a way there and back of the time in which all have to know the list.
+"""
 
 import asyncio
 import json
@@ -6,54 +10,119 @@
 
 import h11
 
-from millfront.discovery.server_list import Told, told_by_platform
+from millfront.discovery.polling import MOST_READ_S
+from millfront.discovery.server_list import PlatformList, told_by_platform
 from millfront.environment import seconds
 
-WHOLE_S = 0.9  # of a call, all its pages
 MOST_PAGES = 40
 MOST_BYTES = 4 * 1024 * 1024
 READ = 64 * 1024
+OK = 200
 
 
 class PlatformError(Exception):
     """The platform gave no list."""
 
 
-async def listed(address: str) -> list[Told]:
+async def listed(address: str) -> PlatformList:
     """All entries, page by page.
 
     :raises PlatformError: there is no whole answer in time
     """
+    connection = PlatformConnection(address)
     try:
-        return await asyncio.wait_for(_pages(address), WHOLE_S)
+        return await asyncio.wait_for(_pages(connection), MOST_READ_S)
     except (OSError, ValueError, KeyError, TypeError, AttributeError, h11.ProtocolError) as wrong:
         raise PlatformError(repr(wrong)) from None
+    finally:
+        connection.close()
 
 
-async def _pages(address: str) -> list[Told]:
-    entries: list[Told] = []
+async def _pages(connection: "PlatformConnection") -> PlatformList:
+    found = PlatformList([], 0)
     token = ""
     for _ in range(MOST_PAGES):
-        page = await _page(address, "/instances" + (f"?page_token={token}" if token else ""))
-        entries += told_by_platform(page["instances"], seconds)
+        page = await connection.get("/instances" + (f"?page_token={token}" if token else ""))
+        found.calls += 1
+        found.entries += told_by_platform(page["instances"], seconds)
         token = page.get("next_token") or ""
         if not token:
-            return entries
+            return found
     raise ValueError("pages without an end")
 
 
-async def _page(address: str, target: str) -> dict[str, Any]:
-    host, _, port = address.rpartition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
-    try:
-        client = h11.Connection(h11.CLIENT)
-        ask = h11.Request(method="GET", target=target, headers=[("Host", address), ("Connection", "close")])
-        writer.write((client.send(ask) or b"") + (client.send(h11.EndOfMessage()) or b""))
+class ClosedError(Exception):
+    """A connection that had been kept open ended before an answer began."""
+
+
+class PlatformConnection:
+    """A connection to the platform, opened anew where the last answer ended it."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._client = h11.Connection(h11.CLIENT)
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def get(self, target: str) -> dict[str, Any]:
+        """The object that a call is answered with.
+
+        :raises ValueError: the answer is another status, too long, cut short, or no object
+        """
+        try:
+            status, body = await self._call(target)
+        except ClosedError:
+            status, body = await self._call(target)
+        if status != OK:
+            raise ValueError(f"status {status}")
+        page = json.loads(body)
+        if not isinstance(page, dict):
+            raise ValueError("no object")
+        return page
+
+    def close(self) -> None:
+        """End the connection at once, if there is one."""
+        if self._streams is not None:
+            self._streams[1].transport.abort()
+            self._streams = None
+
+    async def _call(self, target: str) -> tuple[int, bytearray]:
+        """:raises ClosedError: nothing came, on a connection that had been kept; it is closed"""
+        kept = self._keep()
+        reader, writer = self._streams or await self._open()
+        request = h11.Request(method="GET", target=target, headers=[("Host", self.address)])
+        writer.write((self._client.send(request) or b"") + (self._client.send(h11.EndOfMessage()) or b""))
+        try:
+            first = await reader.read(READ)
+        except OSError:
+            first = b""
+        if not first and kept:
+            self.close()
+            raise ClosedError
+        self._client.receive_data(first)
+        return await self._answer(reader)
+
+    def _keep(self) -> bool:
+        """Whether the connection there is can take another call; one that can't is closed."""
+        if self._streams is None:
+            return False
+        if self._client.our_state is h11.DONE and self._client.their_state is h11.DONE:
+            self._client.start_next_cycle()
+            return True
+        self.close()
+        return False
+
+    async def _open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        self._client = h11.Connection(h11.CLIENT)
+        host, _, port = self.address.rpartition(":")
+        self._streams = await asyncio.open_connection(host, int(port))
+        return self._streams
+
+    async def _answer(self, reader: asyncio.StreamReader) -> tuple[int, bytearray]:
         body, status = bytearray(), 0
         while True:
-            event = client.next_event()
+            event = self._client.next_event()
             if event is h11.NEED_DATA:
-                client.receive_data(await reader.read(READ))
+                self._client.receive_data(await reader.read(READ))
             elif isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
@@ -61,14 +130,6 @@
                 if len(body) > MOST_BYTES:
                     raise ValueError("a page that is too long")
             elif isinstance(event, h11.EndOfMessage):
-                break
+                return status, body
             elif isinstance(event, h11.ConnectionClosed):
                 raise ValueError("closed before an answer")
-    finally:
-        writer.transport.abort()
-    if status != 200:
-        raise ValueError(f"status {status}")
-    page = json.loads(body)
-    if not isinstance(page, dict):
-        raise ValueError("no object")
-    return page
--- /dev/null
+++ b/millfront/discovery/polling.py
@@ -0,0 +1,69 @@
+"""When a gatekeeper asks the platform for its list of servers. No I/O, no clock.
+
+One gatekeeper asks, and tells all others. Where it is lost, others take over in turn, each a step after the
+one before it, so that two never read at once for long and the platform's bound on calls holds however many
+there are. All times follow from `drain_within`, the time in which every gatekeeper has to know that a server
+drains, and from how long a read takes: the poll interval is what remains of it after two turns, a read and
+the telling (docs/design/discovery.md). Times are seconds.
+"""
+
+from dataclasses import dataclass
+
+MOST_INTERVAL_S = 0.8  # between polls where there is time enough
+LEAST_INTERVAL_S = 0.25
+TELL_S = 0.1  # until all have what one has read: its way, and the reading of it
+LOOK_S = 0.25  # between two looks at whether it is this gatekeeper's turn; it asks at the look nearest to it
+TURNS = 2  # gatekeepers that may be lost in turn with the bound kept
+SETTLE_S = 1.0  # after a start, until others have been heard of: the list may be had from them
+MOST_READ_S = 0.9  # a longer one is given up; what seems longer is of a process that stood still
+REST_S = 0.5  # after a call that failed, of the first in turn
+RATE_SHARE = 0.5  # of the platform's bound on calls that takers-over use
+
+
+@dataclass(frozen=True, slots=True)
+class ReadCost:
+    """What reading the whole list took last."""
+
+    seconds: float = 0.0
+    calls: int = 1
+
+    @classmethod
+    def of(cls, seconds: float, calls: int) -> "ReadCost":
+        """What was measured, or told, within what a read may take."""
+        return cls(round(min(max(seconds, 0.0), MOST_READ_S), 3), max(calls, 1))
+
+
+@dataclass(frozen=True, slots=True)
+class PollTiming:
+    """The times by which the list is asked for.
+
+    >>> timing = PollTiming(drain_within=2.5, rate_per_s=50.0)
+    >>> timing.interval(ReadCost(0.1)), timing.interval(ReadCost(0.4, 6)), timing.interval(ReadCost(0.6, 6))
+    (0.8, 0.375, 0.25)
+    >>> timing.begins(turn=0, cost=ReadCost(0.1)), timing.begins(turn=2, cost=ReadCost(0.1))
+    (0.8, 1.7)
+    """
+
+    drain_within: float = 3.0
+    rate_per_s: float = 10.0
+
+    def step(self, cost: ReadCost) -> float:
+        """Between one gatekeeper's turn and the next one's: the first would have told all by then."""
+        return max(cost.seconds + TELL_S + LOOK_S, cost.calls / (RATE_SHARE * self.rate_per_s))
+
+    def interval(self, cost: ReadCost) -> float:
+        """From the moment as of which a list is held until it is asked for again."""
+        spent = TURNS * self.step(cost) + cost.seconds + TELL_S + LOOK_S / 2
+        return max(LEAST_INTERVAL_S, min(MOST_INTERVAL_S, round(self.drain_within - spent, 3)))
+
+    def begins(self, turn: int, cost: ReadCost) -> float:
+        """Age of a list at which the gatekeeper of that turn asks; 0: the first."""
+        return round(self.interval(cost) + turn * self.step(cost), 3)
+
+    def settles(self, turn: int, cost: ReadCost) -> float:
+        """From a start until a gatekeeper that has no list from others asks for itself."""
+        return SETTLE_S + turn * self.step(cost)
+
+    def rest(self, turn: int) -> float:
+        """After a call that failed: longer for later turns, so that all of them together stay few."""
+        return REST_S * (1 + turn)
--- a/millfront/discovery/server_list.py
+++ b/millfront/discovery/server_list.py
@@ -1,22 +1,24 @@
 """Service discovery: which servers there are, by the platform's list. No I/O, no clock.
 
-One process asks the platform (the owner of a key) and tells the others what has changed, each time under a
-number above all it has seen, and its own name: the fence. Two may ask at once while ownership moves and give
-their lists one number; so a change is applied only to the very list that it was made from. What comes under a
-lower number is of a process that owns the key no longer, and is not taken. Who has heard nothing for STALE_S
-asks the platform itself. Of one instance of a server (``ident``) the phase only goes forward, ready,
-draining, gone, so that an old list brings nothing back. Times are seconds on the caller's clock.
+One process asks the platform, by its turn (`polling.py`), and tells the others what has changed, each time
+under a number above all it has seen, and its own name: the fence. Two may ask at once while turns change and
+give their lists one number; so a change is applied only to the very list that it was made from. What comes
+under a lower number is of a process whose turn is over, and is not taken. Of one instance of a server
+(``ident``) the phase only goes forward, ready, draining, gone, so that an old list brings nothing back. Times
+are seconds on the caller's clock.
 """
 
+import math
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import IntEnum
 from typing import Any
 
-POLL_S = 0.8
-DEPUTY_S = 1.7  # a poll missed, by the region's deputy
-STALE_S = 2.2  # by anybody; what it asks then is there well inside drain_within
-REST_S = 0.5  # after a call that failed
+from millfront.discovery.polling import LOOK_S, SETTLE_S, TURNS, PollTiming, ReadCost
+
 FORGET_S = 30.0
+ENDED_KEPT_S = 600.0  # so long it is remembered that a life has ended
+NEVER = -1e9
 
 Message = dict[str, Any]
 
@@ -56,6 +58,14 @@
 Told = list[Any]  # ident, service, address, zone, capacity, draining, cold seconds left
 
 
+@dataclass(slots=True)
+class PlatformList:
+    """What the platform gave: all entries, and how many calls that took."""
+
+    entries: list[Told]
+    calls: int = 1
+
+
 def told_by_platform(instances: dict[str, Any], seconds: Any) -> list[Told]:
     """Entries of the platform's answer; one that can't be read is left out.
 
@@ -76,17 +86,22 @@
 class ServerList:
     """The servers as this process knows them."""
 
-    def __init__(self, name: str = "") -> None:
-        """:param name: of this life of the process"""
-        self.name = name
+    def __init__(self, name: str = "", timing: PollTiming | None = None, now: float = NEVER) -> None:
+        """:param name: of this incarnation of the process
+        :param now: when it started
+        """
+        self.name, self.timing, self.started = name, timing or PollTiming(), now
+        self.cost = ReadCost()  # of the last whole read here, or as told
         self.servers: dict[str, Server] = {}
         self.number = 0  # the fence: of the list held
         self.asker = ""  # who asked the platform for it: two may ask at once, and give it one number
-        self.heard = -1e9  # as of when it is held: the platform was asked for it then, or later
-        self.asked = -1e9  # when the call under way began
+        self.heard = NEVER  # as of when it is held: the platform was asked for it then, or later
+        self.asked = NEVER  # when the call under way began
         self.asking = False
-        self.rests_until = -1e9
+        self.rests_until = NEVER
+        self.reads = self.reads_failed = 0
         self.version = 0  # rises with each change
+        self._ended: dict[str, float] = {}  # lives that are over and forgotten, and when that was noted
 
     @property
     def stamp(self) -> Stamp:
@@ -97,37 +112,60 @@
         """Whether any list has been received yet."""
         return self.number > 0
 
-    def due(self, now: float, duty: bool, deputy: bool) -> bool:
-        """Whether this process is to ask the platform now: who has the duty does, its region's deputy where
-        nothing was heard for a while, and in the end anybody."""
+    def age(self, now: float) -> float:
+        """Seconds since the platform was asked for what is held, at most; infinite where nothing is."""
+        return now - self.heard if self.known() else math.inf
+
+    def late(self, now: float) -> bool:
+        """Whether the first two in turn have missed their polls, as far as heard here."""
+        return self.age(now) > self.timing.begins(TURNS, self.cost)
+
+    def due(self, now: float, turn: Callable[[], int]) -> bool:
+        """Whether this process is to ask the platform now.
+
+        :param turn: tells how many are to ask before this one; not called while nobody is due
+        """
         if self.asking or now < self.rests_until:
             return False
-        return now - self.heard >= (POLL_S if duty else DEPUTY_S if deputy else STALE_S)
+        if not self.known():
+            waited = now - self.started
+            return waited >= SETTLE_S and waited >= self.timing.settles(turn(), self.cost)
+        age = self.age(now) + LOOK_S / 2
+        return age >= self.timing.interval(self.cost) and age >= self.timing.begins(turn(), self.cost)
 
     def begin(self, now: float) -> int:
         """A call to the platform begins; returns its number."""
         self.asking, self.asked = True, now
         return self.number + 1
 
-    def failed(self, now: float) -> None:
-        """The call to the platform gave nothing: this process does not ask again for `REST_S`."""
-        self.asking, self.rests_until = False, now + REST_S
+    def failed(self, now: float, turn: int = 0) -> None:
+        """The call to the platform gave nothing: this process rests before it asks again."""
+        self.asking, self.rests_until = False, now + self.timing.rest(turn)
+        self.reads_failed += 1
+
+    def polled(self, now: float, number: int, entries: list[Told], calls: int = 1) -> Message | None:
+        """The platform's whole answer to the read of that number: what the others are to be told.
 
-    def polled(self, now: float, number: int, entries: list[Told]) -> Message | None:
-        """The platform's whole answer to the call of that number: what the others are to be told."""
+        :param calls: that it took
+        """
         self.asking = False
+        self.reads += 1
+        self.cost = ReadCost.of(now - self.asked, calls)
         if number <= self.number:
             return None  # somebody else's came in between
         before, had = self.stamp, {s.ident: (s.phase, s.cold_until > now) for s in self._listed()}
         self._replace(now, (number, self.name), entries, self.asked)
         changed = []
         for entry in entries:
-            server = self.servers[entry[0]]
+            server = self.servers.get(entry[0])
+            if server is None:
+                continue
             if had.get(entry[0]) != (server.phase, server.cold_until > now):
                 changed.append(entry)
         gone = [ident for ident in had if self.servers[ident].phase is Phase.GONE]
         told = {"t": "list", "f": number, "w": self.name, "p": before[0], "q": before[1]}
-        return told | {"e": changed, "g": gone, "a": round(now - self.asked, 3)}
+        cost = {"d": self.cost.seconds, "l": self.cost.calls}
+        return told | cost | {"e": changed, "g": gone, "a": round(now - self.asked, 3)}
 
     def whole(self, now: float) -> Message:
         """For one that has missed something; it says how old it is."""
@@ -137,17 +175,30 @@
         ]
         age = round(now - self.heard, 3)
         told = {"t": "list", "f": self.number, "w": self.asker, "p": 0, "q": ""}
-        return told | {"e": entries, "g": [], "a": age}
+        cost = {"d": self.cost.seconds, "l": self.cost.calls}
+        return told | cost | {"e": entries, "g": [], "a": age}
+
+    def question(self, whole: bool = False) -> Message:
+        """To another process: its list, if that is newer than this one.
+
+        :param whole: in any case; a change could not be applied here
+        """
+        return {"t": "list?"} if whole else {"t": "list?", "f": self.number, "w": self.asker}
+
+    def newer_than(self, question: Message) -> bool:
+        """Whether there is something to hand over to who asks."""
+        return self.known() and self.stamp > (question.get("f", -1), question.get("w", ""))
 
     def take(self, now: float, message: Message) -> bool:
         """What another process was told; False: this one lacks what came before, and asks for the whole."""
-        # An earlier version, beside which this one is started, names nobody and tells no age
+        # An earlier version, beside which this one is started, names nobody and tells no age and no cost
         stamp, before = (message["f"], message.get("w", "")), (message["p"], message.get("q", ""))
         as_of = now - message.get("a", 0.0)
         if stamp < self.stamp or (stamp == self.stamp and before != NO_LIST):
             return True
         if before not in (NO_LIST, self.stamp):
             return False
+        self.cost = ReadCost.of(message.get("d", self.cost.seconds), message.get("l", self.cost.calls))
         if before != NO_LIST:
             for entry in message["e"]:
                 self._entry(now, entry)
@@ -176,10 +227,15 @@
         self.version += 1
         for ident in [s.ident for s in self.servers.values() if s.gone_at and now - s.gone_at > FORGET_S]:
             del self.servers[ident]
+            self._ended[ident] = now
+        while self._ended and now - self._ended[first := next(iter(self._ended))] > ENDED_KEPT_S:
+            del self._ended[first]
 
     def _entry(self, now: float, entry: Told) -> None:
         ident, service, address, zone, capacity, draining, cold = entry
         server = self.servers.get(ident)
+        if ident in self._ended:
+            return  # an old list: this life has ended, and is forgotten
         if server is None or server.address != address:
             server = Server(ident, service, address, zone, capacity, Phase.READY, 0.0, now)
             self.servers[ident] = server
--- a/millfront/gatekeeper/metrics.py
+++ b/millfront/gatekeeper/metrics.py
@@ -23,6 +23,7 @@
     yield from _state(gatekeeper, now)
     yield from _membership(gatekeeper)
     yield from _directory(gatekeeper)
+    yield from _discovery(gatekeeper, now)
     yield from _operations(gatekeeper)
     yield from _invariants(gatekeeper)
 
@@ -50,6 +51,16 @@
     yield "directory_oldest_record_seconds", round(gatekeeper.directory.oldest_s, 3)
 
 
+def _discovery(gatekeeper: Gatekeeper, now: float) -> Iterator[tuple[str, float]]:
+    server_list = gatekeeper.server_list
+    if server_list.known():
+        yield "server_list_age_seconds", round(server_list.age(now), 3)
+    yield "server_list_oldest_seconds", round(gatekeeper.oldest_list_s, 3)
+    yield "platform_reads_total", float(server_list.reads)
+    yield "platform_reads_failed_total", float(server_list.reads_failed)
+    yield "platform_read_seconds", server_list.cost.seconds
+
+
 def _operations(gatekeeper: Gatekeeper) -> Iterator[tuple[str, float]]:
     operations = gatekeeper.operations
     for outcome, count in operations.claims.outcomes.items():
--- a/millfront/gatekeeper/process.py
+++ b/millfront/gatekeeper/process.py
@@ -150,13 +150,13 @@
         self.start(checking())
 
     async def _poll(self, number: int) -> None:
-        entries = None
+        found = None
         try:
-            entries = await listed(self.settings.cloud)
+            found = await listed(self.settings.cloud)
         except PlatformError as fault:
             logger.info("discovery: the platform's list can't be had: {}", fault)
         finally:
-            self.gatekeeper.polled(self.now(), number, entries)
+            self.gatekeeper.polled(self.now(), number, found)
 
     # ---- lifecycle ---------------------------------------------------------------------------------
 
--- a/millfront/invariants.py
+++ b/millfront/invariants.py
@@ -20,6 +20,9 @@
     OPERATION_RUNS_ONCE = "operation_runs_once"
     """A request whose key a majority has granted is the first: no replica knows that it has run."""
 
+    SERVER_NOT_REVIVED = "server_not_revived"
+    """A server that drained or was gone takes no requests again."""
+
     DIRECTORY_NAMES_LIVE = "directory_names_live"
     """An answer of the directory names no member whose newest record is older than the bound for it."""
 
--- a/millfront/membership/gossip.py
+++ b/millfront/membership/gossip.py
@@ -128,6 +128,22 @@
         """Whether this process is among the ``count`` owners of a key, as far as it sees."""
         return self.me.name in holders(key, self.live_names(region), count)
 
+    def first_in_turn(self, key: str) -> str:
+        """The name of whose duty a key is that is taken over in turn.
+
+        Those with a disk come first: whoever is in touch hears them, and where one is lost nobody counts as
+        in touch for a while. Among equals it goes by weight."""
+        return max(self.live(), key=lambda record: self._precedence(key, record)).name
+
+    def turn(self, key: str) -> int:
+        """How many live processes come before this one at that duty."""
+        mine = self._precedence(key, self.me)
+        return sum(self._precedence(key, record) > mine for record in self.live())
+
+    @staticmethod
+    def _precedence(key: str, record: MemberRecord) -> tuple[bool, bytes]:
+        return bool((record.identity or {}).get("core")), weight(key, record.name)
+
     def address(self, name: str) -> str | None:
         """Where a process is reached by others of the system; None where it is not known yet."""
         record = self.records.get(name)
--- a/tests/platform_model.py
+++ b/tests/platform_model.py
@@ -8,6 +8,8 @@
 
 import simpy
 
+from millfront.discovery.server_list import PlatformList
+
 REGION = "a"  # where the platform is
 WAY_S = {True: 0.001, False: 0.02}  # one way, within its region and from another one
 WAYS = 4  # of a page: to connect, there and back, and to ask
@@ -29,22 +31,23 @@
         self.calls = self.refused = 0
         self._answered: deque[float] = deque()  # when, of the last second
 
-    def listed(self, region: str) -> Generator[Any, Any, list[Any] | None]:
+    def listed(self, region: str) -> Generator[Any, Any, PlatformList | None]:
         """Read all pages from a region, as `millfront.discovery.platform_client` does."""
         if self.page is None:
             whole = self._answer(0, len(self.servers))
             yield self.env.timeout(WHOLE_S)
-            return whole
+            return PlatformList(whole) if whole is not None else None
         began, way = self.env.now, WAY_S[region == REGION]
-        entries: list[Any] = []
+        found = PlatformList([], 0)
         for first in range(0, len(self.servers), self.page):
             yield self.env.timeout((WAYS - 1) * way)
             page = self._answer(first, first + self.page)
             yield self.env.timeout(way + WORK_S)
             if page is None or self.env.now - began > GIVEN_UP_S:
                 return None
-            entries += page
-        return entries
+            found.entries += page
+            found.calls += 1
+        return found
 
     def _answer(self, first: int, end: int) -> list[Any] | None:
         """The entries as they are when the call arrives, or none where the platform refuses it."""
--- a/tests/test_departed_members.py
+++ b/tests/test_departed_members.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from millfront.discovery.server_list import POLL_S, STALE_S, ServerList
+from millfront.discovery.server_list import ServerList
 from millfront.membership.gossip import FORGET_S
 from millfront.register.reconfiguration import RELIEVED_S
 from tests.system_world import Node, World, document, members
@@ -104,6 +104,11 @@
 SERVERS = [["i-1", "shop", "10.0.2.1:80", "aa", 3, 0, 0.0]]
 
 
+def later_turn() -> int:
+    """Of a process that asks the platform where three others have not."""
+    return 3
+
+
 def polled(at: float) -> ServerList:
     """A list that the platform gave at that time."""
     server_list = ServerList()
@@ -115,16 +120,16 @@
     old = polled(at=10.0)
     new = ServerList()
     assert new.take(40.0, old.whole(40.0))
-    assert new.known() and new.due(40.0, duty=False, deputy=False)
+    assert new.known() and new.due(40.0, later_turn)
     new.take(10.5, old.whole(10.5))  # the same list once more confirms nothing
-    assert new.due(40.0, duty=False, deputy=False)
+    assert new.due(40.0, later_turn)
 
 
 def test_the_platforms_answer_is_as_old_as_the_question() -> None:
     """A process that stood still between them reads an answer from before."""
     server_list = ServerList()
     server_list.polled(41.0, server_list.begin(1.0), SERVERS)
-    assert server_list.due(41.0, duty=False, deputy=False)
+    assert server_list.due(41.0, later_turn)
     fresh = polled(at=41.0)
-    assert not fresh.due(41.0 + POLL_S / 2, duty=True, deputy=True)
-    assert not fresh.due(41.0 + STALE_S / 2, duty=False, deputy=False)
+    assert not fresh.due(41.0 + fresh.timing.interval(fresh.cost) / 2, lambda: 0)
+    assert not fresh.due(41.0 + fresh.timing.begins(1, fresh.cost) / 2, lambda: 1)
--- a/tests/test_discovery_at_size.py
+++ b/tests/test_discovery_at_size.py
@@ -86,7 +86,7 @@
 def test_the_poller_is_lost_as_a_server_begins_to_drain(seed: int) -> None:
     made = calm_world(seed)
     for number in range(0, 60, 20):
-        made.run(0.1 * seed)
+        made.run(0.1 * (seed + 1))
         for poller in pollers(made):
             poller.kill()
         ident = drain(made, number)
--- a/tests/test_gatekeeper_calls.py
+++ b/tests/test_gatekeeper_calls.py
@@ -660,6 +660,43 @@
     play(story)
 
 
+@pytest.mark.parametrize("ends", ["kept", "said", "unsaid"])
+def test_pages_go_over_one_connection_that_may_end_after_any(ends: str) -> None:
+    """A platform that keeps it open, says that it closes it, or closes it without a word."""
+    connections = 0
+
+    async def paging(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal connections
+        connections += 1
+        while head := await reader.readline():
+            page = int(head.partition(b"page_token=")[2].partition(b" ")[0] or 0)
+            await reader.readuntil(b"\r\n\r\n")
+            entry = {
+                "target": "shop",
+                "address": f"10.0.2.{page}:80",
+                "zone": "aa",
+                "capacity": 3,
+                "phase": "ready",
+            }
+            token = str(page + 1) if page < 3 else None
+            body = json.dumps({"instances": {f"i-{page}": entry}, "next_token": token}).encode()
+            says = b"Connection: close\r\n" if ends == "said" else b""
+            writer.write(b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s" % (says, len(body), body))
+            await writer.drain()
+            if ends != "kept":
+                break
+        writer.close()
+
+    async def story() -> None:
+        server = await asyncio.start_server(paging, "127.0.0.1", 0)
+        found = await listed(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        assert [entry[0] for entry in found.entries] == ["i-0", "i-1", "i-2", "i-3"] and found.calls == 4
+        assert connections == (1 if ends == "kept" else 4)
+        server.close()
+
+    play(story)
+
+
 def test_a_list_whose_second_page_is_refused_is_no_list() -> None:
     async def refusing(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         head = await reader.readuntil(b"\r\n\r\n")
@@ -681,4 +718,4 @@
     server_list.begin(2.0)
     server_list.failed(2.0)
     assert server_list.servers["i-1"].phase.name == "READY"  # what was known stays
-    assert not server_list.due(2.1, True, True) and server_list.due(2.6, True, True)  # and the platform rests
+    assert not server_list.due(2.1, lambda: 0) and server_list.due(2.6, lambda: 0)  # and the platform rests
--- a/tests/test_rules_together.py
+++ b/tests/test_rules_together.py
@@ -346,10 +346,14 @@
 def test_stores_that_begin_full_are_found_when_most_restart_in_a_rush(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    sound = Story(11, 4, 1).tell(10.0, faults=("herd",))
-    assert not found(sound, "QUOTA")
+    """Which seed shows it hangs on the order of messages: of eight one must, and none where all is sound."""
+
+    def stories() -> list[bool]:
+        return [bool(found(Story(11, 4, seed).tell(10.0, faults=("herd",)), "QUOTA")) for seed in range(1, 9)]
+
+    assert not any(stories())
     monkeypatch.setattr(admission, "FIRST_STORE", 1.0)
-    assert found(Story(11, 4, 1).tell(10.0, faults=("herd",)), "QUOTA")
+    assert any(stories())
 
 
 def test_nodes_that_count_one_that_is_cut_off_as_idle_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_server_list.py
+++ b/tests/test_server_list.py
@@ -92,3 +92,18 @@
     if not third.take(2.1, later):
         assert third.take(2.2, other.whole(2.2))
     assert third.servers["i-1"].phase is Phase.DRAINING
+
+
+def test_a_life_that_ended_is_not_learnt_again_from_an_old_list_after_it_is_forgotten() -> None:
+    held, old = ServerList("held"), ServerList("old")
+    entry = ["i-1", "shop", "10.0.2.1:80", "aa", 3, 0, 0.0]
+    assert old.polled(1.0, old.begin(1.0), [entry]) is not None
+    assert held.take(1.1, old.whole(1.1))
+    for at in range(2, 80):
+        assert held.polled(float(at), held.begin(float(at)), []) is not None
+    assert "i-1" not in held.servers
+    old.number = held.number + 1  # one that was away, and numbers its list anew
+    assert held.take(80.0, old.whole(80.0))
+    assert "i-1" not in held.servers
+    assert held.polled(81.0, held.begin(81.0), [entry]) is not None
+    assert "i-1" not in held.servers
