--- a/millfront/rehearsal/system.py
+++ b/millfront/rehearsal/system.py
@@ -12,6 +12,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -21,17 +22,19 @@
 import time
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from types import TracebackType
 from typing import Any, Self
 
 from millfront.rehearsal.links import Links
+from millfront.rehearsal.servers import PeerServer
 
 ROOT = Path(__file__).parents[2]
 REGIONS = {"north": "a", "south": "a", "east": "b", "west": "b", "far": "b"}  # zone, which is the name, too
 HOST = "shop.example"
 START_S = 20.0
+MOST_PROCESSES = 1000
+ENDS_S = 10.0  # a process that was killed
 LOOK_S = 0.05
 CALL_S = 8.0  # a PUT is answered 4 s after it came, at the latest
 PAUSE_S = 0.3  # as Retry-After says
@@ -90,73 +93,6 @@
     })  # fmt: skip
 
 
-class PeerServer(ThreadingHTTPServer):
-    """Listens for `Peer`, and keeps which orders ran."""
-
-    daemon_threads = True
-
-    def __init__(self) -> None:
-        super().__init__(("127.0.0.1", 0), Peer)
-        self.orders: dict[str, list[str]] = {}  # by operation key, the seal of each run
-        self.lost_share = 0.0  # of the orders that run, whose answer is lost
-        self.random = random.Random(0)
-        self._lock = threading.Lock()
-
-    def handle_error(self, request: Any, client_address: Any) -> None:
-        """Who asked was killed."""
-
-    def run_order(self, key: str) -> tuple[str, bool]:
-        """An order runs: its seal, and whether its answer is lost."""
-        with self._lock:
-            runs = self.orders.setdefault(key, [])
-            runs.append(f"{key}.{len(runs)}")
-            return runs[-1], self.random.random() < self.lost_share
-
-
-class Peer(BaseHTTPRequestHandler):
-    """The platform's list of one server, and that server."""
-
-    protocol_version = "HTTP/1.1"
-
-    def log_message(self, format: str, *args: object) -> None:
-        pass
-
-    def do_GET(self) -> None:
-        self.rfile.read(int(self.headers.get("Content-Length", 0)))
-        stamps = {"Millfront-Attempt-Id": self.headers.get("Millfront-Attempt-Id", "")}
-        if self.path.startswith("/instances"):
-            assert isinstance(self.server, ThreadingHTTPServer)
-            here = f"127.0.0.1:{self.server.server_port}"
-            server = {"target": "shop", "address": here, "zone": "north", "revision": "v1",
-                      "capacity": 8, "phase": "ready", "warm_left": "0ms"}  # fmt: skip
-            body, stamps = json.dumps({"instances": {"i-0": server}, "next_token": None}).encode(), {}
-        else:
-            body, stamps = b"a page\n", stamps | {"Millfront-Server-Seal": "i-0.1"}
-        self.send_response(200)
-        for name, value in stamps.items():
-            self.send_header(name, value)
-        self.send_header("Content-Length", str(len(body)))
-        with contextlib.suppress(OSError):  # who asked was killed
-            self.end_headers()
-            self.wfile.write(body)
-
-    def do_POST(self) -> None:
-        self.rfile.read(int(self.headers.get("Content-Length", 0)))
-        assert isinstance(self.server, PeerServer)
-        seal, lost = self.server.run_order(self.headers.get("Millfront-Operation-Key", ""))
-        if lost:
-            self.close_connection = True
-            return
-        body = f"order {seal}\n".encode()
-        self.send_response(200)
-        self.send_header("Millfront-Attempt-Id", self.headers.get("Millfront-Attempt-Id", ""))
-        self.send_header("Millfront-Server-Seal", seal)
-        self.send_header("Content-Length", str(len(body)))
-        with contextlib.suppress(OSError):  # who asked was killed
-            self.end_headers()
-            self.wfile.write(body)
-
-
 def free_ports(count: int) -> list[int]:
     """On 127.0.0.1; the system's addresses are others, which nobody else uses."""
     with contextlib.ExitStack() as held:
@@ -167,23 +103,49 @@
 
 
 class System:
-    """Gatekeepers 0 to `count` - 1, all of the core, zones in two regions; `with` ends what it started."""
+    """Gatekeepers 0 to `count` - 1, the first `disks` of the core, zones in two regions; `with` ends what it
+    started."""
 
-    def __init__(self, folder: Path, count: int = 4, seed: int = 0, bounds: Mapping[str, str] = {}) -> None:
-        """:param bounds: times of the rules, in the settings' form (``{"revoke_within": "5s"}``)"""
-        assert count <= len(REGIONS)
+    def __init__(
+        self,
+        folder: Path,
+        count: int = 4,
+        seed: int = 0,
+        bounds: Mapping[str, str] = {},
+        *,
+        disks: int | None = None,
+        relays: bool = True,
+        servers: int = 1,
+    ) -> None:
+        """:param bounds: times of the rules, in the settings' form (``{"revoke_within": "5s"}``)
+        :param disks: machines that have one; None: all
+        :param relays: with a door on each link; without, for many processes, none can be cut off
+        :param servers: there are at the start, over all zones
+        """
         self.folder, self.count, self.bounds = folder, count, dict(bounds)
+        self.disks, self.relays = count if disks is None else disks, relays
         self.plain, self.ctl, port = free_ports(3)
         self.links = Links(count, port, random.Random(seed))
-        self.peer = PeerServer()
+        self.zones = list(REGIONS)[:count]
+        self.peer = PeerServer([self.zone(number) for number in range(servers)])
         self.running: dict[int, subprocess.Popen[bytes]] = {}
-        self.names = list(REGIONS)[:count]
+        rounds = [number // len(self.zones) for number in range(count)]
+        self.names = [f"{self.zone(n)}-{rounds[n]}" if rounds[n] else self.zone(n) for n in range(count)]
         self._attempt = itertools.count(1)
 
+    def zone(self, number: int) -> str:
+        """Of a gatekeeper."""
+        return self.zones[number % len(self.zones)]
+
+    def has_disk(self, number: int) -> bool:
+        """Whether a gatekeeper keeps control state, and so counts for the core."""
+        return number < self.disks
+
     def __enter__(self) -> Self:
         threading.Thread(target=self.peer.serve_forever, daemon=True).start()
         try:
-            self.links.open()
+            if self.relays:
+                self.links.open()
             for number in range(self.count):
                 self.start(number, fresh=True)
         except BaseException:
@@ -197,8 +159,11 @@
         self.close()
 
     def close(self) -> None:
-        for number in list(self.running):
-            self.kill(number)
+        for process in self.running.values():
+            process.kill()
+        for process in self.running.values():
+            process.wait(ENDS_S)
+        self.running.clear()
         self.links.close()
         self.peer.shutdown()
         self.peer.server_close()
@@ -210,23 +175,25 @@
 
     def settings(self, number: int, fresh: bool) -> Path:
         """The settings file of one gatekeeper."""
-        ip, zone = self.links.front(number), self.names[number]
+        ip, zone, name = self.links.front(number), self.zone(number), self.names[number]
         seeds = [f"{self.links.front(other)}:{self.ctl}" for other in range(min(3, self.count))]
         bound = dict.fromkeys(("ctl", "lookup", "readiness"), f"{ip}:{self.ctl}")
         bound["plain"] = f"{ip}:{self.plain}"
         lines = [
-            "[self]", f'node_name = "{zone}"', f'ip_addr = "{ip}"', f'zone = "{zone}"',
+            "[self]", f'node_name = "{name}"', f'ip_addr = "{ip}"', f'zone = "{zone}"',
             f'region = "{REGIONS[zone]}"', 'serves = ["edge", "control", "directory"]',
-            f"fresh = {'true' if fresh else 'false'}", "counts_loss = true",
-            f'state_dir = "{self.disk(number)}"', "[self.limits]", "fd_limit = 1000",
+            f"fresh = {'true' if fresh else 'false'}",
+            *([f'state_dir = "{self.disk(number)}"', "counts_loss = true"] if self.has_disk(number) else []),
+            "[self.limits]", "fd_limit = 1000",
             "[network]", f"port_range = [{self.links.port}, {self.links.port}]",
-            f'listen_ip = "{self.links.behind(number)}"', f"seed_nodes = {json.dumps(seeds)}",
-            "[network.bindings]", *(f'{name} = "{address}"' for name, address in bound.items()),
-            "[network.zones]", *(f'{name} = "{REGIONS[name]}"' for name in self.names),
+            *([f'listen_ip = "{self.links.behind(number)}"'] if self.relays else []),
+            f"seed_nodes = {json.dumps(seeds)}",
+            "[network.bindings]", *(f'{what} = "{address}"' for what, address in bound.items()),
+            "[network.zones]", *(f'{one} = "{REGIONS[one]}"' for one in self.zones),
             "[platform.cloud_api]", f'address = "127.0.0.1:{self.peer.server_port}"',
-            "[terms.bounds]", *(f'{name} = "{value}"' for name, value in self.bounds.items()),
+            "[terms.bounds]", *(f'{one} = "{value}"' for one, value in self.bounds.items()),
         ]  # fmt: skip
-        path = self.folder / f"{zone}.toml"
+        path = self.folder / f"{name}.toml"
         path.write_text("\n".join(lines) + "\n")
         return path
 
@@ -238,11 +205,31 @@
 
     def kill(self, number: int, wipe: bool = False) -> None:
         """:param wipe: its disk is lost, too"""
-        process = self.running.pop(number)
-        process.kill()
-        process.wait(10)
-        if wipe:
-            shutil.rmtree(self.disk(number))
+        self.lose_power([number], [number] if wipe else [])
+
+    def terminate(self, number: int) -> subprocess.Popen[bytes]:
+        """Ask it to end in order (SIGTERM); who waits for the process returned takes it off `running`."""
+        process = self.running[number]
+        process.terminate()
+        return process
+
+    def reload(self, number: int) -> None:
+        """Its settings file is to be read anew (SIGHUP)."""
+        self.running[number].send_signal(signal.SIGHUP)
+
+    def fill_disk(self, number: int, full: bool) -> None:
+        """Whether each write to a file is refused, as on a full disk; its log is silent meanwhile."""
+        limit = 0 if full else resource.RLIM_INFINITY
+        resource.prlimit(self.running[number].pid, resource.RLIMIT_FSIZE, (limit, resource.RLIM_INFINITY))
+
+    def lose_power(self, numbers: Iterable[int], wipe: Iterable[int] = ()) -> None:
+        """All of these at the same moment; of some the disk is lost, too."""
+        for number in numbers:
+            self.running[number].send_signal(signal.SIGKILL)
+        for number in numbers:
+            self.running.pop(number).wait(ENDS_S)
+        for number in wipe:
+            shutil.rmtree(self.disk(number), ignore_errors=True)
 
     def freeze(self, number: int) -> None:
         self.running[number].send_signal(signal.SIGSTOP)
@@ -339,15 +326,29 @@
         answer = self.call(number, "GET", f"/v1/resolve?region={region}", within=1.0)
         return list(answer.json()["addresses"]) if answer.status == 200 else []
 
+    def attempt(self, number: int) -> str:
+        """The id of a new try at that gatekeeper."""
+        return str(next(self._attempt) * MOST_PROCESSES + number)
+
+    def process_of(self, attempt: str) -> int | None:
+        """At which gatekeeper a try was made; None where the id is none of ours."""
+        return int(attempt) % MOST_PROCESSES if attempt.isdecimal() else None
+
+    def client_fields(self, key: str, attempt: str) -> dict[str, str]:
+        """The header of a client's request."""
+        return {"Host": HOST, "Authorization": f"Token {key}", "Millfront-Deadline-Ms": "3000",
+                "Millfront-Attempt-Id": attempt}  # fmt: skip
+
     def order(self, number: int, key: str, operation: str) -> Answer:
         """A client's request with an operation key."""
-        fields = {"Host": HOST, "Authorization": f"Token {key}", "Millfront-Deadline-Ms": "3000",
-                  "Millfront-Attempt-Id": str(next(self._attempt)),
-                  "Millfront-Operation-Key": operation}  # fmt: skip
+        fields = self.client_fields(key, self.attempt(number)) | {"Millfront-Operation-Key": operation}
         return self.call(number, "POST", "/orders/1", "one", fields=fields, port=self.plain, within=4.0)
 
     def page(self, number: int, key: str) -> int:
         """The status of a client's request with that key."""
-        fields = {"Host": HOST, "Authorization": f"Token {key}", "Millfront-Deadline-Ms": "3000",
-                  "Millfront-Attempt-Id": str(next(self._attempt))}  # fmt: skip
+        fields = self.client_fields(key, self.attempt(number))
         return self.call(number, "GET", "/pages/1", fields=fields, port=self.plain).status
+
+    def evacuate(self, number: int, zone: str, on: bool) -> Answer:
+        """An operator's call: a zone's servers are to get nothing, or again something."""
+        return self.call(number, "POST" if on else "DELETE", f"/v1/evacuation/{zone}")
