--- a/tests/test_operation_claims.py
+++ b/tests/test_operation_claims.py
@@ -133,6 +133,34 @@
         node.thaw()
 
 
+def ends_in_turn(story: Story) -> Process:
+    """Those with a disk get SIGTERM one after another, and each starts again soon after its end."""
+    for number in (0, 1, 2, 3, 0, 1):
+        node = story.world.nodes[number]
+        if node.gatekeeper is None:
+            continue
+        node.leave()
+        while node.gatekeeper is not None:
+            yield story.world.env.timeout(0.1)
+        yield story.world.env.timeout(story.random.uniform(0.3, 1.0))
+        node.start()
+        yield story.world.env.timeout(story.random.uniform(0.5, 3.0))
+
+
+def full_disks(story: Story) -> Process:
+    """One disk after another refuses every write for a while; now and then its process is killed, too."""
+    for _ in range(4):
+        yield story.world.env.timeout(story.random.uniform(1.0, 2.0))
+        node = story.world.nodes[story.random.randrange(4)]
+        node.refuses = True
+        yield story.world.env.timeout(story.random.uniform(0.5, 2.5))
+        node.refuses = False
+        if story.random.random() < 0.5:
+            node.kill()
+            yield story.world.env.timeout(0.5)
+            node.start()
+
+
 def play(seed: int, troubles: tuple[Trouble, ...]) -> Story:
     story = Story(seed)
     story.world.lost_answers = 0.02
@@ -145,7 +173,7 @@
 @pytest.mark.parametrize("seed", [1, 2, 3])
 @pytest.mark.parametrize(
     "troubles",
-    [(), (wipes,), (kills, cuts), (freezes, cuts), (wipes, freezes)],
+    [(), (wipes,), (kills, cuts), (freezes, cuts), (wipes, freezes), (full_disks,)],
     ids=lambda them: "+".join(t.__name__ for t in them) or "calm",
 )
 def test_no_key_runs_twice_and_a_repeat_is_given_the_first_answer(
@@ -157,6 +185,30 @@
     assert story.outcomes[Outcome.REPEAT] > 50
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_no_key_runs_twice_while_members_end_in_order_and_come_back(seed: int) -> None:
+    story = Story(seed)
+    story.world.env.process(ends_in_turn(story))
+    story.clients(35.0, keys=120)
+    assert story.faults() == []
+    assert len(story.runs) > 60
+
+
+def test_what_a_full_disk_did_not_take_is_kept_once_it_does() -> None:
+    """A replica that gathers while its disk is full is complete once all that it was told is on its disk."""
+    made = store({})
+    made.gathered(1.0, {"o": Operation("a", 0.0).row()})
+    batch = made.next_batch()
+    assert batch is not None and "o" in batch.rows
+    made.synced(batch, well=False)
+    assert not made.complete and made.next_batch() is None  # not at once: the disk would be asked without end
+    made.tick(1.25)
+    again = made.next_batch()
+    assert again is not None and again.rows.keys() == {"o", COMPLETE}
+    made.synced(again, well=True)
+    assert made.complete
+
+
 def test_after_a_loss_of_power_of_all_no_key_runs_again() -> None:
     story = Story(7)
     story.clients(6.0, keys=40)
