Operation keys: a member that was out of the core gathers when it is back

The mark of a complete disk held for ever: a member that had ended in order came back with it, lacked what was claimed meanwhile, and with one more like it was a majority. Rows that a full disk refused were dropped, the mark was not. Change: the mark names the core's epoch, and is carried on only by members without a gap; gathering is for members alone, and waits for N - W + 1 others in place of W, so that two of four may gather at a time; refused rows are put again at the next beat.

--- a/millfront/gatekeeper/operations.py
+++ b/millfront/gatekeeper/operations.py
@@ -27,7 +27,7 @@
     Records,
     Withdraw,
 )
-from millfront.operations.store import Batch, OperationStore, Reply
+from millfront.operations.store import NO_EPOCH, Batch, OperationStore, Reply
 from millfront.register.recovery import SELF
 from millfront.register.values import CORE, Core
 
@@ -55,6 +55,7 @@
             window = settings.bounds.dedupe_window
             self.store = OperationStore(kept, settings.fresh, window, gatekeeper.now)
         self.gathering = Gathering(self.name, gatekeeper.now)
+        self._core_seen = 0  # the epoch that the store was told of last
 
     # ---- Peers ---------------------------------------------------------------------------------------
 
@@ -100,6 +101,7 @@
                 self._call(now, via, message, self.store)
 
     def _call(self, now: float, via: Any, message: Message, store: OperationStore) -> None:
+        self._look_at_core(now, store)
         kind, epoch = message["t"], self._epoch()
         if kind == CLAIM:
             self._reply(store.claim(now, via, Claim.of(message), epoch))
@@ -118,6 +120,16 @@
             return 0
         return replica.values[CORE].version
 
+    def _look_at_core(self, now: float, store: OperationStore) -> None:
+        """Tell the store of a change of the core that this process's replica knows of."""
+        replica = self.gatekeeper.replica
+        value = replica.values.get(CORE) if replica is not None else None
+        if value is None or value.version <= self._core_seen:
+            return
+        self._core_seen = value.version
+        core = Core.of(value)
+        store.core_is(now, core.epoch, self.name in (core.old or core.members))
+
     def _reply(self, replies: list[Reply]) -> None:
         for reply in replies:
             message = reply.message | {"m": self.name}
@@ -152,14 +164,16 @@
         store, core = self.store, self.core()
         if store is None:
             return
-        store.tick(now)
-        if not store.complete and core is not None and self._epoch() == core.epoch:
+        self._look_at_core(now, store)
+        member = core is not None and self._epoch() == core.epoch and self.name in core.all
+        store.tick(now, core.epoch if core is not None and member else NO_EPOCH)
+        if core is not None and member and not store.complete:
             self._gather(now, core, store)
         self._flush()
 
     def _gather(self, now: float, core: Core, store: OperationStore) -> None:
         if (rows := self.gathering.found(core)) is not None:
-            store.gathered(now, rows)
+            store.gathered(now, rows, core.epoch)
             return
         for name, message in self.gathering.beat(now, core):
             self.send(name, message)
--- a/millfront/operations/gathering.py
+++ b/millfront/operations/gathering.py
@@ -1,14 +1,14 @@
 """A replica that may have forgotten claims gathers them from the others before it grants any. No I/O, no
 clock.
 
-It asks all other members of the core, page by page, until a majority of the core has told it all: whoever
-holds a claim that was granted before is among them.
+It asks all other members of the core, page by page, until so many complete ones have told it all that one of
+them has any claim that was granted before: of N members W hold it, so N - W + 1.
 """
 
 from dataclasses import dataclass, field
 
 from millfront.operations.messages import Gather, Message, Records
-from millfront.register.values import Core, write_quorum
+from millfront.register.values import Core, read_quorum
 
 AGAIN_S = 0.5  # a page that has not come is asked for again
 BEGIN_S = 1.0  # after its start: what was claimed at its earlier life is decided by then
@@ -60,12 +60,12 @@
         return Gather(self._epoch, told.after).wire()
 
     def found(self, core: Core) -> dict[str, str] | None:
-        """All that was told, once a majority of the core has told all; None before."""
+        """All that was told, once enough of the core have told all; None before."""
         whole = {name: told for name, told in self._told.items() if told.whole}
         if not whole or core.epoch != self._epoch:
             return None
         for part in core.sets:
-            needed = min(write_quorum(len(part)), len(part) - 1)
+            needed = min(read_quorum(len(part)), len(part) - 1)
             if len(whole.keys() & part.keys()) < needed:
                 return None
         rows: dict[str, str] = {}
--- a/millfront/operations/store.py
+++ b/millfront/operations/store.py
@@ -3,9 +3,10 @@
 
 A claim is granted to the first request that asks, and to no other until it is withdrawn or the window is
 over; it is synced before it is granted. Syncs are batched: while one is under way, what comes waits for the
-next. A replica that may have forgotten claims (its disk was lost, it is a new member) is not complete: it
-grants nothing until it has gathered the records of so many others that each majority has one of them, or
-until all that it can have forgotten is past the window.
+next. A replica that may lack claims (its disk was lost, it is a new member, it was out of the core for a
+while) is not complete: it grants nothing until it has gathered the records of so many others that each
+majority has one of them, or until all that it can lack is past the window. The mark of a complete disk names
+the epoch of the core under which it was made.
 
 Times are seconds on the caller's clock. What is read from the disk counts from the reading: longer than need
 be, never shorter. Derivation: docs/design/operation-keys.md.
@@ -29,7 +30,9 @@
     Withdraw,
 )
 
-COMPLETE = "complete"  # the row that marks a disk that has forgotten nothing
+COMPLETE = "complete"  # the row that marks a disk that lacks nothing, with the epoch as of which
+NO_EPOCH = 0  # of a mark that was made before the first core
+SEEN_EPOCHS = 2  # that one core tells of: its own, and the one before it
 MARGIN_S = 5.0  # beyond the window: a request is claimed a moment after it was sent
 PAGE = 300  # records in one answer to a replica that gathers
 ANSWERS_BYTES = 16 * 1024 * 1024  # of all answers kept here; one beyond that is known as UNKNOWN
@@ -101,17 +104,36 @@
         """
         self.window, self.born = window, now
         self.complete = COMPLETE in kept or fresh
+        self.epoch = int(kept.get(COMPLETE, NO_EPOCH))  # as of which it is complete
+        self.incomplete_since = now
         self.operations = {name: Operation.of(row, now) for name, row in kept.items() if name != COMPLETE}
         self.answers_bytes = sum(self._size(operation) for operation in self.operations.values())
         self._next, self._syncing = Batch(), False
         self._swept = now
         if self.complete and COMPLETE not in kept:
-            self._next.put(COMPLETE, "1")
+            self._next.put(COMPLETE, str(self.epoch))
+        self._refused = Batch()  # what the disk did not take, to be put again
 
     @staticmethod
     def _size(operation: Operation) -> int:
         return operation.answer.size if operation.answer is not None else 0
 
+    # ---- the core ----------------------------------------------------------------------------------
+
+    def core_is(self, now: float, epoch: int, stays: bool) -> None:
+        """The core in force is of that epoch: who was out of one lacks what was claimed under it.
+
+        :param stays: whether this replica is of that core and was of the one before
+        """
+        if epoch <= self.epoch or not self.complete:
+            return
+        if stays and epoch - self.epoch <= SEEN_EPOCHS:
+            self.epoch = epoch
+            self._next.put(COMPLETE, str(epoch))
+            return
+        self.complete, self.incomplete_since = False, now
+        self._next.remove(COMPLETE)
+
     # ---- calls -------------------------------------------------------------------------------------
 
     def claim(self, now: float, via: Any, claim: Claim, epoch: int) -> list[Reply]:
@@ -197,15 +219,32 @@
         replies = [self._claimed(via, claim, verdict) for via, claim in batch.granted]
         if well:
             return replies + batch.replies
-        self._next.drop |= batch.drop - self._next.rows.keys()
         for _, claim in batch.granted:
             self.withdraw(Withdraw(claim.operation, claim.attempt))
+            batch.rows.pop(claim.operation, None)
+        self._refused.drop |= batch.drop
+        self._refused.rows |= batch.rows
+        self._refused.completes |= batch.completes
         return replies
 
+    def _put_again(self) -> None:
+        """What the disk refused goes into the next batch, unless something newer is there."""
+        refused, self._refused = self._refused, Batch()
+        for name in refused.drop - self._next.rows.keys():
+            self._next.remove(name)
+        for name, row in refused.rows.items():
+            if name not in self._next.rows and name not in self._next.drop:
+                self._next.put(name, row)
+        self._next.completes |= refused.completes and COMPLETE in self._next.rows
+
     # ---- time --------------------------------------------------------------------------------------
 
-    def tick(self, now: float) -> None:
-        """Forget what is past the window; called now and then."""
+    def tick(self, now: float, epoch: int) -> None:
+        """Forget what is past the window, and put again what the disk refused; called now and then.
+
+        :param epoch: of the core in force, if this replica votes in it, else `NO_EPOCH`
+        """
+        self._put_again()
         if now - self._swept < SWEEP_S:
             return
         self._swept = now
@@ -213,19 +252,22 @@
         for name in [name for name, held in self.operations.items() if held.since < oldest]:
             self._forget(name)
             self._next.remove(name)
-        if not self.complete and self.born < oldest:
-            self._become_complete()  # whatever it has forgotten is past the window
+        if epoch == NO_EPOCH:
+            self.incomplete_since = now  # what is claimed meanwhile passes it by
+        elif not self.complete and self.incomplete_since < oldest:
+            self._become_complete(epoch)  # whatever it lacks is past the window
 
-    def gathered(self, now: float, rows: dict[str, str]) -> None:
-        """What enough others hold; once it is synced this replica is complete."""
+    def gathered(self, now: float, rows: dict[str, str], epoch: int) -> None:
+        """What enough others of the core of that epoch hold; once it is synced, this replica is complete."""
         for name, row in rows.items():
             if name not in self.operations:
                 self.operations[name] = Operation.of(row, now)
                 self._next.put(name, row)
-        self._become_complete()
+        self._become_complete(epoch)
 
-    def _become_complete(self) -> None:
-        self._next.put(COMPLETE, "1")
+    def _become_complete(self, epoch: int) -> None:
+        self.epoch = epoch
+        self._next.put(COMPLETE, str(epoch))
         self._next.completes = True
 
     def _forget(self, name: str) -> None:
--- a/tests/test_operation_claims.py
+++ b/tests/test_operation_claims.py
@@ -197,12 +197,12 @@
 def test_what_a_full_disk_did_not_take_is_kept_once_it_does() -> None:
     """A replica that gathers while its disk is full is complete once all that it was told is on its disk."""
     made = store({})
-    made.gathered(1.0, {"o": Operation("a", 0.0).row()})
+    made.gathered(1.0, {"o": Operation("a", 0.0).row()}, epoch=2)
     batch = made.next_batch()
     assert batch is not None and "o" in batch.rows
     made.synced(batch, well=False)
     assert not made.complete and made.next_batch() is None  # not at once: the disk would be asked without end
-    made.tick(1.25)
+    made.tick(1.25, epoch=2)
     again = made.next_batch()
     assert again is not None and again.rows.keys() == {"o", COMPLETE}
     made.synced(again, well=True)
@@ -279,13 +279,37 @@
     empty = store({})
     [reply] = empty.claim(1.0, "via", Claim("o", "a", 2), 2)
     assert reply.message["v"] == "no"
-    empty.tick(WINDOW_S + MARGIN_S + 1.0)
+    empty.tick(WINDOW_S + MARGIN_S + 1.0, epoch=2)
     batch = empty.next_batch()
-    assert batch is not None and batch.rows == {COMPLETE: "1"} and not empty.complete
+    assert batch is not None and batch.rows == {COMPLETE: "2"} and not empty.complete
     empty.synced(batch, well=True)
     assert empty.complete
 
 
+def test_one_that_is_out_of_the_core_does_not_become_complete_by_waiting() -> None:
+    out = store({COMPLETE: "2"})
+    out.core_is(1.0, 4, stays=False)
+    for at in range(2, 200, 5):
+        out.tick(float(at), epoch=0)
+    out.core_is(200.0, 6, stays=False)
+    out.tick(201.0, epoch=6)
+    assert not out.complete
+    batch = out.next_batch()
+    assert batch is not None and batch.drop == {COMPLETE} and not batch.completes
+
+
+@pytest.mark.parametrize(
+    ("epoch", "stays", "complete"),
+    [(2, True, True), (3, True, True), (4, True, True), (5, True, False), (4, False, False)],
+)
+def test_the_mark_of_a_disk_holds_for_cores_that_follow_without_a_gap(
+    epoch: int, stays: bool, complete: bool
+) -> None:
+    made = store({COMPLETE: "2"})
+    made.core_is(1.0, epoch, stays)
+    assert made.complete is complete
+
+
 def test_a_claim_is_granted_once_it_is_synced_and_not_by_a_disk_that_refuses() -> None:
     made = store({COMPLETE: "1"})
     assert made.claim(1.0, "via", Claim("o", "a", 2), 2) == []
