No request is sent by a list of servers that is too old

Change: a list is gone by for drain_within less 0.3 s; after that requests get 503 with Retry-After, are not written, and the process is not ready, so that clients go elsewhere. While those whose turn it is get nothing from the platform they say so, and what is held goes on. Nothing is listed anew where no server has changed.

--- a/millfront/dataplane/proxy.py
+++ b/millfront/dataplane/proxy.py
@@ -176,6 +176,9 @@
         request.caller = caller
         now = self.now()
         self.open += 1
+        if not self.gatekeeper.server_list.in_time(now):
+            self.refuse(request, 503, AGAIN_S)
+            return None
         if request.tenant is not None:
             if not self.gatekeeper.trusted(now):
                 self.refuse(request, 503, AGAIN_S)
--- a/millfront/discovery/platform_client.py
+++ b/millfront/discovery/platform_client.py
@@ -11,18 +11,26 @@
 import h11
 
 from millfront.discovery.polling import MOST_READ_S
-from millfront.discovery.server_list import PlatformList, told_by_platform
+from millfront.discovery.server_list import PlatformList, ReadFailure, told_by_platform
 from millfront.environment import seconds
 
 MOST_PAGES = 40
 MOST_BYTES = 4 * 1024 * 1024
 READ = 64 * 1024
-OK = 200
+OK, TOO_MANY_REQUESTS = 200, 429
 
 
 class PlatformError(Exception):
     """The platform gave no list."""
 
+    def __init__(self, why: str, failure: ReadFailure = ReadFailure.UNREACHABLE) -> None:
+        super().__init__(why)
+        self.failure = failure
+
+
+class TooManyCallsError(ValueError):
+    """The platform has had more calls than it takes."""
+
 
 async def listed(address: str) -> PlatformList:
     """All entries, page by page.
@@ -32,6 +40,8 @@
     connection = PlatformConnection(address)
     try:
         return await asyncio.wait_for(_pages(connection), MOST_READ_S)
+    except TooManyCallsError as wrong:
+        raise PlatformError(repr(wrong), ReadFailure.REFUSED) from None
     except (OSError, ValueError, KeyError, TypeError, AttributeError, h11.ProtocolError) as wrong:
         raise PlatformError(repr(wrong)) from None
     finally:
@@ -66,12 +76,15 @@
     async def get(self, target: str) -> dict[str, Any]:
         """The object that a call is answered with.
 
+        :raises TooManyCallsError: it is over the platform's bound
         :raises ValueError: the answer is another status, too long, cut short, or no object
         """
         try:
             status, body = await self._call(target)
         except ClosedError:
             status, body = await self._call(target)
+        if status == TOO_MANY_REQUESTS:
+            raise TooManyCallsError(f"status {status}")
         if status != OK:
             raise ValueError(f"status {status}")
         page = json.loads(body)
--- a/millfront/discovery/polling.py
+++ b/millfront/discovery/polling.py
@@ -17,6 +17,7 @@
 SETTLE_S = 1.0  # after a start, until others have been heard of: the list may be had from them
 MOST_READ_S = 0.9  # a longer one is given up; what seems longer is of a process that stood still
 REST_S = 0.5  # after a call that failed, of the first in turn
+REACH_S = 0.3  # from the choice of a server until it has the request, on a link that others use, too
 RATE_SHARE = 0.5  # of the platform's bound on calls that takers-over use
 
 
@@ -64,6 +65,10 @@
         """From a start until a gatekeeper that has no list from others asks for itself."""
         return SETTLE_S + turn * self.step(cost)
 
+    def valid(self) -> float:
+        """Age up to which a list, or the word that the platform gives none, is gone by."""
+        return self.drain_within - REACH_S
+
     def rest(self, turn: int) -> float:
         """After a call that failed: longer for later turns, so that all of them together stay few."""
         return REST_S * (1 + turn)
--- a/millfront/discovery/server_list.py
+++ b/millfront/discovery/server_list.py
@@ -11,7 +11,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
-from enum import IntEnum
+from enum import Enum, IntEnum
 from typing import Any
 
 from millfront.discovery.polling import LOOK_S, SETTLE_S, TURNS, PollTiming, ReadCost
@@ -58,6 +58,13 @@
 Told = list[Any]  # ident, service, address, zone, capacity, draining, cold seconds left
 
 
+class ReadFailure(Enum):
+    """Why a read of the platform's list gave nothing."""
+
+    REFUSED = "over the platform's bound on calls"
+    UNREACHABLE = "no whole answer in time, or none that can be used"
+
+
 @dataclass(slots=True)
 class PlatformList:
     """What the platform gave: all entries, and how many calls that took."""
@@ -96,11 +103,12 @@
         self.number = 0  # the fence: of the list held
         self.asker = ""  # who asked the platform for it: two may ask at once, and give it one number
         self.heard = NEVER  # as of when it is held: the platform was asked for it then, or later
+        self.silent = NEVER  # as of when the platform is known to have given nothing to whose turn it was
         self.asked = NEVER  # when the call under way began
         self.asking = False
         self.rests_until = NEVER
         self.reads = self.reads_failed = 0
-        self.version = 0  # rises with each change
+        self.version = 0  # rises with each change of what is known of servers
         self._ended: dict[str, float] = {}  # lives that are over and forgotten, and when that was noted
 
     @property
@@ -116,6 +124,12 @@
         """Seconds since the platform was asked for what is held, at most; infinite where nothing is."""
         return now - self.heard if self.known() else math.inf
 
+    def in_time(self, now: float) -> bool:
+        """Whether a request may be sent by this list: no server that it calls ready can drain for too long.
+
+        While the platform gives nothing no later list could be had, and what is held goes on."""
+        return self.known() and now - max(self.heard, self.silent) <= self.timing.valid()
+
     def late(self, now: float) -> bool:
         """Whether the first two in turn have missed their polls, as far as heard here."""
         return self.age(now) > self.timing.begins(TURNS, self.cost)
@@ -138,10 +152,24 @@
         self.asking, self.asked = True, now
         return self.number + 1
 
-    def failed(self, now: float, turn: int = 0) -> None:
-        """The call to the platform gave nothing: this process rests before it asks again."""
+    def failed(
+        self, now: float, turn: int = 0, failure: ReadFailure = ReadFailure.UNREACHABLE
+    ) -> Message | None:
+        """The read gave nothing: this process rests before it asks again.
+
+        :return: what the others are to be told; None: it says nothing of the platform, since others used up
+            its calls, or it was hardly this one's turn, and the cause may lie here
+        """
         self.asking, self.rests_until = False, now + self.timing.rest(turn)
         self.reads_failed += 1
+        if failure is ReadFailure.REFUSED or turn > TURNS:
+            return None
+        self.silent = max(self.silent, self.asked)
+        return {"t": "unlisted", "a": round(now - self.asked, 3)}
+
+    def take_silence(self, now: float, message: Message) -> None:
+        """Another process's word that the platform gave it nothing."""
+        self.silent = max(self.silent, now - message["a"])
 
     def polled(self, now: float, number: int, entries: list[Told], calls: int = 1) -> Message | None:
         """The platform's whole answer to the read of that number: what the others are to be told.
@@ -204,7 +232,7 @@
                 self._entry(now, entry)
             for ident in message["g"]:
                 if ident in self.servers:
-                    self.servers[ident].become(Phase.GONE, now)
+                    self._become(self.servers[ident], Phase.GONE, now)
             self._note(now, stamp, as_of)
         else:
             self._replace(now, stamp, message["e"], max(as_of, self.heard) if stamp == self.stamp else as_of)
@@ -219,15 +247,19 @@
         named = {entry[0] for entry in entries}
         for server in self._listed():
             if server.ident not in named:
-                server.become(Phase.GONE, now)
+                self._become(server, Phase.GONE, now)
         self._note(now, stamp, as_of)
 
+    def _become(self, server: Server, phase: Phase, now: float) -> None:
+        self.version += phase > server.phase
+        server.become(phase, now)
+
     def _note(self, now: float, stamp: Stamp, as_of: float) -> None:
         (self.number, self.asker), self.heard = stamp, as_of
-        self.version += 1
         for ident in [s.ident for s in self.servers.values() if s.gone_at and now - s.gone_at > FORGET_S]:
             del self.servers[ident]
             self._ended[ident] = now
+            self.version += 1
         while self._ended and now - self._ended[first := next(iter(self._ended))] > ENDED_KEPT_S:
             del self._ended[first]
 
@@ -239,7 +271,8 @@
         if server is None or server.address != address:
             server = Server(ident, service, address, zone, capacity, Phase.READY, 0.0, now)
             self.servers[ident] = server
+            self.version += 1
         elif server.phase is Phase.GONE and not draining:
             return  # an old list: this life has ended
-        server.become(Phase(min(int(draining), 1)), now)
+        self._become(server, Phase(min(int(draining), 1)), now)
         server.cold_until = now + cold if cold > 0 else min(server.cold_until, now)
--- a/millfront/gatekeeper/node.py
+++ b/millfront/gatekeeper/node.py
@@ -19,7 +19,7 @@
 from millfront.control.hinted_handoff import HintedHandoff
 from millfront.dataplane.admission import Admission
 from millfront.discovery.polling import PollTiming
-from millfront.discovery.server_list import PlatformList, ServerList
+from millfront.discovery.server_list import PlatformList, ReadFailure, ServerList
 from millfront.environment import Settings
 from millfront.gatekeeper.directory import Directory
 from millfront.gatekeeper.operations import Operations, OperationsIO
@@ -126,6 +126,7 @@
         self.disk_well = True  # as of the last sync
         self._standing: dict[str, str] = {}  # of the others, as last noted
         self._duty = False  # of the list of servers, as last noted
+        self._listed = 0  # the version of the list of servers that was told of last
         self._list_is_old = False  # as last noted
         self.oldest_list_s = 0.0  # the greatest age of the list of servers since a while after the start
         rows = (kept_operations or {}) if self.replica is not None else None
@@ -171,6 +172,7 @@
         checks = (
             (self.configuration is not None, "a configuration"),
             (self.server_list.known(), "a list of servers"),
+            (self.server_list.in_time(now), "a list of servers that is in time"),
             (self.trusted(now), "a lease"),
             (not self.membership.me.leaving, "to stay: it leaves"),
         )
@@ -287,11 +289,17 @@
             asked = self.membership.random.choice(with_disk or serving)
             self.io.line(asked.identity["post"], self.server_list.question())  # type: ignore[index]
 
+    def _relist(self) -> None:
+        """Tell of servers that have changed."""
+        if self.server_list.version != self._listed:
+            self._listed = self.server_list.version
+            self.relisted()
+
     def _note_age_of_list(self, now: float) -> None:
         """In the log, once each time that the list is too old for what it is to tell in time."""
-        age = self.server_list.age(now)
-        self.oldest_list_s = max(self.oldest_list_s, age if self.server_list.known() else 0.0)
-        old = age > self.settings.bounds.drain_within
+        if self.server_list.known():
+            self.oldest_list_s = max(self.oldest_list_s, self.server_list.age(now))
+        old = not self.server_list.in_time(now)
         if old is not self._list_is_old:
             self._list_is_old = old
             held = f"held by {self.server_list.asker or 'nobody'} as number {self.server_list.number}"
@@ -449,8 +457,10 @@
                 if not self.server_list.take(now, message):
                     self.io.back(via, self.server_list.question(whole=True))
                 else:
-                    self.relisted()
+                    self._relist()
                     self._stand(now)
+            case "unlisted":
+                self.server_list.take_silence(now, message)
             case "rest":
                 self._hold({key: Value.of(value) for key, value in message["v"].items()})
                 self._ask_neighbour(via, self.subscriber.lacking(now, message))
@@ -529,14 +539,14 @@
             return now - self.beaten
         return self.stood_still if now < self.catches_up_until else 0.0
 
-    def polled(self, now: float, number: int, found: PlatformList | None) -> None:
-        """The platform's answer, or None where it gave none."""
+    def polled(self, now: float, number: int, found: PlatformList | ReadFailure) -> None:
+        """The platform's answer, or why there is none."""
         self.now = now
-        if found is None:
-            self.server_list.failed(now, self.list_turn())
-            return
-        news = self.server_list.polled(now, number, found.entries, found.calls)
-        self.relisted()
+        if isinstance(found, ReadFailure):
+            news = self.server_list.failed(now, self.list_turn(), found)
+        else:
+            news = self.server_list.polled(now, number, found.entries, found.calls)
+        self._relist()
         self._stand(now)
         if news is not None:
             for record in self.membership.live():
--- a/millfront/gatekeeper/process.py
+++ b/millfront/gatekeeper/process.py
@@ -17,6 +17,7 @@
 from millfront.control.configuration import Configuration, ConfigurationError, checked
 from millfront.dataplane.proxy import Proxy
 from millfront.discovery.platform_client import PlatformError, listed
+from millfront.discovery.server_list import PlatformList, ReadFailure
 from millfront.environment import VARIABLE, Settings, load
 from millfront.gatekeeper import api
 from millfront.gatekeeper.node import BEAT_S, Gatekeeper
@@ -150,10 +151,11 @@
         self.start(checking())
 
     async def _poll(self, number: int) -> None:
-        found = None
+        found: PlatformList | ReadFailure = ReadFailure.UNREACHABLE
         try:
             found = await listed(self.settings.cloud)
         except PlatformError as fault:
+            found = fault.failure
             logger.info("discovery: the platform's list can't be had: {}", fault)
         finally:
             self.gatekeeper.polled(self.now(), number, found)
--- a/tests/platform_model.py
+++ b/tests/platform_model.py
@@ -8,7 +8,7 @@
 
 import simpy
 
-from millfront.discovery.server_list import PlatformList
+from millfront.discovery.server_list import PlatformList, ReadFailure
 
 REGION = "a"  # where the platform is
 WAY_S = {True: 0.001, False: 0.02}  # one way, within its region and from another one
@@ -31,12 +31,12 @@
         self.calls = self.refused = 0
         self._answered: deque[float] = deque()  # when, of the last second
 
-    def listed(self, region: str) -> Generator[Any, Any, PlatformList | None]:
+    def listed(self, region: str) -> Generator[Any, Any, PlatformList | ReadFailure]:
         """Read all pages from a region, as `millfront.discovery.platform_client` does."""
         if self.page is None:
             whole = self._answer(0, len(self.servers))
             yield self.env.timeout(WHOLE_S)
-            return PlatformList(whole) if whole is not None else None
+            return PlatformList(whole) if whole is not None else self._failure()
         began, way = self.env.now, WAY_S[region == REGION]
         found = PlatformList([], 0)
         for first in range(0, len(self.servers), self.page):
@@ -44,11 +44,14 @@
             page = self._answer(first, first + self.page)
             yield self.env.timeout(way + WORK_S)
             if page is None or self.env.now - began > GIVEN_UP_S:
-                return None
+                return ReadFailure.UNREACHABLE if page is not None else self._failure()
             found.entries += page
             found.calls += 1
         return found
 
+    def _failure(self) -> ReadFailure:
+        return ReadFailure.UNREACHABLE if self.down else ReadFailure.REFUSED
+
     def _answer(self, first: int, end: int) -> list[Any] | None:
         """The entries as they are when the call arrives, or none where the platform refuses it."""
         self.calls += 1
--- a/tests/test_gatekeeper_calls.py
+++ b/tests/test_gatekeeper_calls.py
@@ -660,6 +660,24 @@
     play(story)
 
 
+def test_nothing_is_sent_by_a_list_of_servers_that_is_too_old(tmp_path: Path) -> None:
+    """A server may have been draining for too long: it is refused, also where it was chosen before."""
+
+    async def story() -> None:
+        async with stage(tmp_path, [well]) as made:
+            gatekeeper, proxy = made.service.gatekeeper, made.service.proxy
+            for seen in proxy.load_balancer.seen.values():
+                seen.rests_until = proxy.now() + 0.12  # no server takes it for a moment: it is held
+            asked = asyncio.get_running_loop().create_task(made.ask("POST", "/p/a1", b"order", more=KEY))
+            await made.until(lambda: proxy.open == 1)
+            gatekeeper.server_list.in_time = lambda now: False  # type: ignore[method-assign]
+            assert (await asked)[0] == 503
+            assert (await made.ask("POST", "/p/a1", b"order", more=KEY))[0] == 503
+            assert made.seen == [] and not gatekeeper.ready(proxy.now())
+
+    play(story)
+
+
 @pytest.mark.parametrize("ends", ["kept", "said", "unsaid"])
 def test_pages_go_over_one_connection_that_may_end_after_any(ends: str) -> None:
     """A platform that keeps it open, says that it closes it, or closes it without a word."""
--- a/tests/test_server_list.py
+++ b/tests/test_server_list.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from millfront.discovery.server_list import Phase, ServerList
+from millfront.discovery.polling import REACH_S, PollTiming
+from millfront.discovery.server_list import Phase, ReadFailure, ServerList
 
 PROCESSES, SERVERS, STEPS = 4, 6, 400
 WAY_S = 0.3  # a message that takes longer does not come: its connection is given up
@@ -107,3 +108,34 @@
     assert "i-1" not in held.servers
     assert held.polled(81.0, held.begin(81.0), [entry]) is not None
     assert "i-1" not in held.servers
+
+
+def test_a_list_is_gone_by_until_a_server_could_have_drained_for_too_long() -> None:
+    held = ServerList("held", PollTiming(drain_within=2.5, rate_per_s=50.0))
+    assert not held.in_time(0.0)
+    held.polled(10.2, held.begin(10.0), [["i-1", "shop", "10.0.2.1:80", "aa", 3, 0, 0.0]])
+    assert held.in_time(10.0 + 2.5 - REACH_S) and not held.in_time(10.01 + 2.5 - REACH_S)
+
+
+@pytest.mark.parametrize(
+    ("failure", "turn", "goes_on"),
+    [
+        (ReadFailure.UNREACHABLE, 0, True),
+        (ReadFailure.UNREACHABLE, 2, True),
+        (ReadFailure.REFUSED, 0, False),  # others have used up its calls: it does list what is new
+        (ReadFailure.UNREACHABLE, 30, False),  # of one that does not hear of the others: it may be the cause
+    ],
+)
+def test_while_the_platform_gives_nothing_what_is_held_goes_on(
+    failure: ReadFailure, turn: int, goes_on: bool
+) -> None:
+    held, other = ServerList("held"), ServerList("other")
+    assert held.polled(10.2, held.begin(10.0), [["i-1", "shop", "10.0.2.1:80", "aa", 3, 0, 0.0]]) is not None
+    assert other.take(10.3, held.whole(10.3))
+    held.begin(12.0)
+    told = held.failed(12.9, turn, failure)
+    assert (told is not None) is goes_on
+    if told is not None:
+        other.take_silence(13.0, told)
+    assert held.in_time(14.0) is goes_on and other.in_time(14.0) is goes_on
+    assert not held.in_time(16.0) and not other.in_time(16.0)
