Server discovery is a module of its own; one without a disk is second in turn

Change: gatekeeper/server_discovery.py holds when the platform is asked, whom it tells and whom it asks; the order goes from one with a disk to one without. A world's poller is found by its turn (it was by has_duty, which the list does not go by any more).

--- a/millfront/gatekeeper/metrics.py
+++ b/millfront/gatekeeper/metrics.py
@@ -55,7 +55,7 @@
     server_list = gatekeeper.server_list
     if server_list.known():
         yield "server_list_age_seconds", round(server_list.age(now), 3)
-    yield "server_list_oldest_seconds", round(gatekeeper.oldest_list_s, 3)
+    yield "server_list_oldest_seconds", round(gatekeeper.discovery.oldest_s, 3)
     yield "platform_reads_total", float(server_list.reads)
     yield "platform_reads_failed_total", float(server_list.reads_failed)
     yield "platform_read_seconds", server_list.cost.seconds
--- a/millfront/gatekeeper/node.py
+++ b/millfront/gatekeeper/node.py
@@ -18,11 +18,12 @@
 from millfront.control.event_log import EventLog
 from millfront.control.hinted_handoff import HintedHandoff
 from millfront.dataplane.admission import Admission
-from millfront.discovery.polling import PollTiming
-from millfront.discovery.server_list import PlatformList, ReadFailure, ServerList
+from millfront.discovery.server_list import PlatformList, ReadFailure
 from millfront.environment import Settings
 from millfront.gatekeeper.directory import Directory
 from millfront.gatekeeper.operations import Operations, OperationsIO
+from millfront.gatekeeper.server_discovery import KINDS as DISCOVERY_KINDS
+from millfront.gatekeeper.server_discovery import ServerDiscovery
 from millfront.invariants import Invariant, Invariants
 from millfront.membership.gossip import Membership, holders
 from millfront.membership.record import Liveness
@@ -33,7 +34,6 @@
 from millfront.register.replica import Persist, Replica
 from millfront.register.values import CONFIG, CORE, FOUNDED, Core, Value, inner
 
-SERVER_LIST = "list"  # the duty of asking the platform for it
 REST = "rest"  # the reference of what a member that is back asks for
 SUBSCRIBERS_S = 4.0  # a line on which nobody asked for so long is pushed nothing
 GONE_S = 1.5  # beyond its lease: the record may have been late, and it asked for it a moment after
@@ -105,8 +105,8 @@
         life = f"{settings.name}.{incarnation}.{seed:x}"
         subscriber = Subscriber(life, LEASE_SHARE * settings.bounds.revoke_within)
         super().__init__(Coordinator(life), subscriber, now, seed)  # now: as of the last event
-        timing = PollTiming(settings.bounds.drain_within, settings.cloud_rate)
-        self.server_list = ServerList(life, timing, now)
+        self.discovery = ServerDiscovery(self, life, now)
+        self.server_list = self.discovery.server_list
         self.admission = Admission(settings.bounds, now, seed, settings.name)
         self.configuration: configurations.Configuration | None = None
         self.evacuated: PSet[str] = pset()
@@ -125,10 +125,6 @@
         self.directory = Directory(self.membership, settings, self.invariants)
         self.disk_well = True  # as of the last sync
         self._standing: dict[str, str] = {}  # of the others, as last noted
-        self._duty = False  # of the list of servers, as last noted
-        self._listed = 0  # the version of the list of servers that was told of last
-        self._list_is_old = False  # as last noted
-        self.oldest_list_s = 0.0  # the greatest age of the list of servers since a while after the start
         rows = (kept_operations or {}) if self.replica is not None else None
         self.operations = Operations(self, rows, life)
         self.reconfiguration = Reconfiguration(self)
@@ -240,7 +236,7 @@
         self.operations.beat(now)
         self._follow(now)
         self._stand(now)
-        self._servers(now)
+        self.discovery.beat(now)
         self.subscribers = {via: at for via, at in self.subscribers.items() if now - at < SUBSCRIBERS_S}
 
     def _gone_after(self) -> float:
@@ -264,48 +260,6 @@
         for address, message in self.membership.flush(moved):
             self.io.datagram(address, message)
 
-    def list_turn(self) -> int:
-        """How many gatekeepers ask the platform for its list before this one does."""
-        return self.membership.turn(SERVER_LIST)
-
-    def _servers(self, now: float) -> None:
-        """Ask the platform for its list at this one's turn; one that is late here may be had from others."""
-        if self.server_list.due(now, self.list_turn):
-            self.io.poll(self.server_list.begin(now))
-        elif self.server_list.late(now):
-            self._ask_for_list()
-        if now - self.born > self.settings.bounds.drain_within:
-            self._note_age_of_list(now)
-
-    def _ask_for_list(self) -> None:
-        """One that serves clients, with a disk if there are such, hands over its list if it is newer."""
-        serving = [
-            record
-            for record in self.membership.live()
-            if record is not self.membership.me and record.ready and record.liveness is Liveness.UP
-        ]
-        with_disk = [record for record in serving if record.identity and record.identity["core"]]
-        if serving:
-            asked = self.membership.random.choice(with_disk or serving)
-            self.io.line(asked.identity["post"], self.server_list.question())  # type: ignore[index]
-
-    def _relist(self) -> None:
-        """Tell of servers that have changed."""
-        if self.server_list.version != self._listed:
-            self._listed = self.server_list.version
-            self.relisted()
-
-    def _note_age_of_list(self, now: float) -> None:
-        """In the log, once each time that the list is too old for what it is to tell in time."""
-        if self.server_list.known():
-            self.oldest_list_s = max(self.oldest_list_s, self.server_list.age(now))
-        old = not self.server_list.in_time(now)
-        if old is not self._list_is_old:
-            self._list_is_old = old
-            held = f"held by {self.server_list.asker or 'nobody'} as number {self.server_list.number}"
-            text = "the list of servers is too old" if old else "the list of servers is in time again"
-            self.note("discovery", text, held=held, turn=self.list_turn())
-
     def _follow(self, now: float) -> None:
         for name, message in self.subscriber.tick(now, self.near_replicas()):
             self.to_replica(now, name, self.subscriber.core.all[name], message)  # type: ignore[union-attr]
@@ -375,10 +329,7 @@
                 self.event_log.write(now, "membership", f"{name} is {word}", before=before, heard_ago=heard)
         kept = {name: word for name, word in self._standing.items() if configurations.get(name) == "suspect"}
         self._standing = configurations | kept
-        if (duty := self.list_turn() == 0) is not self._duty:
-            self._duty = duty
-            text = "the list of servers is this one's duty" if duty else "the list is another's duty"
-            self.event_log.write(now, "discovery", text, fence=self.server_list.number)
+        self.discovery.note_turn(now)
 
     # ---- messages --------------------------------------------------------------------------------
 
@@ -453,20 +404,12 @@
                 self._keep(now, via, message)
             case "had" if message["n"] == self.pushed:
                 self.had.add(via)
-            case "list":
-                if not self.server_list.take(now, message):
-                    self.io.back(via, self.server_list.question(whole=True))
-                else:
-                    self._relist()
-                    self._stand(now)
-            case "unlisted":
-                self.server_list.take_silence(now, message)
+            case kind if kind in DISCOVERY_KINDS:
+                self.discovery.message(now, via, message)
+                self._stand(now)
             case "rest":
                 self._hold({key: Value.of(value) for key, value in message["v"].items()})
                 self._ask_neighbour(via, self.subscriber.lacking(now, message))
-            case "list?":
-                if self.server_list.newer_than(message):
-                    self.io.back(via, self.server_list.whole(now))
             case _:
                 self._reply(now, message)
 
@@ -542,16 +485,8 @@
     def polled(self, now: float, number: int, found: PlatformList | ReadFailure) -> None:
         """The platform's answer, or why there is none."""
         self.now = now
-        if isinstance(found, ReadFailure):
-            news = self.server_list.failed(now, self.list_turn(), found)
-        else:
-            news = self.server_list.polled(now, number, found.entries, found.calls)
-        self._relist()
+        self.discovery.polled(now, number, found)
         self._stand(now)
-        if news is not None:
-            for record in self.membership.live():
-                if record is not self.membership.me and record.identity is not None:
-                    self.io.line(record.identity["post"], news)
 
     # ---- the directory -----------------------------------------------------------------------------
 
--- /dev/null
+++ b/millfront/gatekeeper/server_discovery.py
@@ -0,0 +1,113 @@
+"""One gatekeeper's part in knowing which servers there are: when it asks the platform, whom it tells, and
+whom it asks for a list that is late. No I/O, no clock; docs/design/discovery.md.
+"""
+
+from typing import TYPE_CHECKING, Any
+
+from millfront.discovery.polling import PollTiming
+from millfront.discovery.server_list import PlatformList, ReadFailure, ServerList
+from millfront.membership.record import Liveness
+
+if TYPE_CHECKING:
+    from millfront.gatekeeper.node import Gatekeeper
+
+DUTY = "list"  # the key of asking the platform
+LIST, QUESTION, UNLISTED = "list", "list?", "unlisted"  # the kinds of messages
+KINDS = frozenset((LIST, QUESTION, UNLISTED))
+Message = dict[str, Any]
+
+
+class ServerDiscovery:
+    """The list of servers that a gatekeeper holds, and how it is kept in time."""
+
+    def __init__(self, gatekeeper: "Gatekeeper", incarnation: str, now: float) -> None:
+        """:param incarnation: the name of this incarnation of the process"""
+        settings = gatekeeper.settings
+        self.gatekeeper, self.started = gatekeeper, now
+        timing = PollTiming(settings.bounds.drain_within, settings.cloud_rate)
+        self.server_list = ServerList(incarnation, timing, now)
+        self.oldest_s = 0.0  # the greatest age of the list, from `drain_within` after the start on
+        self._listed = 0  # the version that the data plane was told of last
+        self._too_old = self._first = False  # as last noted
+
+    def turn(self) -> int:
+        """How many gatekeepers ask the platform before this one does."""
+        return self.gatekeeper.membership.succession(DUTY).index(self.gatekeeper.name)
+
+    def holder(self) -> str:
+        """Whose duty it is to ask the platform, as seen from here."""
+        return self.gatekeeper.membership.succession(DUTY)[0]
+
+    def beat(self, now: float) -> None:
+        """Ask the platform at this one's turn; a list that is late here may be had from others."""
+        if self.server_list.due(now, self.turn):
+            self.gatekeeper.io.poll(self.server_list.begin(now))
+        elif self.server_list.late(now):
+            self._ask_another()
+        if now - self.started > self.gatekeeper.settings.bounds.drain_within:
+            self._note_age(now)
+
+    def _ask_another(self) -> None:
+        """One that serves clients, with a disk if there are such, hands over its list if it is newer."""
+        membership = self.gatekeeper.membership
+        serving = [
+            record
+            for record in membership.live()
+            if record is not membership.me and record.ready and record.liveness is Liveness.UP
+        ]
+        with_disk = [record for record in serving if record.identity and record.identity["core"]]
+        if serving:
+            asked = membership.random.choice(with_disk or serving)
+            self.gatekeeper.io.line(asked.identity["post"], self.server_list.question())  # type: ignore[index]
+
+    def _note_age(self, now: float) -> None:
+        """In the log, once each time that the list is too old to send by, or in time again."""
+        held = self.server_list
+        if held.known():
+            self.oldest_s = max(self.oldest_s, held.age(now))
+        if (too_old := not held.in_time(now)) is not self._too_old:
+            self._too_old = too_old
+            text = f"the list of servers is {'too old' if too_old else 'in time again'}"
+            facts = {"asker": held.asker, "number": held.number, "turn": self.turn()}
+            self.gatekeeper.note("discovery", text, **facts)
+
+    def note_turn(self, now: float) -> None:
+        """For the event log alone: whose the duty is."""
+        if (first := self.turn() == 0) is not self._first:
+            self._first = first
+            text = f"the list of servers is {'this one' if first else 'another'}'s duty"
+            self.gatekeeper.event_log.write(now, "discovery", text, fence=self.server_list.number)
+
+    def polled(self, now: float, number: int, found: PlatformList | ReadFailure) -> None:
+        """The platform's answer to the read of that number, or why there is none."""
+        if isinstance(found, ReadFailure):
+            news = self.server_list.failed(now, self.turn(), found)
+        else:
+            news = self.server_list.polled(now, number, found.entries, found.calls)
+        self._tell_of_changes()
+        if news is not None:
+            self._tell_others(news)
+
+    def _tell_others(self, news: Message) -> None:
+        membership = self.gatekeeper.membership
+        for record in membership.live():
+            if record is not membership.me and record.identity is not None:
+                self.gatekeeper.io.line(record.identity["post"], news)
+
+    def message(self, now: float, via: Any, message: Message) -> None:
+        """A message of `KINDS` on a held connection; answers go back on it."""
+        match message["t"]:
+            case kind if kind == UNLISTED:
+                self.server_list.take_silence(now, message)
+            case kind if kind == QUESTION:
+                if self.server_list.newer_than(message):
+                    self.gatekeeper.io.back(via, self.server_list.whole(now))
+            case _:
+                if not self.server_list.take(now, message):
+                    self.gatekeeper.io.back(via, self.server_list.question(whole=True))
+                self._tell_of_changes()
+
+    def _tell_of_changes(self) -> None:
+        if self.server_list.version != self._listed:
+            self._listed = self.server_list.version
+            self.gatekeeper.relisted()
--- a/millfront/gatekeeper/status.py
+++ b/millfront/gatekeeper/status.py
@@ -5,7 +5,7 @@
 
 from typing import Any
 
-from millfront.gatekeeper.node import SERVER_LIST, Gatekeeper
+from millfront.gatekeeper.node import Gatekeeper
 from millfront.register.values import CLAIM, inner
 
 
@@ -77,7 +77,7 @@
 
 def _duties(gatekeeper: Gatekeeper) -> dict[str, Any]:
     """Who holds which, as seen from here; the list's fence is the number of the last list."""
-    first, core = gatekeeper.membership.first_in_turn(SERVER_LIST), gatekeeper.subscriber.core
+    first, core = gatekeeper.discovery.holder(), gatekeeper.subscriber.core
     replica, epoch = (gatekeeper.reconfiguration.holder(core), core.epoch) if core is not None else ("", 0)
     return {
         "list": {"holder": first, "fence": gatekeeper.server_list.number},
--- a/millfront/membership/gossip.py
+++ b/millfront/membership/gossip.py
@@ -13,6 +13,7 @@
 """
 
 import hashlib
+import itertools
 import math
 import random
 from dataclasses import dataclass
@@ -128,21 +129,18 @@
         """Whether this process is among the ``count`` owners of a key, as far as it sees."""
         return self.me.name in holders(key, self.live_names(region), count)
 
-    def first_in_turn(self, key: str) -> str:
-        """The name of whose duty a key is that is taken over in turn.
-
-        Those with a disk come first: whoever is in touch hears them, and where one is lost nobody counts as
-        in touch for a while. Among equals it goes by weight."""
-        return max(self.live(), key=lambda record: self._precedence(key, record)).name
-
-    def turn(self, key: str) -> int:
-        """How many live processes come before this one at that duty."""
-        mine = self._precedence(key, self.me)
-        return sum(self._precedence(key, record) > mine for record in self.live())
-
-    @staticmethod
-    def _precedence(key: str, record: MemberRecord) -> tuple[bool, bytes]:
-        return bool((record.identity or {}).get("core")), weight(key, record.name)
+    def succession(self, key: str) -> list[str]:
+        """The live processes in the order in which they take over a key's duty.
+
+        One with a disk is first: whoever is in touch hears it, and where it is lost nobody counts as in touch
+        for a while. Then one without, since all that have a disk may be lost together; and so on in turn, by
+        weight among equals."""
+        live = {record.name: bool((record.identity or {}).get("core")) for record in self.live()}
+        ordered = holders(key, list(live), len(live))
+        with_disk = [name for name in ordered if live[name]]
+        without = [name for name in ordered if not live[name]]
+        pairs = itertools.zip_longest(with_disk, without)
+        return [name for pair in pairs for name in pair if name is not None]
 
     def address(self, name: str) -> str | None:
         """Where a process is reached by others of the system; None where it is not known yet."""
--- a/tests/test_discovery_at_size.py
+++ b/tests/test_discovery_at_size.py
@@ -95,6 +95,17 @@
         made.run(CONTACT_S)
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_all_that_have_a_disk_are_lost_as_a_server_begins_to_drain(seed: int) -> None:
+    made = calm_world(seed).run(0.1 * (seed + 1))
+    for node in made.nodes[:DISKS]:
+        node.kill()
+    ident = drain(made, 0)
+    made.run(DRAIN_WITHIN_S - REACH_S)
+    assert unaware(made, ident) == []
+    assert all(node.gatekeeper.server_list.in_time(node.now()) for node in made.nodes if node.gatekeeper)
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_half_of_all_gatekeepers_start_again_together(seed: int) -> None:
     made = calm_world(seed)
--- a/tests/test_system_world.py
+++ b/tests/test_system_world.py
@@ -166,7 +166,7 @@
 
 def test_when_the_poller_is_gone_a_draining_server_is_known_to_all_in_time() -> None:
     world = founded()
-    poller = next(n for n in world.nodes if n.gatekeeper and n.gatekeeper.membership.has_duty("list"))
+    poller = next(n for n in world.nodes if n.gatekeeper and n.gatekeeper.discovery.turn() == 0)
     poller.kill()
     world.servers[0][5] = 1
     world.run(world.bounds.drain_within - 0.3)
