--- a/tests/test_discovery_at_size.py
+++ b/tests/test_discovery_at_size.py
@@ -120,3 +120,19 @@
         made.run(DRAIN_WITHIN_S - REACH_S)
         assert unaware(made, ident, herd if number < 40 else ()) == [], number
     assert all(gatekeeper.server_list.known() for gatekeeper in made.gatekeepers())
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_while_the_platform_is_down_all_go_on_and_then_hear_of_what_has_changed(seed: int) -> None:
+    made = calm_world(seed)
+    made.platform.down = True
+    calls = made.platform.calls
+    for _ in range(32):
+        made.run(0.25)
+        late = [n.name for n in made.nodes if n.gatekeeper and not n.gatekeeper.server_list.in_time(n.now())]
+        assert late == []
+    assert made.platform.calls - calls < 8.0 * RATE_PER_S
+    ident = drain(made, 0)
+    made.platform.down = False
+    made.run(DRAIN_WITHIN_S - REACH_S)
+    assert unaware(made, ident) == []
