A gatekeeper that starts asks for the list as soon as it hears of others

Change: turns count from when others are heard of; who has no list asks another at that moment; later turns ask as many at a time as the rate bears.

--- a/millfront/discovery/polling.py
+++ b/millfront/discovery/polling.py
@@ -7,6 +7,7 @@
 the telling (docs/design/discovery.md). Times are seconds.
 """
 
+import math
 from dataclasses import dataclass
 
 MOST_INTERVAL_S = 0.8  # between polls where there is time enough
@@ -14,7 +15,7 @@
 TELL_S = 0.1  # until all have what one has read: its way, and the reading of it
 LOOK_S = 0.25  # between two looks at whether it is this gatekeeper's turn; it asks at the look nearest to it
 TURNS = 2  # gatekeepers that may be lost in turn with the bound kept
-SETTLE_S = 1.0  # after a start, until others have been heard of: the list may be had from them
+ALONE_S = 1.0  # after a start without word of anybody a gatekeeper asks by itself
 MOST_READ_S = 0.9  # a longer one is given up; what seems longer is of a process that stood still
 REST_S = 0.5  # after a call that failed, of the first in turn
 REACH_S = 0.3  # from the choice of a server until it has the request, on a link that others use, too
@@ -43,6 +44,8 @@
     (0.8, 0.375, 0.25)
     >>> timing.begins(turn=0, cost=ReadCost(0.1)), timing.begins(turn=2, cost=ReadCost(0.1))
     (0.8, 1.7)
+    >>> timing.steps(turn=10, cost=ReadCost(0.1)), timing.steps(turn=10, cost=ReadCost(0.1, 6))
+    (2, 10)
     """
 
     drain_within: float = 3.0
@@ -57,13 +60,21 @@
         spent = TURNS * self.step(cost) + cost.seconds + TELL_S + LOOK_S / 2
         return max(LEAST_INTERVAL_S, min(MOST_INTERVAL_S, round(self.drain_within - spent, 3)))
 
+    def steps(self, turn: int, cost: ReadCost) -> int:
+        """After how many steps the gatekeeper of that turn asks: the first two one by one, then as many at a
+        time as the platform bears."""
+        if turn <= 1:
+            return turn
+        at_a_time = int(RATE_SHARE * self.rate_per_s * self.step(cost) / cost.calls)
+        return 1 + math.ceil((turn - 1) / max(1, at_a_time))
+
     def begins(self, turn: int, cost: ReadCost) -> float:
         """Age of a list at which the gatekeeper of that turn asks; 0: the first."""
-        return round(self.interval(cost) + turn * self.step(cost), 3)
+        return round(self.interval(cost) + self.steps(turn, cost) * self.step(cost), 3)
 
     def settles(self, turn: int, cost: ReadCost) -> float:
-        """From a start until a gatekeeper that has no list from others asks for itself."""
-        return SETTLE_S + turn * self.step(cost)
+        """From when others are heard of until a gatekeeper that has had no list from them asks itself."""
+        return self.steps(turn, cost) * self.step(cost)
 
     def valid(self) -> float:
         """Age up to which a list, or the word that the platform gives none, is gone by."""
--- a/millfront/discovery/server_list.py
+++ b/millfront/discovery/server_list.py
@@ -14,7 +14,7 @@
 from enum import Enum, IntEnum
 from typing import Any
 
-from millfront.discovery.polling import LOOK_S, SETTLE_S, TURNS, PollTiming, ReadCost
+from millfront.discovery.polling import ALONE_S, LOOK_S, TURNS, PollTiming, ReadCost
 
 FORGET_S = 30.0
 ENDED_KEPT_S = 600.0  # so long it is remembered that a life has ended
@@ -97,7 +97,8 @@
         """:param name: of this incarnation of the process
         :param now: when it started
         """
-        self.name, self.timing, self.started = name, timing or PollTiming(), now
+        self.name, self.timing = name, timing or PollTiming()
+        self.asks_from = now + ALONE_S  # unless others are heard of before
         self.cost = ReadCost()  # of the last whole read here, or as told
         self.servers: dict[str, Server] = {}
         self.number = 0  # the fence: of the list held
@@ -134,6 +135,10 @@
         """Whether the first two in turn have missed their polls, as far as heard here."""
         return self.age(now) > self.timing.begins(TURNS, self.cost)
 
+    def others_heard(self, now: float) -> None:
+        """Who there is is known: from now on it goes by turns."""
+        self.asks_from = min(self.asks_from, now)
+
     def due(self, now: float, turn: Callable[[], int]) -> bool:
         """Whether this process is to ask the platform now.
 
@@ -142,8 +147,8 @@
         if self.asking or now < self.rests_until:
             return False
         if not self.known():
-            waited = now - self.started
-            return waited >= SETTLE_S and waited >= self.timing.settles(turn(), self.cost)
+            waited = now - self.asks_from
+            return waited >= 0.0 and waited >= self.timing.settles(turn(), self.cost)
         age = self.age(now) + LOOK_S / 2
         return age >= self.timing.interval(self.cost) and age >= self.timing.begins(turn(), self.cost)
 
--- a/millfront/gatekeeper/node.py
+++ b/millfront/gatekeeper/node.py
@@ -472,6 +472,8 @@
         received = self.membership.take(now, back, message, self._held_up(now))
         for address, answer in received.out:
             self.io.datagram(address, answer)
+        if received.taken:
+            self.discovery.others_heard(now)
         for told in received.taken:
             self.admission.heard(now, told.name, told.incarnation, told.age, told.totals, not told.part)
 
--- a/millfront/gatekeeper/server_discovery.py
+++ b/millfront/gatekeeper/server_discovery.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from millfront.discovery.polling import PollTiming
-from millfront.discovery.server_list import PlatformList, ReadFailure, ServerList
+from millfront.discovery.server_list import NEVER, PlatformList, ReadFailure, ServerList
 from millfront.membership.record import Liveness
 
 if TYPE_CHECKING:
@@ -13,6 +13,7 @@
 
 DUTY = "list"  # the key of asking the platform
 LIST, QUESTION, UNLISTED = "list", "list?", "unlisted"  # the kinds of messages
+ASK_AGAIN_S = 0.1  # a question that was not answered goes to another one
 KINDS = frozenset((LIST, QUESTION, UNLISTED))
 Message = dict[str, Any]
 
@@ -28,6 +29,7 @@
         self.server_list = ServerList(incarnation, timing, now)
         self.oldest_s = 0.0  # the greatest age of the list, from `drain_within` after the start on
         self._listed = 0  # the version that the data plane was told of last
+        self._asked_another = NEVER
         self._too_old = self._first = False  # as last noted
 
     def turn(self) -> int:
@@ -47,6 +49,14 @@
         if now - self.started > self.gatekeeper.settings.bounds.drain_within:
             self._note_age(now)
 
+    def others_heard(self, now: float) -> None:
+        """There is word of other gatekeepers: who has no list yet need not wait for its next beat."""
+        if self.server_list.known():
+            return
+        self.server_list.others_heard(now)
+        if now - self._asked_another >= ASK_AGAIN_S:
+            self._ask_another()
+
     def _ask_another(self) -> None:
         """One that serves clients, with a disk if there are such, hands over its list if it is newer."""
         membership = self.gatekeeper.membership
@@ -57,6 +67,7 @@
         ]
         with_disk = [record for record in serving if record.identity and record.identity["core"]]
         if serving:
+            self._asked_another = self.gatekeeper.now
             asked = membership.random.choice(with_disk or serving)
             self.gatekeeper.io.line(asked.identity["post"], self.server_list.question())  # type: ignore[index]
 
