Quotas over 69 real processes: one request at each at once is let in whole; red

Change: clumps over held connections and windows judged from what servers saw (millfront/rehearsal/quotas.py); admissions are counted by reason.

--- a/millfront/dataplane/admission.py
+++ b/millfront/dataplane/admission.py
@@ -75,6 +75,8 @@
     pressure: float = 0.0  # what all ask over the quota, as of the last tick
     own_sent: float = 0.0
     others: float = 0.0  # the rate at which all others are taken to send until they are heard of again
+    admitted_level: int = 0  # from the bucket that is filled at this process's level
+    admitted_store: int = 0  # beyond it, on what the others were believed to leave
     refused_store: int = 0  # all that is owed had been let in, by all processes together
     refused_level: int = 0  # this process's level was reached
     peers: dict[str, Peer] = field(default_factory=dict)
@@ -186,8 +188,10 @@
             if found.store < BORROW_ABOVE * found.capacity + 1.0 or not self._chosen(found):
                 found.refused_level += 1
                 return max(0.05, min(5.0, (1.0 - found.bucket) / max(found.level, 0.05)))
+            found.admitted_store += 1
             self.flush = True
         else:
+            found.admitted_level += 1
             found.bucket -= 1.0
         found.sent += 1.0
         found.store -= 1.0
@@ -222,6 +226,8 @@
             "sent_here": found.own_sent,
             "sent_elsewhere": max(0.0, found.others),
             "heard_of": len(found.peers),
+            "admitted_level": found.admitted_level,
+            "admitted_store": found.admitted_store,
             "refused_store": found.refused_store,
             "refused_level": found.refused_level,
         }
--- a/millfront/rehearsal/system.py
+++ b/millfront/rehearsal/system.py
@@ -69,16 +69,36 @@
     return time.monotonic() - began
 
 
-def document(version: int, keys: Iterable[str], routes: int = 1, note: str = "", orders: bool = False) -> str:
+@dataclass(frozen=True, slots=True)
+class Limit:
+    """What a tenant may use: requests a second, and requests at once."""
+
+    rate: float = 1000.0
+    burst: float = 1000.0
+
+
+def document(
+    version: int,
+    keys: Iterable[str],
+    routes: int = 1,
+    note: str = "",
+    orders: bool = False,
+    limits: Mapping[str, Limit] = {},
+) -> str:
     """A configuration: one service, `routes` routes, a tenant for each key.
 
     :param note: makes documents of one version differ
     :param orders: there is a route /orders/ whose requests carry an operation key
+    :param limits: by key, of tenants that are not to have the usual large one
     """
     paths = ["/pages/", *(f"/more{number}/" for number in range(1, routes))]
     route = {"host": HOST, "variant_tag": "idempotent", "deadline": "3s", "target_time": "800ms",
              "rank": 1, "target": "shop", "max_tries": 2}  # fmt: skip
-    tenant = {"rate_per_s": 1000, "burst_size": 1000}
+
+    def tenant(key: str) -> dict[str, Any]:
+        limit = limits.get(key, Limit())
+        return {"rate_per_s": limit.rate, "burst_size": limit.burst, "api_keys": [key]}
+
     return json.dumps({
         "revision": f"{version:08x}",
         "resources": [
@@ -87,7 +107,7 @@
               for number, path in enumerate(paths)),
             *([{"variant": "routes", "meta": {"name": "orders"},
                 "spec": route | {"path_prefix": "/orders/", "variant_tag": "keyed"}}] if orders else []),
-            *({"variant": "tenants", "meta": {"name": f"of-{key}"}, "spec": tenant | {"api_keys": [key]}}
+            *({"variant": "tenants", "meta": {"name": f"of-{key}"}, "spec": tenant(key)}
               for key in [*keys, *([note] if note else [])]),
         ],
     })  # fmt: skip
--- /dev/null
+++ b/tests/test_quota_processes.py
@@ -0,0 +1,39 @@
+"""Tenants' limits over 69 real processes, from what the servers saw."""
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from millfront.rehearsal.quotas import HeldConnections, QuotaRule, SentLog, most_in_window
+from millfront.rehearsal.system import Limit, System, document, until
+
+PROCESSES, DISKS = 69, 8
+STARTED_S = 60.0
+ANSWERED_S = 2.0
+LIMITS = {"five": Limit(5.0, 5.0), "seven": Limit(7.0, 7.0)}
+RULE = QuotaRule()
+
+
+@pytest.fixture(scope="module")
+def system(tmp_path_factory: pytest.TempPathFactory) -> Iterator[System]:
+    folder: Path = tmp_path_factory.mktemp("processes")
+    with System(folder, PROCESSES, disks=DISKS, relays=False, servers=6) as running:
+        text = document(1, LIMITS, limits=LIMITS)
+        running.settled(0, lambda number: running.put(number, text), STARTED_S)
+        ready = [number for number in range(PROCESSES)]
+        until("all are ready", lambda: all(running.ready(number) == 200 for number in ready), STARTED_S)
+        yield running
+
+
+@pytest.mark.parametrize("key", LIMITS)
+def test_one_request_at_each_of_69_processes_at_once_keeps_to_the_limit(system: System, key: str) -> None:
+    log = SentLog()
+    connections = HeldConnections(system, log)
+    assert connections.open() == PROCESSES
+    connections.clump(key)
+    connections.read(ANSWERED_S)
+    connections.close()
+    ran = most_in_window(log.runs(key, system.peer.seen.attempts), RULE.window_s)
+    limit = LIMITS[key]
+    assert 0 < ran <= RULE.allowed(limit.rate, limit.burst)
