--- a/benchmarks/soak/play.py
+++ b/benchmarks/soak/play.py
@@ -187,8 +187,11 @@
         version = self.record.acknowledged + 1000
         text = quotas.configuration(version, clients.KEY)
         at = self.random.randrange(self.system.count)
-        if self.system.settled(at, lambda number: self.system.put(number, text), SETTLED_S).status == 200:
-            self.record.acknowledged = version
+        try:
+            answer = self.system.settled(at, lambda number: self.system.put(number, text), SETTLED_S)
+            self.record.acknowledged = version if answer.status == 200 else self.record.acknowledged
+        except Late as late:
+            self.record.check(False, f"before the closing fault: {late}")
         everybody = range(self.system.count)
         self.system.lose_power(everybody, [self.random.randrange(self.given.fleet.disks)])
         for number in everybody:
