--- a/review/standins.py
+++ b/review/standins.py
@@ -433,13 +433,13 @@
         self.record.write(text + "\n")
         print(text, flush=True)
 
-    async def until(self, what, condition, timeout=30.0):
+    async def until(self, what, condition, timeout=30.0, pause=0.1):
         """Wait for a condition; the case can't run if it does not come."""
         end = time.monotonic() + timeout
         while not await condition():
             if time.monotonic() > end:
                 raise CannotRunError(f"{what}: not within {timeout:g} s")
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(pause)
 
     async def bring_up(self, document):
         """Start the fleet with its first configuration, and wait until all are ready."""
