--- a/review/3/case.py
+++ b/review/3/case.py
@@ -33,11 +33,11 @@
 BOUND = WARMUP_RATE_S * BOUNDS["warmup_excess"] + BOUNDS["warmup_extra"]  # requests in a second
 FALLS_OVER_AT = 1.5 * BOUND  # "falls over at well above that": five times what it bears
 DOWN_S = 4.0
-ROUNDS = 4
+ROUNDS = 3
 EVACUATED_S = 7.0
-COLD_BEFORE_S = 0.2 if kit.TROUBLE else 2.0  # the end of the evacuation is ordered so long after
+COLD_BEFORE_S = 0.1 if kit.TROUBLE else 2.0  # the end of the evacuation is ordered so long after
 COLD_S = WARMUP_S if kit.TROUBLE else WARMUP_S + 2.0
-REQUESTS_PER_S = 100.0
+REQUESTS_PER_S = 130.0
 HOST, KEY = "reader.example", "xd9dnn2ctnfzs989anu6"
 CONFIGURATION = kit.document(1, [
     kit.resource("routes", "purchase", host=HOST, path_prefix="/buy/", variant_tag="effectful",
@@ -102,7 +102,7 @@
     chance = random.Random(2)
     for number, zone in enumerate([ZONE, ZONE, ZONE, "bris-south", "bris-south", "bris-south"]):
         server = kit.Server(f"i-shelf-{number}", "shelf", zone, record,
-                            lambda _: chance.uniform(0.2, 0.38), capacity=12)  # fmt: skip
+                            lambda _: chance.uniform(0.2, 0.38), capacity=16)  # fmt: skip
         await server.start()
         platform.servers.append(server)
     cold = [server for server in platform.servers if server.zone == ZONE]
