Refuse requests that come too late in a shutdown

Cause: the shutdown closed the listener 2.88 s after SIGTERM, but admitted whatever still came on the connections that it had: a new one keeps 0.6 s for its first request. Such a request had as little as 2.2 s.

Change: gatekeeper/shutdown.py gives all times of a shutdown, from grace_period and the time for which clients use an answer of the directory. From 2.7 s on (at a grace_period of 6 s) no connection is accepted and no request is admitted; what still comes gets 503 with Connection: close and a short Retry-After, which promises that it has not run. With a grace_period of 10 s that is 2.7 s as well, where connections were accepted for 4.8 s before. Simulated worlds take their times from the same schedule (earliest exit 2.82 s in place of 2.9 s).

It sends it before, and the server answers after; all that it asserted it still asserts.

--- a/millfront/dataplane/proxy.py
+++ b/millfront/dataplane/proxy.py
@@ -57,6 +57,7 @@
 HEDGE_SERVICE_TIMES = 2.5  # but not before this many mean service times of its service
 RESERVED_SOCKETS = 300  # for files, internal connections, operators and clients that resolve addresses
 RETRY_AFTER_S = 0.4  # for clients while this process is out of touch with the register
+SHUTDOWN_RETRY_AFTER_S = 0.05  # for clients that other gatekeepers can serve at once
 ADMIT_SHARE = 0.2  # of the target time: the longest wait for a token
 RETRY_AFTER_JITTER = 0.3  # of Retry-After, so that clients refused together don't return together
 FLOW_NUMBERS = itertools.count(1)
@@ -94,6 +95,7 @@
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.answer_sizes: dict[str, float] = {}  # mean bytes of an answer, by route
         self.open_requests = 0
+        self.admitting = True  # False: this process shuts down, and refuses all further requests
         gatekeeper.on_servers_changed = self.on_servers_changed
         gatekeeper.on_configuration_changed = self.on_configuration_changed
         self.on_configuration_changed()  # the configuration loaded from disk is already in force
@@ -209,6 +211,9 @@
         request.caller = caller
         now = self.now()
         self.open_requests += 1
+        if not self.admitting:
+            self.refuse(request, 503, SHUTDOWN_RETRY_AFTER_S)
+            return None
         if not self.gatekeeper.server_list.usable(now):
             self.refuse(request, 503, RETRY_AFTER_S)
             return None
--- a/millfront/gatekeeper/api.py
+++ b/millfront/gatekeeper/api.py
@@ -10,6 +10,7 @@
 
 from millfront.control.configuration import Configuration, ConfigurationError
 from millfront.gatekeeper import metrics, status
+from millfront.gatekeeper.directory import answer_ttl
 from millfront.gatekeeper.node import Gatekeeper
 from millfront.node.bodies import Upload
 from millfront.node.clients import VirtualServer
@@ -18,7 +19,6 @@
 from millfront.node.http import Fields, Message
 from millfront.node.stages.take_in import RequestRejected
 
-ANSWER_TTL_S = 2.0  # of an answer to clients; short, so that they soon leave a gatekeeper that is gone
 JSON: Fields = [(b"Content-Type", b"application/json")]
 TEXT: Fields = [(b"Content-Type", b"text/plain; version=0.0.4")]  # of the Prometheus format
 EVACUATION = "/v1/evacuation/"
@@ -151,7 +151,7 @@
     def _resolve(self, call: Call, now: float, query: dict[str, list[str]]) -> None:
         region = query.get("region", [""])[0]
         if addresses := self.gatekeeper.resolve(now, region):
-            ttl = min(ANSWER_TTL_S, self.gatekeeper.settings.bounds.ttl_max)
+            ttl = answer_ttl(self.gatekeeper.settings.bounds)
             call.answer(200, json.dumps({"addresses": addresses, "valid": f"{ttl:g}s"}))
         else:
             call.answer(503, "no ready gatekeeper is known")
--- a/millfront/gatekeeper/directory.py
+++ b/millfront/gatekeeper/directory.py
@@ -4,7 +4,7 @@
 recent by the time at which it was written.
 """
 
-from millfront.environment import Settings
+from millfront.environment import Bounds, Settings
 from millfront.invariants import Invariant, Invariants
 from millfront.membership.gossip import Membership
 from millfront.membership.record import Liveness, MemberRecord
@@ -14,6 +14,12 @@
 MAX_LISTED_SLACK_S = 3.0  # invariant: no member is listed `contact` plus this after its record
 MIN_NEAR = 2  # with fewer gatekeepers in its region, a client gets those of all regions
 MAX_ADDRESSES = 64  # in one answer
+ANSWER_TTL_S = 2.0  # short, so that clients soon leave a gatekeeper that is gone
+
+
+def answer_ttl(bounds: Bounds) -> float:
+    """Seconds for which clients may use an answer."""
+    return min(ANSWER_TTL_S, bounds.ttl_max)
 
 
 class Directory:
--- a/millfront/gatekeeper/process.py
+++ b/millfront/gatekeeper/process.py
@@ -21,6 +21,7 @@
 from millfront.environment import CONFIG_VARIABLE, Settings, load
 from millfront.gatekeeper import api
 from millfront.gatekeeper.node import TICK_S, Gatekeeper
+from millfront.gatekeeper.shutdown import ShutdownSchedule
 from millfront.node.config import Address
 from millfront.operations.store import Batch
 from millfront.register.replica import PersistRequest
@@ -32,8 +33,6 @@
     from millfront.storage.operations_disk import OperationsDisk
 
 SETTINGS_CHECK_TICKS = 8  # between checks of the settings file, 2 s
-DRAIN_SHARE = 0.6  # of the grace period: 0.8 of this after SIGTERM no new clients are accepted
-END_MARGIN_S = 0.3  # the process ends so long before the grace period does
 IDLE_CHECK_S = 0.02  # between checks whether any work is open
 IDLE_CHECKS = 6  # in a row without open work, after which the process ends
 
@@ -239,19 +238,20 @@
                 logger.info("settings: reloaded, seeds applied")
 
     async def _shut_down(self) -> None:
-        """Announce the shutdown, serve on while clients still arrive, then close their connections and finish
-        open requests. A core member keeps voting until the core has replaced it."""
-        grace = self.settings.bounds.grace_period
-        end = self.now() + grace - END_MARGIN_S
+        """Announce the shutdown and serve on while clients still arrive. Then refuse further requests and
+        finish the open ones. A core member keeps voting until the core has replaced it."""
+        schedule = ShutdownSchedule.of(self.settings.bounds)
+        started = self.now()
         logger.info("gatekeeper: shutting down")
-        self.gatekeeper.reconfiguration.leave(self.now())
+        self.gatekeeper.reconfiguration.leave(started)
         server = self.proxy.server
-        await asyncio.sleep(DRAIN_SHARE * grace * 0.5)
+        await asyncio.sleep(schedule.announce_s)
         server.set_closing(True)
-        await asyncio.sleep(DRAIN_SHARE * grace * 0.3)
+        await asyncio.sleep(schedule.stop_admitting_s - schedule.announce_s)
         server.stop_accepting()
+        self.proxy.admitting = False
         idle_checks = 0  # in a row; a request may still arrive on a kept-alive connection
-        while self.now() < end and idle_checks < IDLE_CHECKS:
+        while self.now() < started + schedule.exit_s and idle_checks < IDLE_CHECKS:
             server.close_idle()
             idle_checks = 0 if self._has_open_work() else idle_checks + 1
             await asyncio.sleep(IDLE_CHECK_S)
--- a/tests/system_world.py
+++ b/tests/system_world.py
@@ -10,6 +10,8 @@
 
 from millfront.environment import Bounds, Settings
 from millfront.gatekeeper.node import TICK_S, Gatekeeper
+from millfront.gatekeeper.process import IDLE_CHECK_S, IDLE_CHECKS
+from millfront.gatekeeper.shutdown import ShutdownSchedule
 from millfront.operations.store import Batch
 from millfront.quotas.requester import Decision
 from millfront.register.replica import PersistRequest
@@ -21,7 +23,8 @@
 SYNC_S = 0.002
 CUT_CHECK_S = 0.2  # messages that a cut delayed arrive at most so long after it
 MAX_WAIT_S = 0.16  # of a request for a token
-MIN_LEAVE_S = 2.9  # from SIGTERM until a process has drained its clients
+SHUTDOWN = ShutdownSchedule.of(Bounds())
+MIN_LEAVE_S = SHUTDOWN.stop_admitting_s + IDLE_CHECKS * IDLE_CHECK_S  # from SIGTERM until the earliest exit
 
 
 def document(
@@ -204,7 +207,7 @@
                 self.gatekeeper.tick(self.now())
             yield self.world.env.timeout(TICK_S * (0.97 + 0.06 * self.world.random.random()))
 
-    def leave(self, end: float = 5.7) -> None:
+    def leave(self, end: float = SHUTDOWN.exit_s) -> None:
         """SIGTERM: shut down as the daemon does, after `MIN_LEAVE_S` and at most after `end` seconds."""
         gatekeeper, incarnation = self.gatekeeper, self.incarnation
         assert gatekeeper is not None
--- a/tests/test_gatekeeper_calls.py
+++ b/tests/test_gatekeeper_calls.py
@@ -16,8 +16,8 @@
 from millfront.discovery.platform_client import PlatformError, read_list
 from millfront.discovery.server_list import ServerList
 from millfront.environment import Bounds, Settings
-from millfront.gatekeeper import process
 from millfront.gatekeeper.process import GatekeeperProcess
+from millfront.node import clients
 from millfront.register import reconfiguration
 from tests.system_world import document
 
@@ -132,7 +132,11 @@
 
 @asynccontextmanager
 async def running_gatekeeper(
-    tmp_path: Path, scripts: list[Script], servers: int = 2, system: RunningGatekeeper | None = None
+    tmp_path: Path,
+    scripts: list[Script],
+    servers: int = 2,
+    system: RunningGatekeeper | None = None,
+    bounds: Bounds | None = None,
 ) -> AsyncIterator[RunningGatekeeper]:
     system = system or RunningGatekeeper()
     system.scripts = scripts
@@ -149,7 +153,7 @@
         state_dir=str(tmp_path),
         serves=("edge", "control", "directory"), ram_mb=100, fd_limit=1000, port=port,
         seeds=(system.ctl,), bindings={"plain": system.plain} | control_apis,
-        zones={"aa": "a", "ba": "b"}, cloud=cloud, cloud_rate=9.0, cloud_lag=0.5, bounds=Bounds(),
+        zones={"aa": "a", "ba": "b"}, cloud=cloud, cloud_rate=9.0, cloud_lag=0.5, bounds=bounds or Bounds(),
     )  # fmt: skip
     from millfront.storage.disk import Disk
     from millfront.storage.operations_disk import OperationsDisk
@@ -520,24 +524,31 @@
     run_scenario(scenario)
 
 
-def test_at_its_end_a_node_waits_for_a_client_that_takes_its_answer_slowly(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_at_its_end_a_node_waits_for_a_client_that_takes_its_answer_slowly(tmp_path: Path) -> None:
     """The answer says `Connection: close`, and the server has sent it long before the client has read it."""
-    monkeypatch.setattr(process, "DRAIN_SHARE", 0.01)
     size = 9_000_000
+    shutting_down = asyncio.Event()
+
+    async def sends_during_the_shutdown(head: bytes, writer: asyncio.StreamWriter, number: int) -> None:
+        await shutting_down.wait()
+        await sends(body=b"y" * size, more=SEAL)(head, writer, number)
 
     async def scenario() -> None:
-        async with running_gatekeeper(tmp_path, [sends(body=b"y" * size, more=SEAL)], servers=1) as system:
+        bounds = Bounds(grace_period=2.0)
+        async with running_gatekeeper(
+            tmp_path, [sends_during_the_shutdown], servers=1, bounds=bounds
+        ) as system:
             host, _, port = system.plain.rpartition(":")
             reader, writer = await asyncio.open_connection(host, int(port), limit=4096)
             fields = f"Host: a.example\r\nMillfront-Attempt-Id: a19c\r\n{KEY}"
             server, proxy = system.service.proxy.server, system.service.proxy
             server.buffer_budget.limit = 4 * size  # the server finishes while the client still reads
-            system.service.ending.set()
-            await system.until(lambda: server.closing)
             writer.write(f"GET /p/a1 HTTP/1.1\r\n{fields}\r\n".encode())
-            await system.until(lambda: len(system.seen) == 1 and proxy.open_requests == 0)
+            await system.until(lambda: len(system.seen) == 1)
+            system.service.ending.set()
+            await system.until(lambda: not proxy.admitting)
+            shutting_down.set()
+            await system.until(lambda: proxy.open_requests == 0)
             connection = next(iter(server._connections))
             assert server.unsent_count() == 1
             connection.check_timeouts(server.clock.now() + 2_000_000, server.request_read_timeout_us)
@@ -550,6 +561,29 @@
     run_scenario(scenario)
 
 
+def test_a_request_that_comes_too_late_in_a_shutdown_is_refused_and_reaches_no_server(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests that were passed on although the process ends before they can be answered."""
+    monkeypatch.setattr(clients, "FIRST_REQUEST_GRACE_US", 60_000_000)  # the new connection is kept open
+
+    async def scenario() -> None:
+        bounds = Bounds(grace_period=3.0)
+        async with running_gatekeeper(tmp_path, [serves], bounds=bounds) as system:
+            server = system.service.proxy.server
+            system.service.ending.set()
+            await system.until(lambda: server.closing)
+            host, _, port = system.plain.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            await system.until(lambda: server._listener is None)
+            status, head, _ = await exchange(reader, writer, "POST", "/p/a1", b"x", KEY)
+            assert (status, field(head, "Connection"), system.seen) == (503, b"close", [])
+            assert float(field(head, "Retry-After")) > 0.0
+            writer.close()
+
+    run_scenario(scenario)
+
+
 def test_a_request_held_for_a_server_goes_to_no_zone_that_is_evacuated_meanwhile(tmp_path: Path) -> None:
     """The server is chosen before, and connected after the evacuation is in force."""
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -368,7 +368,7 @@
     assert acknowledged(world, 4, 3)
 
 
-SOON_S = 3.2  # from SIGTERM: 2.9 s in which a process serves its clients, and some checks
+SOON_S = 3.2  # from SIGTERM: 2.8 s in which a process serves its clients, and some checks
 GRACE_ENDS_S = 5.6
 
 
@@ -467,7 +467,7 @@
     return "" if acknowledged(world, 4, 3) else "no majority"
 
 
-# A process exits 2.9 s after SIGTERM at the earliest. Before that, a start takes a tick (0.25 s) until all
+# A process exits 2.8 s after SIGTERM at the earliest. Before that, a start takes a tick (0.25 s) until all
 # know it, the leaving process asks each member every 0.52 s at most, and an answer takes two trips of up to
 # 0.04 s and the lags of both ends
 HEARD_S = 1.9
