Answer requests that no server has before the process exits

What callers saw: in a test, a request that waited for a server when the grace period of a shutdown was over; its connection was closed without an answer (LOST: read whole, and never passed on). Not seen at the operators; found while the paths next to the late requests of a shutdown were read.

Cause: at the latest time of its exit the process stopped, whatever was open, and did not tell requests that servers work on from those that no server has.

Change: before it exits, a process gives up every request without an attempt in flight, as after a wait that is too long: 503 where it never ran, with its claim withdrawn and its token given back. Answers that are being stored for repeats are delivered first. The log line at the exit counts the requests that are left.

Evidence: test_a_request_that_still_waits_for_a_server_at_the_end_of_a_shutdown_ failed before (the request was open when the process had exited). Without the delivery of stored answers test_an_answer_that_is_still_being_stored_... gets 503.

--- a/millfront/dataplane/proxy.py
+++ b/millfront/dataplane/proxy.py
@@ -94,7 +94,7 @@
         self.keyed = KeyedRequests(self, gatekeeper.operations.claims)
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.answer_sizes: dict[str, float] = {}  # mean bytes of an answer, by route
-        self.open_requests = 0
+        self.open_requests: set[ClientRequest] = set()  # admitted or waiting for that, and not yet answered
         self.admitting = True  # False: this process shuts down, and refuses all further requests
         gatekeeper.on_servers_changed = self.on_servers_changed
         gatekeeper.on_configuration_changed = self.on_configuration_changed
@@ -210,7 +210,7 @@
         """Start a request or refuse it; returns None if it is already answered."""
         request.caller = caller
         now = self.now()
-        self.open_requests += 1
+        self.open_requests.add(request)
         if not self.admitting:
             self.refuse(request, 503, SHUTDOWN_RETRY_AFTER_S)
             return None
@@ -532,6 +532,12 @@
             late = self.clock.now() >= request.deadline_us - 5_000
             self.refuse(request, 504 if late else 502, 0.0)
 
+    def give_up_waiting(self) -> None:
+        """Answer every request that no server is at work on, because this process is about to exit."""
+        self.keyed.claims.stop_all_waiting()
+        for request in list(self.open_requests):
+            self.give_up(request)
+
     def refund_quota(self, request: ClientRequest) -> None:
         """Uncount the request in its tenant's quota, because it reaches no server."""
         if request.quota_counted and request.tenant is not None:
@@ -550,7 +556,7 @@
     def finish(self, request: ClientRequest) -> None:
         """Mark the request as answered; its only answer is about to be sent."""
         request.finished = True
-        self.open_requests -= 1
+        self.open_requests.discard(request)
         if request.timer is not None:
             request.timer.cancel()
             request.timer = None
--- a/millfront/gatekeeper/process.py
+++ b/millfront/gatekeeper/process.py
@@ -255,11 +255,13 @@
             server.close_idle()
             idle_checks = 0 if self._has_open_work() else idle_checks + 1
             await asyncio.sleep(IDLE_CHECK_S)
+        self.proxy.give_up_waiting()
+        logger.info("gatekeeper: exits with {} requests open", len(self.proxy.open_requests))
 
     def _has_open_work(self) -> bool:
         """Whether something is open that must end before this process does."""
         server = self.proxy.server
-        if self.proxy.open_requests > 0 or server.unanswered_count() or server.unsent_count():
+        if self.proxy.open_requests or server.unanswered_count() or server.unsent_count():
             return True
         return not self.gatekeeper.reconfiguration.may_exit(self.now())
 
--- a/millfront/operations/claims.py
+++ b/millfront/operations/claims.py
@@ -260,3 +260,9 @@
         on_stored, pending.on_stored = pending.on_stored, None
         if on_stored is not None:
             on_stored()
+
+    def stop_all_waiting(self) -> None:
+        """Deliver all answers that are still being stored, because this process is about to exit."""
+        for pending in list(self._pending.values()):
+            if pending.on_stored is not None:
+                self.stop_waiting(pending)
--- a/tests/system_world.py
+++ b/tests/system_world.py
@@ -33,11 +33,12 @@
     rate: float = 0.0,
     limits: dict[str, Any] | None = None,
     kind: str = "effectful",
+    target_time: str = "1s",
 ) -> str:
     """A configuration with one route of that kind, tenants with these API keys and, if given, limits."""
     spec = {
         "host": "a.example", "path_prefix": "/p/", "variant_tag": kind, "deadline": "4s",
-        "target_time": "1s", "rank": 1, "target": "shop", "max_tries": 2, "home_regions": [],
+        "target_time": target_time, "rank": 1, "target": "shop", "max_tries": 2, "home_regions": [],
     }  # fmt: skip
     tenants = [
         {
--- a/tests/test_gatekeeper_calls.py
+++ b/tests/test_gatekeeper_calls.py
@@ -52,6 +52,7 @@
 
     def __init__(self) -> None:
         self.service: GatekeeperProcess
+        self.running: asyncio.Task[None]
         self.seen: list[tuple[int, bytes, bytes]] = []  # server, head, body
         self.scripts: list[Script] = []
         self.instances: dict[str, Any] = {}
@@ -162,7 +163,7 @@
     stored, _ = disk.load()
     rows, _ = operations.load()
     system.service = GatekeeperProcess(settings, stored, disk, 0, operations, rows)
-    running = asyncio.get_running_loop().create_task(system.service.run())
+    running = system.running = asyncio.get_running_loop().create_task(system.service.run())
     try:
         await asyncio.sleep(0)
         system.service.gatekeeper.membership.heard_any = True  # there are no other members to wait for
@@ -548,7 +549,7 @@
             system.service.ending.set()
             await system.until(lambda: not proxy.admitting)
             shutting_down.set()
-            await system.until(lambda: proxy.open_requests == 0)
+            await system.until(lambda: len(proxy.open_requests) == 0)
             connection = next(iter(server._connections))
             assert server.unsent_count() == 1
             connection.check_timeouts(server.clock.now() + 2_000_000, server.request_read_timeout_us)
@@ -584,6 +585,24 @@
     run_scenario(scenario)
 
 
+def test_a_request_that_still_waits_for_a_server_at_the_end_of_a_shutdown_is_refused(tmp_path: Path) -> None:
+    """Guards against requests that were read, passed on to no server, and ended with a closed connection."""
+
+    async def scenario() -> None:
+        bounds = Bounds(grace_period=1.0)
+        async with running_gatekeeper(tmp_path, [serves], servers=0, bounds=bounds) as system:
+            assert await system.put(document(2, {"t": ["key-1"]}, target_time="4s")) == 200
+            asked = asyncio.get_running_loop().create_task(system.ask("POST", "/p/a1", b"x", more=KEY))
+            await system.until(lambda: len(system.service.proxy.open_requests) == 1)
+            system.service.ending.set()
+            async with asyncio.timeout(5):
+                await system.running
+            assert len(system.service.proxy.open_requests) == 0
+            assert (await asked)[0] == 503
+
+    run_scenario(scenario)
+
+
 def test_a_request_held_for_a_server_goes_to_no_zone_that_is_evacuated_meanwhile(tmp_path: Path) -> None:
     """The server is chosen before, and connected after the evacuation is in force."""
 
@@ -701,7 +720,7 @@
             for seen in proxy.load_balancer.server_states.values():
                 seen.paused_until = proxy.now() + 0.12  # no server accepts requests: the request is held
             asked = asyncio.get_running_loop().create_task(system.ask("POST", "/p/a1", b"order", more=KEY))
-            await system.until(lambda: proxy.open_requests == 1)
+            await system.until(lambda: len(proxy.open_requests) == 1)
             assert await system.put(document(2, {"t": ["key-2"]})) == 200
             assert (await asked)[0] == 401
             assert system.seen == []
@@ -718,7 +737,7 @@
             for seen in proxy.load_balancer.server_states.values():
                 seen.paused_until = proxy.now() + 0.12  # no server accepts requests: the request is held
             asked = asyncio.get_running_loop().create_task(system.ask("POST", "/p/a1", b"order", more=KEY))
-            await system.until(lambda: proxy.open_requests == 1)
+            await system.until(lambda: len(proxy.open_requests) == 1)
             gatekeeper.server_list.usable = lambda now: False  # type: ignore[method-assign]
             assert (await asked)[0] == 503
             assert (await system.ask("POST", "/p/a1", b"order", more=KEY))[0] == 503
--- a/tests/test_operation_keys.py
+++ b/tests/test_operation_keys.py
@@ -3,6 +3,10 @@
 import asyncio
 from pathlib import Path
 
+import pytest
+
+from millfront.dataplane import keyed_requests
+from millfront.operations.claims import OperationClaims
 from tests.system_world import document
 from tests.test_gatekeeper_calls import KEY, SEAL, quick, run_scenario, running_gatekeeper, sends
 
@@ -49,6 +53,26 @@
     run_scenario(scenario)
 
 
+def test_an_answer_that_is_still_being_stored_when_the_process_exits_is_delivered(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a server's answer that is replaced by a refusal or by a closed connection."""
+    monkeypatch.setattr(keyed_requests, "STORE_WAIT_S", 60.0)
+    monkeypatch.setattr(OperationClaims, "handle_finish_ack", lambda self, sender, ack: None)
+
+    async def scenario() -> None:
+        async with running_gatekeeper(tmp_path, [sends(body=b"first", more=SEAL)]) as made:
+            assert await made.put(document(2, {"t": ["key-1"]}, kind="keyed")) == 200
+            asked = asyncio.create_task(made.ask("POST", "/p/a1", b"x", more=KEYED))
+            proxy = made.service.proxy
+            await made.until(lambda: any(p.on_stored for p in proxy.keyed.claims._pending.values()))
+            proxy.give_up_waiting()
+            status, _, body = await asked
+            assert (status, body, len(proxy.open_requests)) == (200, b"first", 0)
+
+    run_scenario(scenario)
+
+
 def test_a_servers_own_503_is_no_answer_for_a_repeat_though_the_first_client_has_left(tmp_path: Path) -> None:
     """The request has run; the same 503 to a repeat would promise that it has not."""
 
@@ -67,7 +91,7 @@
             first.cancel()
             await asyncio.gather(first, return_exceptions=True)
             proxy = made.service.proxy
-            await made.until(lambda: proxy.open_requests == 0)  # the gatekeeper has seen that it left
+            await made.until(lambda: len(proxy.open_requests) == 0)  # the gatekeeper has seen that it left
             left.set()
             status = 409
             async with asyncio.timeout(5):
