--- a/millfront/discovery/server_list.py
+++ b/millfront/discovery/server_list.py
@@ -205,16 +205,8 @@
         self.cost = ReadCost.clamped(now - self.poll_began, calls)
         if number <= self.list_number:
             return None  # another process's list arrived meanwhile
-        before, earlier = self.stamp, {s.ident: (s.phase, s.is_cold(now)) for s in self._present()}
-        shows_state_of = self.timing.shows_state_of(self.poll_began)
-        gone = self._replace(now, (number, self.name), entries, self.poll_began, shows_state_of)
-        changed = []
-        for entry in entries:
-            server = self.servers.get(entry[0])
-            if server is None:
-                continue
-            if earlier.get(entry[0]) != (server.phase, server.is_cold(now)):
-                changed.append(entry)
+        before, shows_state_of = self.stamp, self.timing.shows_state_of(self.poll_began)
+        changed, gone = self._replace(now, (number, self.name), entries, self.poll_began, shows_state_of)
         message = {"t": "list", "f": number, "w": self.name, "p": before[0], "q": before[1]}
         cost = {"d": self.cost.seconds, "l": self.cost.calls}
         return message | cost | {"e": changed, "g": gone, "a": round(now - self.poll_began, 3)}
@@ -290,19 +282,18 @@
 
     def _replace(
         self, now: float, stamp: Stamp, entries: list[ServerEntry], as_of: float, shows_state_of: float
-    ) -> list[str]:
-        """Replace the list held; returns the idents of servers that are gone by the new one.
+    ) -> tuple[list[ServerEntry], list[str]]:
+        """Replace the list held; returns the entries that change it, and the idents of servers that are gone.
 
         :param shows_state_of: the entries are sure to show what happened until this time
         """
-        for entry in entries:
-            self._apply_entry(now, entry, shows_state_of)
+        changed = [entry for entry in entries if self._apply_entry(now, entry, shows_state_of)]
         named = {entry[0] for entry in entries}
         gone = [server for server in self._present() if server.ident not in named]
         for server in gone:
             self._advance(server, Phase.GONE, now)
         self._set_stamp(now, stamp, as_of)
-        return [server.ident for server in gone]
+        return changed, [server.ident for server in gone]
 
     def _advance(self, server: Server, phase: Phase, now: float) -> None:
         self.version += phase > server.phase
@@ -319,16 +310,21 @@
         while self._ended and now - self._ended[first := next(iter(self._ended))] > ENDED_RETENTION_S:
             del self._ended[first]
 
-    def _apply_entry(self, now: float, entry: ServerEntry, shows_state_of: float) -> None:
+    def _apply_entry(self, now: float, entry: ServerEntry, shows_state_of: float) -> bool:
+        """Apply one server's entry of a list; returns whether processes with the list before lack it."""
         ident, service, address, zone, capacity, draining, cold = entry
         server = self.servers.get(ident)
         if ident in self._ended:
-            return  # an old list: this instance is gone and was removed
-        if server is None or server.address != address:
+            return False  # an old list: this instance is gone and was removed
+        added = server is None or server.address != address
+        if server is None or added:
             server = Server(ident, service, address, zone, capacity, Phase.READY, WarmUp(), now)
             self.servers[ident] = server
             self.version += 1
         elif server.phase is Phase.GONE and not draining:
-            return  # an old list: this instance is gone
+            return True  # an old list, or only this process knows that the instance is gone
+        phase = server.phase
         self._advance(server, Phase(min(int(draining), 1)), now)
-        server.warm_up.update(now, cold, shows_state_of)
+        warm_up_changed = server.warm_up.update(now, cold, shows_state_of)
+        known_to_others = phase is server.phase and phase is not Phase.GONE
+        return added or warm_up_changed or not known_to_others
--- a/tests/test_server_list.py
+++ b/tests/test_server_list.py
@@ -170,6 +170,18 @@
             assert {s.ident for s in follower.servers.values() if s.phase is not Phase.GONE} == listed
 
 
+def test_a_server_that_only_the_poller_took_for_gone_is_published_when_it_drains() -> None:
+    """A 421 tells one process that a server is gone, while the platform still lists it."""
+    poller, other = ServerList("poller"), ServerList("other")
+    ready, draining = ([["i-1", "shop", "10.0.2.1:80", "aa", 3, phase, 0.0]] for phase in (0, 1))
+    first = poller.poll_succeeded(1.0, poller.begin_poll(1.0), ready)
+    assert first is not None and other.handle_list(1.0, first)
+    poller.servers["i-1"].advance(Phase.GONE, 1.5)
+    later = poller.poll_succeeded(2.0, poller.begin_poll(2.0), draining)
+    assert later is not None and other.handle_list(2.0, later)
+    assert other.servers["i-1"].phase is Phase.DRAINING
+
+
 # ---- cold servers ----------------------------------------------------------------------------------------
 
 MAX_LAG_S, WARMUP_S, EVACUATIONS = 0.8, 3.0, 5
@@ -248,3 +260,29 @@
     assert started.handle_list(10.2, held.full_list(10.2))
     started.poll_succeeded(10.4, started.begin_poll(10.3), warm)
     assert started.servers["i-1"].is_cold(12.9) and not started.servers["i-1"].is_cold(13.1)
+
+
+@pytest.mark.parametrize(("known_left", "assumed"), [(0.0, True), (1.4, False)])
+def test_a_warm_up_that_lasts_longer_than_the_others_know_is_published(
+    known_left: float, assumed: bool
+) -> None:
+    """Guards against a poller that keeps a warm-up to itself: it had assumed one at the end of an evacuation
+    that another process does not know of, or the server became cold again while it was cold."""
+    timing = PollTiming(max_lag=MAX_LAG_S)
+    poller, other = ServerList("poller", timing), ServerList("other", timing)
+    known, shown = ([["i-1", "shop", "10.0.2.1:80", "aa", 3, 0, left]] for left in (known_left, 2.2))
+    first = poller.poll_succeeded(9.0, poller.begin_poll(9.0), known)
+    assert first is not None and other.handle_list(9.0, first)
+    if assumed:
+        poller.servers["i-1"].warm_up.assume(9.2, WARMUP_S)
+    later = poller.poll_succeeded(10.0, poller.begin_poll(10.0), shown)
+    assert later is not None and other.handle_list(10.0, later)
+    assert other.servers["i-1"].is_cold(12.1) and not other.servers["i-1"].is_cold(12.3)
+
+
+def test_a_warm_up_that_goes_on_as_known_is_not_published_again() -> None:
+    poller = ServerList("poller")
+    for at, left in ((9.0, 3.0), (9.8, 2.2), (10.6, 1.45)):
+        entries = [["i-1", "shop", "10.0.2.1:80", "aa", 3, 0, left]]
+        message = poller.poll_succeeded(at, poller.begin_poll(at), entries)
+        assert message is not None and bool(message["e"]) == (at == 9.0)
