Test of bursts through a restart: wait until all processes are ready again

Clients send as before while the processes start; the 10 s begin when all are ready, which has a time limit of its own. Every bound is kept, over a longer time, and what was admitted last must have been sent after the restart (before, requests of before it could pass for that).

--- a/tests/test_quota_processes.py
+++ b/tests/test_quota_processes.py
@@ -13,6 +13,7 @@
 START_TIMEOUT_S = 60.0
 ANSWER_TIMEOUT_S = 2.0
 BURST_INTERVAL_S = 0.25
+CLUMPS_BETWEEN_CHECKS_S = 0.5
 LIMITS = {"five": Limit(5.0, 5.0), "seven": Limit(7.0, 7.0)}
 RULE = QuotaRule()
 
@@ -70,15 +71,22 @@
                 connections.send_burst(key)
             connections.read(BURST_INTERVAL_S)
 
+    def all_ready_after_clumps() -> bool:
+        clumps(CLUMPS_BETWEEN_CHECKS_S)
+        return all(system.ready(number) == 200 for number in range(PROCESSES))
+
     clumps(2.0)
+    restarted_at = time.monotonic()
     system.lose_power(range(PROCESSES))
     for number in range(PROCESSES):
         system.start(number)
+    wait_until("all processes are ready again", all_ready_after_clumps, START_TIMEOUT_S)
     clumps(10.0)
     connections.close()
     attempts = system.peer.observed.attempts.copy()
     for key, limit in LIMITS.items():
         runs = log.runs(key, attempts)
         last = max(run.sent for run in runs)
+        assert last > restarted_at
         assert max_requests_in_window(runs, RULE.window_s) <= RULE.allowed(limit.rate, limit.burst)
         assert sum(run.sent > last - 3.0 for run in runs) >= limit.rate, "the tenant's rate is admitted again"
