--- a/millfront/discovery/server_list.py
+++ b/millfront/discovery/server_list.py
@@ -15,11 +15,10 @@
 from typing import Any
 
 from millfront.discovery.polling import CHECK_INTERVAL_S, SOLO_START_S, TOLERATED_LOSSES, PollTiming, ReadCost
-from millfront.discovery.warm_up import WarmUp
+from millfront.discovery.warm_up import NEVER, WarmUp
 
 GONE_RETENTION_S = 30.0
 ENDED_RETENTION_S = 600.0  # how long the ident of an instance that is gone is remembered
-NEVER = -1e9
 
 Message = dict[str, Any]
 
@@ -313,18 +312,25 @@
     def _apply_entry(self, now: float, entry: ServerEntry, shows_state_of: float) -> bool:
         """Apply one server's entry of a list; returns whether processes with the list before lack it."""
         ident, service, address, zone, capacity, draining, cold = entry
-        server = self.servers.get(ident)
         if ident in self._ended:
             return False  # an old list: this instance is gone and was removed
-        added = server is None or server.address != address
-        if server is None or added:
+        server = self.servers.get(ident)
+        if server is None or server.address != address:
             server = Server(ident, service, address, zone, capacity, Phase.READY, WarmUp(), now)
             self.servers[ident] = server
             self.version += 1
-        elif server.phase is Phase.GONE and not draining:
+            self._apply_state(now, server, draining, cold, shows_state_of)
+            return True
+        if server.phase is Phase.GONE and not draining:
             return True  # an old list, or only this process knows that the instance is gone
+        return self._apply_state(now, server, draining, cold, shows_state_of)
+
+    def _apply_state(
+        self, now: float, server: Server, draining: int, cold: float, shows_state_of: float
+    ) -> bool:
+        """Apply what a list shows of a known server; returns whether others with the list before lack it."""
         phase = server.phase
         self._advance(server, Phase(min(int(draining), 1)), now)
         warm_up_changed = server.warm_up.update(now, cold, shows_state_of)
         known_to_others = phase is server.phase and phase is not Phase.GONE
-        return added or warm_up_changed or not known_to_others
+        return warm_up_changed or not known_to_others
--- a/millfront/gatekeeper/server_discovery.py
+++ b/millfront/gatekeeper/server_discovery.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING, Any
 
 from millfront.discovery.polling import PollTiming
-from millfront.discovery.server_list import NEVER, PlatformList, ReadFailure, ServerList
+from millfront.discovery.server_list import PlatformList, ReadFailure, ServerList
+from millfront.discovery.warm_up import NEVER
 from millfront.membership.record import Liveness
 
 if TYPE_CHECKING:
--- a/tests/test_quota_processes.py
+++ b/tests/test_quota_processes.py
@@ -24,12 +24,7 @@
     with System(folder, PROCESSES, disks=DISKS, relays=False, servers=6) as running:
         text = document(1, LIMITS, limits=LIMITS)
         running.retry_call(0, lambda number: running.put(number, text), START_TIMEOUT_S)
-        ready = range(PROCESSES)
-        wait_until(
-            "all processes are ready",
-            lambda: all(running.ready(number) == 200 for number in ready),
-            START_TIMEOUT_S,
-        )
+        wait_until("all processes are ready", lambda: all_ready(running), START_TIMEOUT_S)
         wait_until(
             "the core holds a full burst of tokens of each tenant",
             lambda: all(has_burst_tokens(running, key) for key in LIMITS),
@@ -38,6 +33,11 @@
         yield running
 
 
+def all_ready(system: System) -> bool:
+    """Whether every process says that it is ready."""
+    return all(system.ready(number) == 200 for number in range(PROCESSES))
+
+
 def has_burst_tokens(system: System, key: str) -> bool:
     """Whether the core members together have tokens for a full burst of the tenant."""
     answers = [system.call(number, "GET", "/v1/gatekeeper/tenants") for number in range(DISKS)]
@@ -73,7 +73,7 @@
 
     def all_ready_after_clumps() -> bool:
         clumps(CLUMPS_BETWEEN_CHECKS_S)
-        return all(system.ready(number) == 200 for number in range(PROCESSES))
+        return all_ready(system)
 
     clumps(2.0)
     restarted_at = time.monotonic()
