Test of a takeover: wait until the killed process has exited before connecting

Cause: two processes listen at one port (SO_REUSEPORT). The link between them ends while the kernel is still closing the sockets of the killed one, so a connection may still be given to its listening socket, and is reset with it. No process can answer it any more: that is the kill itself, and not the takeover.

Change: the test waits for the exit. It asserts what it asserted, that whoever connects after the death of a process is served by the other one.

--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -122,6 +122,7 @@
     assert wait_for_line(third, "takes over") and wait_for_line(third, "serves ")
     second.kill()
     assert wait_for_line(third, "the predecessor has ended")
+    second.wait()  # until then the kernel may give connections to its listening socket, and reset them
     with socket.create_connection(("127.0.0.1", port), timeout=5) as client:
         client.sendall(b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")
         assert client.recv(100).startswith(b"HTTP/1.1 200 OK")
