--- a/tests/test_gatekeeper_calls.py
+++ b/tests/test_gatekeeper_calls.py
@@ -22,6 +22,7 @@
 from tests.system_world import document
 
 OPENAPI = Path(__file__).parent.parent / "docs" / "openapi" / "gatekeeper.json"
+STREAM_LIMIT = 2**16  # bytes that a reader buffers
 Script = Callable[[bytes, asyncio.StreamWriter, int], Awaitable[None]]
 
 
@@ -97,8 +98,7 @@
         self, method: str, path: str, body: bytes = b"", at: str = "", more: str = ""
     ) -> tuple[int, bytes, bytes]:
         """Make a request on a new connection; returns status, head, body."""
-        host, _, port = (at or self.plain).rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await connect(at or self.plain)
         try:
             return await exchange(reader, writer, method, path, body, more)
         finally:
@@ -114,6 +114,14 @@
                 await asyncio.sleep(0)
 
 
+async def connect(
+    address: str, limit: int = STREAM_LIMIT
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection to an address with a port."""
+    host, _, port = address.rpartition(":")
+    return await asyncio.open_connection(host, int(port), limit=limit)
+
+
 async def exchange(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter, method: str, path: str, body: bytes, more: str
 ) -> tuple[int, bytes, bytes]:
@@ -326,8 +334,7 @@
             service, held = system.service, list[Any]()
             sync = service.persist
             service.persist = held.append  # type: ignore[method-assign, assignment]
-            host, _, port = system.ctl.rpartition(":")
-            _, writer = await asyncio.open_connection(host, int(port))
+            _, writer = await connect(system.ctl)
             writer.write(b"POST /v1/evacuation/ba HTTP/1.1\r\nHost: a\r\n\r\n")
             await system.until(lambda: bool(held))
             writer.close()
@@ -346,8 +353,7 @@
 def test_a_key_removed_between_two_requests_of_one_connection_is_refused(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with running_gatekeeper(tmp_path, [serves]) as system:
-            host, _, port = system.plain.rpartition(":")
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await connect(system.plain)
             assert (await exchange(reader, writer, "POST", "/p/a1", b"x", KEY))[0] == 200
             assert await system.put(document(2, {"t": ["key-2"]})) == 200
             assert (await exchange(reader, writer, "POST", "/p/a2", b"x", KEY))[0] == 401
@@ -476,8 +482,7 @@
 
 async def idle_connection(system: RunningGatekeeper) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """A client connection that is idle after an answer."""
-    host, _, port = system.plain.rpartition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
+    reader, writer = await connect(system.plain)
     assert (await exchange(reader, writer, "POST", "/p/a1", b"x", KEY))[0] == 200
     return reader, writer
 
@@ -539,8 +544,7 @@
         async with running_gatekeeper(
             tmp_path, [sends_during_the_shutdown], servers=1, bounds=bounds
         ) as system:
-            host, _, port = system.plain.rpartition(":")
-            reader, writer = await asyncio.open_connection(host, int(port), limit=4096)
+            reader, writer = await connect(system.plain, limit=4096)
             fields = f"Host: a.example\r\nMillfront-Attempt-Id: a19c\r\n{KEY}"
             server, proxy = system.service.proxy.server, system.service.proxy
             server.buffer_budget.limit = 4 * size  # the server finishes while the client still reads
@@ -574,8 +578,7 @@
             server = system.service.proxy.server
             system.service.ending.set()
             await system.until(lambda: server.closing)
-            host, _, port = system.plain.rpartition(":")
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await connect(system.plain)
             await system.until(lambda: server._listener is None)
             status, head, _ = await exchange(reader, writer, "POST", "/p/a1", b"x", KEY)
             assert (status, field(head, "Connection"), system.seen) == (503, b"close", [])
@@ -668,8 +671,7 @@
 
 async def start_upload(system: RunningGatekeeper) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """Start an upload of 360 kB and send 200 kB of it."""
-    host, _, port = system.plain.rpartition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
+    reader, writer = await connect(system.plain)
     fields = f"Host: a.example\r\nMillfront-Attempt-Id: ab\r\nContent-Length: 360000\r\n{KEY}"
     writer.write(f"POST /p/a1 HTTP/1.1\r\n{fields}\r\n".encode() + b"x" * 200_000)
     return reader, writer
--- a/tests/test_server_list.py
+++ b/tests/test_server_list.py
@@ -15,6 +15,11 @@
 Message = dict[str, Any]
 
 
+def entry(number: int = 1, draining: int = 0, cold_left: float = 0.0) -> list[Any]:
+    """A server in the platform's list."""
+    return [f"i-{number}", "shop", f"10.0.2.{number}:80", "aa", 3, draining, cold_left]
+
+
 class Fleet:
     """Processes that exchange lists, with messages that are delayed, reordered or lost."""
 
@@ -26,10 +31,7 @@
         self.now = 100.0
 
     def platform(self) -> list[Any]:
-        return [
-            [f"i-{n}", "shop", f"10.0.2.{n}:80", "aa", 3, int(f"i-{n}" in self.draining), 0.0]
-            for n in range(SERVERS)
-        ]
+        return [entry(n, int(f"i-{n}" in self.draining)) for n in range(SERVERS)]
 
     def step(self) -> None:
         self.now += self.random.uniform(0.005, 0.05)
@@ -84,7 +86,7 @@
 def test_lists_of_two_concurrent_polls_are_distinguished() -> None:
     """Both lists have the same number; a change made from the second must not be applied to the first."""
     one, other, third = (ServerList(name) for name in ("one", "other", "third"))
-    ready, draining = [["i-1", "shop", "10.0.2.1:80", "aa", 3, phase, 0.0] for phase in (0, 1)]
+    ready, draining = [entry(draining=phase) for phase in (0, 1)]
     first = one.poll_succeeded(1.0, one.begin_poll(1.0), [ready])
     assert first is not None and third.handle_list(1.1, first)
     assert other.poll_succeeded(1.2, other.begin_poll(1.2), [draining]) is not None  # of the same number
@@ -97,8 +99,7 @@
 
 def test_an_instance_that_is_gone_does_not_return_by_an_old_list_after_its_removal() -> None:
     held, old = ServerList("held"), ServerList("old")
-    entry = ["i-1", "shop", "10.0.2.1:80", "aa", 3, 0, 0.0]
-    assert old.poll_succeeded(1.0, old.begin_poll(1.0), [entry]) is not None
+    assert old.poll_succeeded(1.0, old.begin_poll(1.0), [entry()]) is not None
     assert held.handle_list(1.1, old.full_list(1.1))
     for at in range(2, 80):
         assert held.poll_succeeded(float(at), held.begin_poll(float(at)), []) is not None
@@ -106,14 +107,14 @@
     old.list_number = held.list_number + 1  # a process that was away gives its old list a new number
     assert held.handle_list(80.0, old.full_list(80.0))
     assert "i-1" not in held.servers
-    assert held.poll_succeeded(81.0, held.begin_poll(81.0), [entry]) is not None
+    assert held.poll_succeeded(81.0, held.begin_poll(81.0), [entry()]) is not None
     assert "i-1" not in held.servers
 
 
 def test_a_list_is_usable_until_a_server_could_have_drained_for_too_long() -> None:
     held = ServerList("held", PollTiming(drain_within=2.5, rate_per_s=50.0))
     assert not held.usable(0.0)
-    held.poll_succeeded(10.2, held.begin_poll(10.0), [["i-1", "shop", "10.0.2.1:80", "aa", 3, 0, 0.0]])
+    held.poll_succeeded(10.2, held.begin_poll(10.0), [entry()])
     assert held.usable(10.0 + 2.5 - REQUEST_TRANSIT_S) and not held.usable(10.01 + 2.5 - REQUEST_TRANSIT_S)
 
 
@@ -130,10 +131,7 @@
     failure: ReadFailure, position: int, stays_usable: bool
 ) -> None:
     held, other = ServerList("held"), ServerList("other")
-    assert (
-        held.poll_succeeded(10.2, held.begin_poll(10.0), [["i-1", "shop", "10.0.2.1:80", "aa", 3, 0, 0.0]])
-        is not None
-    )
+    assert held.poll_succeeded(10.2, held.begin_poll(10.0), [entry()]) is not None
     assert other.handle_list(10.3, held.full_list(10.3))
     held.begin_poll(12.0)
     message = held.poll_failed(12.9, position, failure)
@@ -153,10 +151,7 @@
         for _ in range(120):
             now += rng.choice((0.05, 0.8, 12.0, 31.0, 700.0))
             named = rng.sample(range(8), rng.randint(0, 8))
-            entries: list[Any] = [
-                [f"i-{n}", "shop", f"10.0.2.{n}:80", "aa", 3, rng.randrange(2), rng.choice((0.0, 2.0))]
-                for n in named
-            ]
+            entries: list[Any] = [entry(n, rng.randrange(2), rng.choice((0.0, 2.0))) for n in named]
             call = reader.begin_poll(now)
             if rng.random() < 0.1:
                 reader.poll_failed(now)
@@ -173,7 +168,7 @@
 def test_a_server_that_only_the_poller_took_for_gone_is_published_when_it_drains() -> None:
     """A 421 tells one process that a server is gone, while the platform still lists it."""
     poller, other = ServerList("poller"), ServerList("other")
-    ready, draining = ([["i-1", "shop", "10.0.2.1:80", "aa", 3, phase, 0.0]] for phase in (0, 1))
+    ready, draining = ([entry(draining=phase)] for phase in (0, 1))
     first = poller.poll_succeeded(1.0, poller.begin_poll(1.0), ready)
     assert first is not None and other.handle_list(1.0, first)
     poller.servers["i-1"].advance(Phase.GONE, 1.5)
@@ -205,9 +200,7 @@
         left = max(
             (since + WARMUP_S - self.now for since in self.cold_from if since <= shown_at), default=0.0
         )
-        return [
-            [f"i-{n}", "shop", f"10.0.2.{n}:80", "aa", 3, 0, round(max(0.0, left), 3)] for n in range(SERVERS)
-        ]
+        return [entry(n, cold_left=round(max(0.0, left), 3)) for n in range(SERVERS)]
 
     def evacuate(self) -> None:
         self.cold_from.append(self.now)
@@ -254,7 +247,7 @@
     """Guards against its own read, which still shows the state before the servers became cold."""
     timing = PollTiming(max_lag=MAX_LAG_S)
     held, started = ServerList("held", timing), ServerList("started", timing)
-    warm = [["i-1", "shop", "10.0.2.1:80", "aa", 3, 0, 0.0]]
+    warm = [entry()]
     held.poll_succeeded(9.1, held.begin_poll(9.0), warm)
     held.servers["i-1"].warm_up.assume(10.0, WARMUP_S)
     assert started.handle_list(10.2, held.full_list(10.2))
@@ -270,7 +263,7 @@
     that another process does not know of, or the server became cold again while it was cold."""
     timing = PollTiming(max_lag=MAX_LAG_S)
     poller, other = ServerList("poller", timing), ServerList("other", timing)
-    known, shown = ([["i-1", "shop", "10.0.2.1:80", "aa", 3, 0, left]] for left in (known_left, 2.2))
+    known, shown = ([entry(cold_left=left)] for left in (known_left, 2.2))
     first = poller.poll_succeeded(9.0, poller.begin_poll(9.0), known)
     assert first is not None and other.handle_list(9.0, first)
     if assumed:
@@ -283,6 +276,6 @@
 def test_a_warm_up_that_goes_on_as_known_is_not_published_again() -> None:
     poller = ServerList("poller")
     for at, left in ((9.0, 3.0), (9.8, 2.2), (10.6, 1.45)):
-        entries = [["i-1", "shop", "10.0.2.1:80", "aa", 3, 0, left]]
+        entries = [entry(cold_left=left)]
         message = poller.poll_succeeded(at, poller.begin_poll(at), entries)
         assert message is not None and bool(message["e"]) == (at == 9.0)
