--- a/millfront/gatekeeper/node.py
+++ b/millfront/gatekeeper/node.py
@@ -187,6 +187,7 @@
             self.quotas.core_changed(self.io.now())
         if CORE in changed and self.ticks:
             self._on_core_changed()
+            self.operations.tick(self.now)
             self._poll_subscriber(self.now)  # at once: clients may wait for a process that starts
         if changed:
             self.on_configuration_changed()
@@ -208,6 +209,10 @@
             own.ready, own.has_full_copy = ready, full_copy
             self.flush(now)
 
+    def caught_up_members(self, core: Core) -> set[str]:
+        """The new members that know every claim on an operation key granted before this core."""
+        return self.operations.caught_up_members(core)
+
     # ---- time ------------------------------------------------------------------------------------
 
     def tick(self, now: float) -> None:
--- a/millfront/gatekeeper/operations.py
+++ b/millfront/gatekeeper/operations.py
@@ -11,6 +11,7 @@
 from millfront.operations.claims import OperationClaims
 from millfront.operations.gathering import Gathering
 from millfront.operations.messages import (
+    CAUGHT_UP,
     CLAIM,
     CLAIM_REPLY,
     FINISH,
@@ -18,6 +19,7 @@
     GATHER,
     RECORDS,
     WITHDRAW,
+    CaughtUp,
     Claim,
     ClaimReply,
     Finish,
@@ -27,7 +29,7 @@
     Records,
     Withdraw,
 )
-from millfront.operations.store import NO_EPOCH, Batch, OperationStore, Reply
+from millfront.operations.store import Batch, OperationStore, Reply
 from millfront.register.recovery import SELF
 from millfront.register.values import CORE, Core
 
@@ -56,7 +58,7 @@
             window = settings.bounds.dedupe_window
             self.store = OperationStore(rows, settings.fresh, window, gatekeeper.now)
         self.gathering = Gathering(self.name, gatekeeper.now)
-        self._known_epoch = 0  # the core's epoch that the store was given last
+        self._known_before: dict[str, int] = {}  # what the members of the core have told: `CaughtUp`
 
     # ---- Peers ---------------------------------------------------------------------------------------
 
@@ -98,6 +100,10 @@
                 self.claims.handle_finish_ack(sender, FinishAck.from_wire(message))
             case t if t == RECORDS:
                 self._handle_records(now, sender, Records.from_wire(message))
+            case t if t == CAUGHT_UP:
+                known_before = CaughtUp.from_wire(message).known_before
+                self._known_before[sender] = max(known_before, self._known_before.get(sender, 0))
+                self.gatekeeper.reconfiguration.close_when_caught_up(now)
             case _ if self.store is not None:
                 self._call_store(now, via, message, self.store)
 
@@ -107,10 +113,10 @@
         if kind == CLAIM:
             self._reply(store.claim(now, via, Claim.from_wire(message), epoch))
         elif kind == WITHDRAW:
-            store.withdraw(Withdraw.from_wire(message))
+            store.withdraw(now, Withdraw.from_wire(message))
         elif kind == FINISH:
             store.finish(now, via, Finish.from_wire(message))
-        elif kind == GATHER and (records := store.page(Gather.from_wire(message), epoch)) is not None:
+        elif kind == GATHER and (records := store.page(now, Gather.from_wire(message), epoch)) is not None:
             self._reply([Reply(via, records.to_wire())])
         self._flush()
 
@@ -125,11 +131,13 @@
         """Pass a newer core that this process's replica knows to the store."""
         replica = self.gatekeeper.replica
         value = replica.values.get(CORE) if replica is not None else None
-        if value is None or value.version <= self._known_epoch:
-            return
-        self._known_epoch = value.version
-        core = Core.from_value(value)
-        store.on_core_change(now, core.epoch, self.name in (core.old_members or core.members))
+        if value is not None and value.version > store.epoch:
+            core = Core.from_value(value)
+            store.on_core_change(now, core.epoch, bool(core.old_members))
+
+    def caught_up_members(self, core: Core) -> set[str]:
+        """The members of a joint core's new member set that know every claim granted before it."""
+        return {name for name in core.members if self._known_before.get(name, 0) >= core.epoch}
 
     def _reply(self, replies: list[Reply]) -> None:
         for reply in replies:
@@ -140,9 +148,15 @@
                 self.gatekeeper.io.reply(reply.via, message)
 
     def _handle_records(self, now: float, sender: str, records: Records) -> None:
+        if self.store is None:
+            return
+        self.store.add_records(now, records)
         next_request = self.gathering.handle_records(now, sender, records)
         if next_request is not None:
             self.send(sender, next_request)
+        elif records.last:
+            self.tick(now)
+        self._flush()
 
     # ---- the disk and time ---------------------------------------------------------------------------
 
@@ -155,9 +169,13 @@
         assert self.store is not None
         if not ok:
             self.gatekeeper.note("operations", "the disk failed to sync: no operation key is granted here")
-        if batch.marks_complete and ok:
-            self.gatekeeper.note("operations", f"complete, with {len(self.store.operations)} operations")
         self._reply(self.store.synced(batch, ok))
+        if batch.known_before is not None and ok:
+            held = f"{len(self.store.operations)} operations"
+            self.gatekeeper.note(
+                "operations", f"knows every claim granted before core {batch.known_before}: {held}"
+            )
+            self.tick(self.gatekeeper.now)
         self._flush()
 
     def tick(self, now: float) -> None:
@@ -166,15 +184,25 @@
         if store is None:
             return
         self._update_core(now, store)
-        member = core is not None and self._epoch() == core.epoch and self.name in core.all_members
-        store.tick(now, core.epoch if core is not None and member else NO_EPOCH)
-        if core is not None and member and not store.complete:
-            self._gather(now, core, store)
+        store.tick(now)
+        if core is not None and self._epoch() == core.epoch:
+            self._catch_up(now, core, store)
         self._flush()
 
-    def _gather(self, now: float, core: Core, store: OperationStore) -> None:
-        if (rows := self.gathering.gathered_rows(core)) is not None:
-            store.add_gathered(now, rows, core.epoch)
-            return
-        for name, message in self.gathering.tick(now, core):
-            self.send(name, message)
+    def _catch_up(self, now: float, core: Core, store: OperationStore) -> None:
+        """Gather the claims that this replica lacks under this core, or tell the members that it has them."""
+        stays = self.name in core.members
+        if store.knowledge.is_caught_up(core):
+            if core.old_members and stays:
+                self._announce(core, store.knowledge.known_before)
+        elif stays or (self.name in core.old_members and not store.knowledge.intact):
+            if (known_before := self.gathering.known_before(core, store.knowledge)) is not None:
+                store.mark_known(known_before)
+            for name, message in self.gathering.tick(now, core, store.knowledge, self.nearest()):
+                self.send(name, message)
+
+    def _announce(self, core: Core, known_before: int) -> None:
+        """Tell the core's members, one of which completes the change; again on each tick until then."""
+        message = CaughtUp(known_before).to_wire()
+        for name in core.all_members:
+            self.send(name, message | {"m": self.name})
--- a/millfront/operations/claims.py
+++ b/millfront/operations/claims.py
@@ -211,8 +211,10 @@
         pending.on_decision = None
         if self._pending.pop(pending.attempt, None) is None:
             return
+        core = self.peers.core()
+        gatherers = core.all_members.keys() if core is not None else set()  # may have it from those asked
         message = Withdraw(pending.operation, pending.attempt).to_wire()
-        for name in pending.asked:
+        for name in pending.asked | gatherers:
             self.peers.send(name, message)
 
     def finish(
--- a/millfront/operations/gathering.py
+++ b/millfront/operations/gathering.py
@@ -1,73 +1,159 @@
-"""A replica that may lack claims gathers them from the other members before it grants any. No I/O, no clock.
+"""A replica that may lack claims gathers them from other members before it grants any. No I/O, no clock.
 
-It fetches the records of all other core members page by page, until enough complete members have sent all of
-theirs: every claim that was granted is held by W of N members, so any N - W + 1 members include a holder.
+Records are fetched page by page. What a replica has to know before it may grant depends on the core in force
+(`required_knowledge`), and how many members it has to hear on what it lacks:
+
+- An *intact* replica has forgotten nothing that it granted, but may lack what others granted. During a change
+  it needs the records of R old members (itself included), because every claim granted so far is held by W of
+  them; or those of one member that knows all of these claims already.
+- A replica that is not intact (it lost its disk, or is new) needs those of R others of each member set.
+
+Derivation: docs/design/operation-keys.md, "The core changes".
 """
 
-from dataclasses import dataclass, field
+from collections.abc import Iterable
+from dataclasses import dataclass
 
 from millfront.operations.messages import Gather, Message, Records
 from millfront.register.values import Core, read_quorum
 
-RESEND_S = 0.5  # a page that has not arrived is requested again
-START_DELAY_S = 1.0  # after start; by then all claims made before the restart are decided
+RESEND_S = 0.24  # a page that has not arrived is requested again on the next tick
+STALLED_S = 0.5  # a member that has sent nothing for so long is not waited for: another one is asked
+START_DELAY_S = 1.0  # after a start without a disk; by then all claims made before it are decided
+
+
+def required_knowledge(epoch: int, joint: bool) -> int:
+    """The epoch before which a replica must know every granted claim, so that it may grant under this one.
+
+    Two cores that share a member set need no such knowledge: their majorities have a member in common. A core
+    shares one with the joint cores before and after it; a joint core also with the one that precedes the core
+    it changes.
+
+    :param joint: the core has old and new members, both of which must agree
+
+    >>> required_knowledge(6, joint=False), required_knowledge(7, joint=True)
+    (5, 5)
+    """
+    return epoch - 2 if joint else epoch - 1
+
+
+@dataclass(frozen=True, slots=True)
+class Knowledge:
+    """What a replica knows of the claims that were granted, as synced to its disk."""
+
+    intact: bool  # it has forgotten no claim that it granted itself
+    known_before: int  # it knows every claim granted under an earlier epoch
+
+    def may_grant(self, epoch: int, joint: bool) -> bool:
+        """Whether a replica that knows this may grant claims under a core."""
+        return self.intact and self.known_before >= required_knowledge(epoch, joint)
+
+    def is_caught_up(self, core: Core) -> bool:
+        """Whether a replica that knows this may grant now, and once this core's change is completed."""
+        wanted = core.epoch if core.old_members else core.epoch - 1
+        return self.intact and self.known_before >= wanted
 
 
 @dataclass(slots=True)
 class MemberRecords:
-    """The records that one member has sent so far."""
+    """How far one member's records have been received."""
 
-    rows: dict[str, str] = field(default_factory=dict)
     after: str = ""
-    last_sent: float = -1e9
+    known_before: int | None = None  # as told with the first page
+    requested_at: float = -1e9
+    last_heard: float = -1e9  # or since when it is asked
     complete: bool = False
 
 
 class Gathering:
-    """Collects the other members' records for one replica; starts over when the core changes."""
+    """Requests other members' records for one replica; starts over when the core changes. The caller stores
+    the rows of each page before it passes the page on."""
 
     def __init__(self, name: str, now: float) -> None:
         self.name, self.started_at = name, now
-        self._epoch = 0
+        self._core: Core | None = None
         self._by_member: dict[str, MemberRecords] = {}
 
-    def tick(self, now: float, core: Core) -> list[tuple[str, Message]]:
-        """Requests to send now, as (member, message)."""
-        if now - self.started_at < START_DELAY_S:
+    def tick(
+        self, now: float, core: Core, own: Knowledge, nearest: Iterable[str]
+    ) -> list[tuple[str, Message]]:
+        """Requests to send now, as (member, message).
+
+        :param nearest: the members of the core in the order in which they are to be asked
+        """
+        if not own.intact and now - self.started_at < START_DELAY_S:
             return []
-        if core.epoch != self._epoch:
-            self._epoch = core.epoch
-            self._by_member = {name: MemberRecords() for name in core.all_members if name != self.name}
-        out = []
+        if self._core is None or core.epoch != self._core.epoch:
+            self._core, self._by_member = core, {}
+        self._ask_more(now, core, own, nearest)
+        requests = []
         for name, progress in self._by_member.items():
-            if not progress.complete and now - progress.last_sent > RESEND_S:
-                progress.last_sent = now
-                out.append((name, Gather(self._epoch, progress.after).to_wire()))
-        return out
+            if not progress.complete and now - progress.requested_at > RESEND_S:
+                progress.requested_at = now
+                requests.append((name, Gather(core.epoch, progress.after).to_wire()))
+        return requests
+
+    def _ask_more(self, now: float, core: Core, own: Knowledge, nearest: Iterable[str]) -> None:
+        """Choose further members until enough of those asked have answered or still may."""
+        for name in nearest:
+            if name == self.name or name in self._by_member or name not in core.all_members:
+                continue
+            counted = {
+                member
+                for member, progress in self._by_member.items()
+                if progress.complete or now - progress.last_heard < STALLED_S
+            }
+            if own.intact and self._are_enough(core, own, counted) and self._may_know(core, own, counted):
+                return
+            self._by_member[name] = MemberRecords(last_heard=now)
+
+    def _are_enough(self, core: Core, own: Knowledge, members: set[str]) -> bool:
+        """Whether the records of these other members suffice, if one of them knows enough (`_may_know`)."""
+        if not own.intact:
+            return bool(members) and all(
+                len(members & group.keys()) >= min(read_quorum(len(group)), len(group) - 1)
+                for group in core.member_sets
+            )
+        if core.old_members:
+            return len((members | {self.name}) & core.old_members.keys()) >= read_quorum(
+                len(core.old_members)
+            )
+        return bool(members)
+
+    def _may_know(self, core: Core, own: Knowledge, members: set[str]) -> bool:
+        """Whether this replica or one of these members knows enough of the cores before, or has not told."""
+        wanted = required_knowledge(core.epoch, bool(core.old_members))
+        told = [self._by_member[name].known_before for name in members]
+        return own.known_before >= wanted or any(known is None or known >= wanted for known in told)
 
     def handle_records(self, now: float, sender: str, records: Records) -> Message | None:
         """Take a page of records; returns the request for the sender's next page, or None."""
         progress = self._by_member.get(sender)
-        if progress is None or records.epoch != self._epoch or progress.complete:
+        if progress is None or self._core is None or records.epoch != self._core.epoch or progress.complete:
             return None
-        progress.rows |= records.rows
+        if records.after not in (None, progress.after):
+            return None  # a page that was requested twice
+        if progress.known_before is None:
+            progress.known_before = records.known_before
         progress.after = max(records.rows, default=progress.after)
-        progress.complete = records.last
+        progress.complete, progress.last_heard = records.last, now
         if progress.complete:
             return None
-        progress.last_sent = now
-        return Gather(self._epoch, progress.after).to_wire()
+        progress.requested_at = now
+        return Gather(records.epoch, progress.after).to_wire()
 
-    def gathered_rows(self, core: Core) -> dict[str, str] | None:
-        """The merged rows, once enough core members have sent all of theirs; None before."""
+    def known_before(self, core: Core, own: Knowledge) -> int | None:
+        """The epoch before which all granted claims are known here now; None if too few members have sent all
+        of their records."""
+        if self._core is None or core.epoch != self._core.epoch:
+            return None
         complete = {name: progress for name, progress in self._by_member.items() if progress.complete}
-        if not complete or core.epoch != self._epoch:
+        told = max((progress.known_before or 0 for progress in complete.values()), default=0)
+        if own.intact and Knowledge(True, told).is_caught_up(core):
+            return told
+        if own.intact and not core.old_members:
+            return None  # only a member that knows enough can help
+        most = max(told, own.known_before) if own.intact else told
+        if most < required_knowledge(core.epoch, bool(core.old_members)):
             return None
-        for members in core.member_sets:
-            needed = min(read_quorum(len(members)), len(members) - 1)
-            if len(complete.keys() & members.keys()) < needed:
-                return None
-        rows: dict[str, str] = {}
-        for progress in complete.values():
-            rows = progress.rows | rows
-        return rows
+        return core.epoch if self._are_enough(core, own, set(complete)) else None
--- a/millfront/operations/messages.py
+++ b/millfront/operations/messages.py
@@ -11,9 +11,11 @@
 from typing import Any
 
 PREFIX = "op."
-CLAIM, CLAIM_REPLY, WITHDRAW, FINISH, FINISH_ACK, GATHER, RECORDS = (
-    PREFIX + kind for kind in ("claim", "claimed", "withdraw", "finish", "finished", "gather", "records")
+CLAIM, CLAIM_REPLY, WITHDRAW, FINISH, FINISH_ACK, GATHER, RECORDS, CAUGHT_UP = (
+    PREFIX + kind
+    for kind in ("claim", "claimed", "withdraw", "finish", "finished", "gather", "records", "caught-up")
 )
+AGE_TICKS_PER_S = 10  # resolution of the ages in `Records`
 Message = dict[str, Any]
 
 
@@ -176,7 +178,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Gather:
-    """An incomplete replica asks another one for its records whose operation id is above ``after``."""
+    """A replica that may lack claims asks another one for its records with ids above ``after``."""
 
     epoch: int
     after: str = ""
@@ -193,19 +195,47 @@
 
 @dataclass(frozen=True, slots=True)
 class Records:
-    """A page of a complete replica's records: rows in the disk's format, by operation id.
+    """A page of an intact replica's records: rows in the disk's format, by operation id.
 
-    ``last``: no more pages follow."""
+    ``after``: as in the request; None if not told. ``last``: no more pages follow. ``ages``: seconds since
+    each row's claim, in the order of the rows, rounded down. ``known_before``: the sender knows every claim
+    that was granted under an earlier epoch."""
 
     epoch: int
+    after: str | None
     rows: dict[str, str]
+    ages: tuple[float, ...]
     last: bool
+    known_before: int
 
     def to_wire(self) -> Message:
         """The message as a JSON object; `from_wire` reads it."""
-        return {"t": RECORDS, "e": self.epoch, "v": self.rows, "z": self.last}
+        ages = [int(age * AGE_TICKS_PER_S) for age in self.ages]
+        return {
+            "t": RECORDS, "e": self.epoch, "k": self.after, "v": self.rows, "y": ages, "z": self.last,
+            "b": self.known_before,
+        }  # fmt: skip
 
     @classmethod
     def from_wire(cls, message: Message) -> "Records":
         """Parse what `to_wire` returned."""
-        return cls(message["e"], message["v"], message["z"])
+        rows = message["v"]
+        ticks = message.get("y", [0] * len(rows))  # a process of the version before tells no age
+        ages = tuple(age / AGE_TICKS_PER_S for age in ticks)
+        return cls(message["e"], message.get("k"), rows, ages, message["z"], message.get("b", 0))
+
+
+@dataclass(frozen=True, slots=True)
+class CaughtUp:
+    """The sender knows, on its disk, every claim that was granted under an epoch before ``known_before``."""
+
+    known_before: int
+
+    def to_wire(self) -> Message:
+        """The message as a JSON object; `from_wire` reads it."""
+        return {"t": CAUGHT_UP, "b": self.known_before}
+
+    @classmethod
+    def from_wire(cls, message: Message) -> "CaughtUp":
+        """Parse what `to_wire` returned."""
+        return cls(message["b"])
--- a/millfront/operations/store.py
+++ b/millfront/operations/store.py
@@ -3,19 +3,24 @@
 
 A claim is granted to the first request that asks, and to no other until it is withdrawn or the window has
 passed; it is synced before it is granted. Syncs are batched: changes made during a sync wait for the next.
-A replica that may lack claims (its disk was lost, it is a new member, it was out of the core for a while) is
-not complete: it grants nothing until it has gathered the records of so many other members that every majority
-includes one of them, or until every claim that it may lack is past the window. The row that marks a disk as
-complete holds the epoch of the core under which it was written.
+
+Two things are kept apart. A replica is *intact* while it has forgotten nothing that it granted; one that lost
+its disk, or is new, is not. And it *knows* every claim that any replica granted under an epoch before
+`Knowledge.known_before`. It grants only if it is intact and knows what the core in force requires
+(`required_knowledge`); what it lacks it gathers from other members, or waits until it is past the window. The
+row that marks a disk as intact holds `known_before`.
 
 Times are seconds on the caller's clock. The window of a row read from disk starts at the time of reading:
 longer than necessary, never shorter. Derivation: docs/design/operation-keys.md.
 """
 
+import bisect
+import itertools
 import json
 from dataclasses import dataclass, field
 from typing import Any
 
+from millfront.operations.gathering import Knowledge
 from millfront.operations.messages import (
     Claim,
     ClaimReply,
@@ -29,37 +34,56 @@
     Verdict,
     Withdraw,
 )
+from millfront.register.values import FIRST_AGREED_EPOCH
 
-COMPLETE_KEY = "complete"  # key of the row that marks a complete disk; its value is the epoch
-NO_EPOCH = 0  # in a row written before the first core
-MAX_EPOCH_GAP = 2  # a core value names the members of two epochs: its own and the one before
+INTACT_KEY = "complete"  # key of the row that marks an intact disk; its value is `known_before`
+NO_EPOCH = 0  # before the first core is known
 WINDOW_MARGIN_S = 5.0  # added to the window: a request is claimed a moment after it was sent
-PAGE_RECORDS = 300  # records per page sent to a gathering replica
+PAGE_RECORDS = 500  # records per page sent to a gathering replica
+WITHDRAWN_KEPT_S = 10.0  # records with a withdrawn claim may arrive so long after the withdrawal
 MAX_ANSWERS_BYTES = 16 * 1024 * 1024  # total size of stored answers; beyond it operations end as UNKNOWN
 SWEEP_INTERVAL_S = 5.0
 
 
 @dataclass(slots=True)
 class Operation:
-    """One operation that was claimed at this replica."""
+    """One operation that was claimed at this replica, or at one whose records were gathered.
+
+    ``rivals``: further attempts that other replicas have granted, with the times of their claims. At most one
+    of all attempts was granted by a majority, so all are kept until they are withdrawn or past the window."""
 
     attempt: str
     claimed_at: float  # time of the claim at this replica
     state: State = State.RUNNING
     answer: StoredAnswer | None = None
     exact_age: bool = True  # False: it was claimed before `claimed_at`
+    rivals: dict[str, float] = field(default_factory=dict)
 
     def to_row(self) -> str:
-        """The row as stored on disk."""
+        """The row as stored on disk: ``[attempt, state, answer]``, and the rivals' attempts if any."""
         answer = self.answer.to_wire() if self.answer is not None else None
-        return json.dumps([self.attempt, self.state.value, answer], separators=(",", ":"))
+        rivals = [list(self.rivals)] if self.rivals else []
+        return json.dumps([self.attempt, self.state.value, answer, *rivals], separators=(",", ":"))
 
     @classmethod
     def from_row(cls, row: str, now: float) -> "Operation":
         """Parse a row; its window starts now."""
-        attempt, state, fields = json.loads(row)
+        attempt, state, fields, *rest = json.loads(row)
         answer = StoredAnswer.from_wire(fields) if fields is not None else None
-        return cls(attempt, now, State(state), answer, exact_age=False)
+        rivals = dict.fromkeys(rest[0], now) if rest else {}
+        return cls(attempt, now, State(state), answer, exact_age=False, rivals=rivals)
+
+    def is_same_row(self, row: str) -> bool:
+        """Whether a row tells of this attempt only."""
+        return row.startswith(f'["{self.attempt}",') and row.endswith(",null]")
+
+    def latest_rival(self) -> "Operation | None":
+        """The operation as claimed by the rival that came last; None without one."""
+        if not self.rivals:
+            return None
+        attempt = max(self.rivals, key=lambda rival: self.rivals[rival])
+        others = {rival: at for rival, at in self.rivals.items() if rival != attempt}
+        return Operation(attempt, self.rivals[attempt], exact_age=False, rivals=others)
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,7 +102,7 @@
     drop: set[str] = field(default_factory=set)
     grants: list[tuple[Any, Claim]] = field(default_factory=list)
     replies: list[Reply] = field(default_factory=list)
-    marks_complete: bool = False
+    known_before: int | None = None  # what this replica knows once this is synced; None: as before
 
     def __bool__(self) -> bool:
         return bool(self.rows or self.drop)
@@ -93,6 +117,16 @@
         self.rows.pop(name, None)
         self.drop.add(name)
 
+    def mark_intact(self, known_before: int) -> None:
+        """Mark the disk as intact, and as knowing every claim granted before this epoch."""
+        self.known_before = max(known_before, self.known_before or NO_EPOCH)
+        self.put(INTACT_KEY, str(self.known_before))
+
+    def remove_mark(self) -> None:
+        """Leave the mark on the disk as it is."""
+        self.rows.pop(INTACT_KEY, None)
+        self.known_before = None
+
 
 class OperationStore:
     """The operations held by one replica."""
@@ -103,18 +137,21 @@
         :param window: seconds during which an operation runs at most once
         """
         self.window, self.started_at = window, now
-        self.complete = COMPLETE_KEY in stored or fresh
-        self.epoch = int(stored.get(COMPLETE_KEY, NO_EPOCH))  # as of which this replica is complete
-        self.incomplete_since = now
+        self.knowledge = Knowledge(INTACT_KEY in stored, int(stored.get(INTACT_KEY, NO_EPOCH)))
+        self.epoch, self.joint, self.epoch_since = NO_EPOCH, False, now  # the core that this replica knows
         self.operations = {
-            name: Operation.from_row(row, now) for name, row in stored.items() if name != COMPLETE_KEY
+            name: Operation.from_row(row, now) for name, row in stored.items() if name != INTACT_KEY
         }
         self.answers_bytes = sum(self._size(operation) for operation in self.operations.values())
         self._pending_batch, self._syncing = Batch(), False
-        self._last_sweep = now
-        if self.complete and COMPLETE_KEY not in stored:
-            self._pending_batch.put(COMPLETE_KEY, str(self.epoch))
         self._refused = Batch()  # rows that the disk refused, to be retried
+        self._marked = self.knowledge.known_before if self.knowledge.intact else NO_EPOCH - 1  # or soon
+        self._withdrawn: dict[str, float] = {}  # attempts, and when they were withdrawn
+        self._page_names: list[str] = []  # sorted, as of the last request for a first page
+        self._last_sweep = now
+        if fresh and not self.knowledge.intact:
+            self.knowledge = Knowledge(True, FIRST_AGREED_EPOCH)
+            self.mark_known(FIRST_AGREED_EPOCH)
 
     @staticmethod
     def _size(operation: Operation) -> int:
@@ -122,19 +159,17 @@
 
     # ---- the core ----------------------------------------------------------------------------------
 
-    def on_core_change(self, now: float, epoch: int, remains_member: bool) -> None:
-        """A core of this epoch is in force. A replica that was out of a core lacks the claims made under it.
+    def on_core_change(self, now: float, epoch: int, joint: bool) -> None:
+        """This replica has learned of a newer core.
 
-        :param remains_member: whether this replica belongs to this core and belonged to the one before
+        :param joint: it has old and new members, both of which must agree
         """
-        if epoch <= self.epoch or not self.complete:
-            return
-        if remains_member and epoch - self.epoch <= MAX_EPOCH_GAP:
-            self.epoch = epoch
-            self._pending_batch.put(COMPLETE_KEY, str(epoch))
-            return
-        self.complete, self.incomplete_since = False, now
-        self._pending_batch.remove(COMPLETE_KEY)
+        self.epoch, self.joint, self.epoch_since = epoch, joint, now
+
+    @property
+    def complete(self) -> bool:
+        """Whether this replica may grant claims under the core that it knows."""
+        return self.knowledge.may_grant(self.epoch, self.joint)
 
     # ---- requests ----------------------------------------------------------------------------------
 
@@ -145,14 +180,14 @@
         """
         if not self.complete or claim.epoch != epoch:
             return [self._claim_reply(via, claim, Verdict.ABSTAINED)]
+        self._expire(now, claim.operation)
         held = self.operations.get(claim.operation)
-        if held is None or now - held.claimed_at > self.window + WINDOW_MARGIN_S:
-            self._forget(claim.operation)
+        if held is None:
             operation = self.operations[claim.operation] = Operation(claim.attempt, now)
             self._pending_batch.put(claim.operation, operation.to_row())
             self._pending_batch.grants.append((via, claim))
             return []
-        if held.attempt == claim.attempt:
+        if held.attempt == claim.attempt and not held.rivals:
             # A repeated claim: the first one may not be synced yet
             self._pending_batch.put(claim.operation, held.to_row())
             self._pending_batch.grants.append((via, claim))
@@ -167,18 +202,42 @@
     def _claim_reply(via: Any, claim: Claim, verdict: Verdict) -> Reply:
         return Reply(via, ClaimReply(claim.operation, claim.attempt, verdict).to_wire())
 
-    def withdraw(self, withdraw: Withdraw) -> None:
+    def withdraw(self, now: float, withdraw: Withdraw) -> None:
         """Release the claim of a request that was not and will not be sent: another one may claim it."""
+        self._withdrawn[withdraw.attempt] = now
         held = self.operations.get(withdraw.operation)
-        if held is not None and held.attempt == withdraw.attempt and held.state is State.RUNNING:
-            self._forget(withdraw.operation)
-            self._pending_batch.remove(withdraw.operation)
+        if held is None:
+            return
+        if held.rivals.pop(withdraw.attempt, None) is not None:
+            self._pending_batch.put(withdraw.operation, held.to_row())
+        elif held.attempt == withdraw.attempt and held.state is State.RUNNING:
+            self._release(withdraw.operation)
+
+    def _release(self, name: str) -> None:
+        """The attempt held here has ended without a result: forget it, but not its rivals."""
+        rival = self.operations[name].latest_rival()
+        self._forget(name)
+        if rival is None:
+            self._pending_batch.remove(name)
+        else:
+            self.operations[name] = rival
+            self._pending_batch.put(name, rival.to_row())
+
+    def _expire(self, now: float, name: str) -> None:
+        """Forget what is past the window."""
+        oldest = now - self.window - WINDOW_MARGIN_S
+        while (held := self.operations.get(name)) is not None and held.claimed_at < oldest:
+            self._release(name)
 
     def finish(self, now: float, via: Any, finish: Finish) -> None:
         """Store the result of an operation; the reply is sent once it is synced."""
         held = self.operations.get(finish.operation)
         if held is None:  # this replica did not answer the claim in time
             held = self.operations[finish.operation] = Operation(finish.attempt, now)
+        elif (claimed_at := held.rivals.get(finish.attempt)) is not None:
+            # A majority has granted this one, so those that it was a rival of never run
+            self._forget(finish.operation)
+            held = self.operations[finish.operation] = Operation(finish.attempt, claimed_at, exact_age=False)
         if held.attempt != finish.attempt:
             return
         answer = finish.answer
@@ -191,20 +250,27 @@
         self._pending_batch.put(finish.operation, held.to_row())
         self._pending_batch.replies.append(Reply(via, FinishAck(finish.operation, finish.attempt).to_wire()))
 
-    def page(self, gather: Gather, epoch: int) -> Records | None:
-        """Records for a gathering replica; None if this one is not complete or of another epoch.
+    def page(self, now: float, gather: Gather, epoch: int) -> Records | None:
+        """Records for a gathering replica; None if this one is not intact or of another epoch.
 
         Answers are left out: they may be restricted to regions that the other replica is not in."""
-        if not self.complete or gather.epoch != epoch:
+        if not self.knowledge.intact or gather.epoch != epoch:
             return None
-        names = sorted(name for name in self.operations if name > gather.after)
-        rows = {name: self._row_without_answer(name) for name in names[:PAGE_RECORDS]}
-        return Records(epoch, rows, len(names) <= PAGE_RECORDS)
+        if not gather.after or not self._page_names:
+            self._page_names = sorted(self.operations)
+        start = bisect.bisect_right(self._page_names, gather.after)
+        held = (name for name in self._page_names[start:] if name in self.operations)
+        names = list(itertools.islice(held, PAGE_RECORDS + 1))
+        last, names = len(names) <= PAGE_RECORDS, names[:PAGE_RECORDS]
+        rows = {name: self._row_without_answer(name) for name in names}
+        ages = tuple(now - self.operations[name].claimed_at for name in names)
+        return Records(epoch, gather.after, rows, ages, last, self.knowledge.known_before)
 
     def _row_without_answer(self, name: str) -> str:
         held = self.operations[name]
         state = State.UNKNOWN if held.state is State.ANSWERED else held.state
-        return Operation(held.attempt, held.claimed_at, state).to_row()
+        rivals = [list(held.rivals)] if held.rivals else []
+        return json.dumps([held.attempt, state.value, None, *rivals], separators=(",", ":"))
 
     # ---- the disk ----------------------------------------------------------------------------------
 
@@ -218,18 +284,23 @@
     def synced(self, batch: Batch, ok: bool) -> list[Reply]:
         """The disk has synced (``ok``) or refused a batch; returns the replies to send now."""
         self._syncing = False
-        if batch.marks_complete and ok:
-            self.complete = True
         verdict = Verdict.GRANTED if ok else Verdict.ABSTAINED
         replies = [self._claim_reply(via, claim, verdict) for via, claim in batch.grants]
         if ok:
+            if batch.known_before is not None:
+                self.knowledge = Knowledge(True, max(batch.known_before, self.knowledge.known_before))
             return replies + batch.replies
         for _, claim in batch.grants:
-            self.withdraw(Withdraw(claim.operation, claim.attempt))
+            held = self.operations.get(claim.operation)
+            if held is not None and held.attempt == claim.attempt and held.state is State.RUNNING:
+                self._release(claim.operation)
             batch.rows.pop(claim.operation, None)
         self._refused.drop |= batch.drop
         self._refused.rows |= batch.rows
-        self._refused.marks_complete |= batch.marks_complete
+        for refused in (batch, self._pending_batch):  # no mark is synced before the rows that it counts on
+            if refused.known_before is not None:
+                self._refused.mark_intact(refused.known_before)
+        self._pending_batch.remove_mark()
         return replies
 
     def _retry_refused(self) -> None:
@@ -240,42 +311,54 @@
         for name, row in refused.rows.items():
             if name not in self._pending_batch.rows and name not in self._pending_batch.drop:
                 self._pending_batch.put(name, row)
-        self._pending_batch.marks_complete |= (
-            refused.marks_complete and COMPLETE_KEY in self._pending_batch.rows
-        )
+        if refused.known_before is not None:
+            self._pending_batch.mark_intact(refused.known_before)
 
     # ---- time --------------------------------------------------------------------------------------
 
-    def tick(self, now: float, epoch: int) -> None:
-        """Drop operations past the window and retry what the disk refused; called periodically.
-
-        :param epoch: of the core in force, if this replica votes in it, else `NO_EPOCH`
-        """
+    def tick(self, now: float) -> None:
+        """Drop operations past the window and retry what the disk refused; called periodically."""
         self._retry_refused()
         if now - self._last_sweep < SWEEP_INTERVAL_S:
             return
         self._last_sweep = now
         oldest = now - self.window - WINDOW_MARGIN_S
         for name in [name for name, held in self.operations.items() if held.claimed_at < oldest]:
-            self._forget(name)
-            self._pending_batch.remove(name)
-        if epoch == NO_EPOCH:
-            self.incomplete_since = now  # claims made now don't reach this replica
-        elif not self.complete and self.incomplete_since < oldest:
-            self._mark_complete(epoch)  # every claim it may lack is past the window
-
-    def add_gathered(self, now: float, rows: dict[str, str], epoch: int) -> None:
-        """Add the rows gathered from enough members of this epoch's core; complete once they are synced."""
-        for name, row in rows.items():
-            if name not in self.operations:
-                self.operations[name] = Operation.from_row(row, now)
-                self._pending_batch.put(name, row)
-        self._mark_complete(epoch)
-
-    def _mark_complete(self, epoch: int) -> None:
-        self.epoch = epoch
-        self._pending_batch.put(COMPLETE_KEY, str(epoch))
-        self._pending_batch.marks_complete = True
+            self._expire(now, name)
+        self._withdrawn = {
+            attempt: at for attempt, at in self._withdrawn.items() if now - at < WITHDRAWN_KEPT_S
+        }
+        if self.started_at < oldest:
+            self.mark_known(NO_EPOCH)  # what it granted before its disk was lost is past the window
+        if self.epoch_since < oldest:
+            self.mark_known(self.epoch - 1)  # what was granted under the cores before it, too
+
+    def add_records(self, now: float, records: Records) -> None:
+        """Add another replica's records: beside what is held here, not in its place."""
+        for (name, row), age in zip(records.rows.items(), records.ages, strict=True):
+            held = self.operations.get(name)
+            if held is None or not held.is_same_row(row):
+                self._add_row(now, name, row, now - age)
+
+    def _add_row(self, now: float, name: str, row: str, row_claimed_at: float) -> None:
+        received = Operation.from_row(row, now)
+        for attempt, claimed_at in ((received.attempt, row_claimed_at), *received.rivals.items()):
+            held = self.operations.get(name)
+            if attempt in self._withdrawn or (held is not None and held.attempt == attempt):
+                continue
+            if held is None:
+                state = received.state if attempt == received.attempt else State.RUNNING
+                held = self.operations[name] = Operation(attempt, claimed_at, state, exact_age=False)
+            elif held.state is State.RUNNING:  # else it has run, and no other attempt ever will
+                held.rivals[attempt] = max(claimed_at, held.rivals.get(attempt, claimed_at))
+            self._pending_batch.put(name, held.to_row())
+
+    def mark_known(self, known_before: int) -> None:
+        """Mark the disk as intact, and as knowing every claim granted before this epoch: once synced."""
+        if known_before > self._marked:
+            self._marked = known_before
+            self._retry_refused()
+            self._pending_batch.mark_intact(known_before)
 
     def _forget(self, name: str) -> None:
         held = self.operations.pop(name, None)
--- a/millfront/register/reconfiguration.py
+++ b/millfront/register/reconfiguration.py
@@ -4,11 +4,12 @@
 register itself: a machine with a disk that has joined is added, one that is lost for good is removed. A
 change passes through a core that holds both member sets, in which both must agree to everything:
 
-    core e ──decide──> core e+1 (new, old) ──carry over──> core e+2 (new)
+    core e ──decide──> core e+1 (new, old) ──carry over, catch up──> core e+2 (new)
 
 Core e+1 is decided by a ballot over a majority of e, so that there is only one; e+2 follows from e+1, so that
 any process that knows e+1 can complete the change. In between, all values are read from, and written back to,
-majorities of both sets. The derivation is in docs/design/register.md.
+majorities of both sets, and the new members catch up with the claims on operation keys
+(docs/design/operation-keys.md). The derivation is in docs/design/register.md.
 
 A replica that lost its disk *recovers* (recovery.py). `placement` chooses the members of the next core. Times
 are seconds on the caller's clock.
@@ -47,6 +48,8 @@
 RETRY_DELAY_S = 1.0  # between a failed or unfinished change, of any process, and the next attempt
 WAIT_NOTE_DELAY_S = 1.5  # a leaving member that was not removed for so long is reported as waiting
 DECIDE_TIMEOUT_S, CARRY_TIMEOUT_S = 3.0, 6.0
+CATCH_UP_SPREAD_S = 0.5  # a change waits so long for more than a majority of the new members to catch up
+CATCH_UP_TIMEOUT_S = 6.0  # a change waits so long for a majority of them
 # Decide (two rounds), open, carry over (a read and its write-back), close: six round trips of 80 ms
 CHANGE_DURATION_S = 0.5
 # Longest hand-over to a successor that is already up: the notice that a member leaves is lost and sent again
@@ -100,6 +103,9 @@
     def send_to_replica(self, now: float, name: str, address: str, message: Message) -> None:
         """Send a message to a member's replica."""
 
+    def caught_up_members(self, core: Core) -> set[str]:
+        """The new members that know every claim on an operation key granted before this core."""
+
 
 class Change(Enum):
     """Stage of a change of the core, as seen by the process that makes it."""
@@ -108,6 +114,7 @@
     DECIDING = "deciding"
     OPENING = "opening: the core of both is written"
     CARRYING = "carrying over"
+    CATCHING_UP = "the new members catch up with the claims on operation keys"
     CLOSING = "closing: the new core is written"
 
 
@@ -129,6 +136,8 @@
         self.change = Change.NONE
         self.bootstrap: Bootstrap | None = None
         self._failed_at = -1e9  # when the last change failed
+        self._catching_up: Core | None = None  # the core whose change waits for its members to catch up
+        self._catching_up_since = -1e9
         self._core_since = gatekeeper.started_at  # when the current core came into force here
         self._departed: set[str] = set()  # members known to shut down, or to have shut down, in order
         self._leaving_since: float | None = None  # when this process began to shut down
@@ -150,6 +159,7 @@
             self._bring_up_replica(now, replica)
         if replica is not None and (core := self.gatekeeper.subscriber.core) is not None:
             self._update_liveness(now, core)
+            self.close_when_caught_up(now)
             if self._is_change_due(now, core):
                 self._begin_change(now, core)
             if self._leaving_since is not None:
@@ -179,6 +189,8 @@
         """Another core is in force here: what was gathered for the previous one does not count."""
         self.bootstrap = None
         self._core_since = self.gatekeeper.now
+        if self.change is Change.CATCHING_UP and self.gatekeeper.subscriber.core != self._catching_up:
+            self._enter(Change.NONE)  # another process has completed the change
         self.recovery.core_changed()
 
     # ---- copies, and orderly shutdown ---------------------------------------------------------------
@@ -399,9 +411,30 @@
         if round.phase is not Phase.DONE or not core.old_members:
             self._abandon_change()
             return
+        self._catching_up, self._catching_up_since = core, self.gatekeeper.now
+        self._enter(Change.CATCHING_UP)
+        self.close_when_caught_up(self.gatekeeper.now)
+
+    def close_when_caught_up(self, now: float) -> None:
+        """Complete a change whose values are carried over, once the new members have caught up."""
+        core = self._catching_up
+        if self.change is not Change.CATCHING_UP or core is None or not self._is_caught_up(now, core):
+            return
         self._enter(Change.CLOSING)
         self._write(core, Core(core.epoch + 1, core.members).to_value(), self._closed)
 
+    def _is_caught_up(self, now: float, core: Core) -> bool:
+        """Whether as many new members have caught up as the change waits for. None of them grants a claim
+        before it has, so this decides only whether claims are refused for a while."""
+        waited = now - self._catching_up_since
+        if waited >= CATCH_UP_TIMEOUT_S:
+            return True
+        caught_up = self.gatekeeper.caught_up_members(core)
+        if not Core(core.epoch, core.members).is_write_quorum(caught_up):
+            return False
+        up = core.members.keys() & self._up_since.keys()
+        return up <= caught_up or waited >= CATCH_UP_SPREAD_S
+
     def _closed(self, round: Round) -> None:
         if round.phase is Phase.DONE:
             self._enter(Change.NONE)
--- /dev/null
+++ b/tests/test_claim_refusals.py
@@ -0,0 +1,123 @@
+"""New operation keys while the core changes several times: how many are refused, and for how long."""
+
+import random
+
+import pytest
+
+from millfront.operations.claims import Outcome, PendingClaim
+from millfront.operations.messages import StoredAnswer, operation_id
+from tests.system_world import ZONES, Node, World, document
+from tests.test_operation_claims import EXPIRE_S, WIDEN_S, Process
+
+DISKS, MACHINES, SPARES = 7, 11, 3
+HOME, ELSEWHERE = "a", "b"  # regions: four of seven disks are in the first one
+KEYS_PER_S = 100
+RETRY_AFTER_S = 0.3  # as the proxy tells clients
+MOST_RETRIES = 3  # a change is two new cores, each of which may end one try, within a second
+BEFORE_S = 1.5
+SETTLE_S = 8.0  # after a machine has joined, until it is a member
+CHAINS = {
+    "leave+leave": [("leave", 4), ("leave", 5)],
+    "leave+leave+leave+join": [("leave", 4), ("leave", 5), ("leave", 6), ("join", 11)],
+    "join+leave+join+leave": [("join", 11), ("leave", 1), ("join", 12), ("leave", 2)],
+    "wipe+leave+wipe+leave": [("wipe", 1), ("leave", 4), ("wipe", 2), ("leave", 5)],
+}
+
+
+class Clients:
+    """Clients that send one key each, and try again when it is refused."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.world = World(MACHINES, DISKS, seed, spares=SPARES).start().run(6.0)
+        self.world.put(5, document(1))
+        self.world.run(3.0)
+        self.tries: dict[str, int] = {}  # of each key
+        self.runs: dict[str, int] = {}
+        self.given_up: list[str] = []
+
+    def send(self, key: str, region: str, repeated: bool = False) -> None:
+        """One try of a key at any machine of a region that is in service."""
+        ready = [node for node in self.world.nodes if ZONES[node.zone] == region and self._serves(node)]
+        node = self.random.choice(ready)
+        gatekeeper, incarnation = node.gatekeeper, node.incarnation
+        assert gatekeeper is not None
+        gatekeeper.now = node.now()
+        claims, pending = gatekeeper.operations.claims, None
+        self.tries[key] = self.tries.get(key, 0) + 1
+
+        def on_decision(outcome: Outcome, answer: StoredAnswer | None) -> None:
+            if outcome is Outcome.RUN:
+                self.runs[key] = self.runs.get(key, 0) + 1
+                self.world.env.process(finish())
+            elif outcome is Outcome.REFUSED and not repeated:
+                if self.tries[key] > MOST_RETRIES:
+                    self.given_up.append(key)
+                else:
+                    self.world.env.process(retry())
+
+        def finish() -> Process:
+            yield self.world.env.timeout(0.05)
+            if node.incarnation == incarnation and pending is not None:
+                claims.finish(pending, StoredAnswer(200, (), b"first"), frozenset(), lambda: None)
+
+        def retry() -> Process:
+            yield self.world.env.timeout(RETRY_AFTER_S)
+            self.send(key, region)
+
+        def wait(claim: PendingClaim) -> Process:
+            yield self.world.env.timeout(WIDEN_S)
+            if node.incarnation == incarnation:
+                claims.widen(claim)
+            yield self.world.env.timeout(EXPIRE_S - WIDEN_S)
+            if node.incarnation == incarnation:
+                claims.expire(claim)
+
+        pending = claims.begin(operation_id("t", key), 4.0, on_decision)
+        if pending is not None:
+            self.world.env.process(wait(pending))
+
+    @staticmethod
+    def _serves(node: Node) -> bool:
+        gatekeeper = node.gatekeeper
+        return gatekeeper is not None and gatekeeper.ready(node.now())
+
+    def change(self, chain: list[tuple[str, int]]) -> Process:
+        """Make the changes one after the other, after a while without any."""
+        yield self.world.env.timeout(BEFORE_S)
+        for kind, number in chain:
+            node = self.world.nodes[number]
+            if kind == "leave":
+                node.leave()
+                while node.gatekeeper is not None:
+                    yield self.world.env.timeout(0.1)
+            elif kind == "join":
+                node.start()
+                yield self.world.env.timeout(SETTLE_S)
+            else:
+                node.wipe()
+                yield self.world.env.timeout(0.8)
+                node.start()
+                yield self.world.env.timeout(SETTLE_S / 2)
+
+
+@pytest.mark.parametrize("chain", CHAINS.values(), ids=CHAINS)
+def test_keys_are_refused_for_a_moment_only_while_the_core_changes(chain: list[tuple[str, int]]) -> None:
+    """Guards against a mend of review/1 that pays with refusals, and against review/1 in whole fleets."""
+    clients = Clients(1)
+    changes = clients.world.env.process(clients.change(chain))
+    number = 0
+    while changes.is_alive or number % KEYS_PER_S:
+        clients.world.run(1.0 / KEYS_PER_S)
+        clients.send(f"k{number}", HOME)
+        number += 1
+    clients.world.run(MOST_RETRIES * (RETRY_AFTER_S + EXPIRE_S) + 1.0)
+    assert clients.given_up == []
+    assert clients.runs.keys() == clients.tries.keys()
+    refused = sum(tries - 1 for tries in clients.tries.values())
+    print(f"{number} keys, {refused} tries refused")
+    for key in list(clients.runs):
+        clients.send(key, ELSEWHERE, repeated=True)
+        clients.world.run(0.002)
+    clients.world.run(1.0)
+    assert [key for key, runs in clients.runs.items() if runs > 1] == []
--- a/tests/test_core_search.py
+++ b/tests/test_core_search.py
@@ -96,6 +96,9 @@
             def start(self, now: float, round: Round, then: Callable[[Round], None]) -> None:
                 simulation.start(coordinator, round, then)
 
+            def caught_up_members(self, core: Core) -> set[str]:
+                return set(core.members)  # operation keys are no part of this search
+
         part = reconfiguration.Reconfiguration(Stub())  # type: ignore[arg-type]
 
         def decide() -> None:
--- a/tests/test_operation_claims.py
+++ b/tests/test_operation_claims.py
@@ -10,9 +10,19 @@
 
 from millfront.invariants import Invariant
 from millfront.operations.claims import Outcome, PendingClaim
-from millfront.operations.messages import Claim, Gather, StoredAnswer, operation_id
+from millfront.operations.gathering import Knowledge
+from millfront.operations.messages import (
+    Claim,
+    ClaimReply,
+    Gather,
+    Records,
+    StoredAnswer,
+    Verdict,
+    Withdraw,
+    operation_id,
+)
 from millfront.operations.store import (
-    COMPLETE_KEY,
+    INTACT_KEY,
     PAGE_RECORDS,
     WINDOW_MARGIN_S,
     Operation,
@@ -22,6 +32,7 @@
 from tests.system_world import Node, World, document
 
 WIDEN_S, EXPIRE_S = 0.1, 0.26
+EVERY_EPOCH = 1_000_000
 WINDOW_S = 60.0
 Process = Generator[Any, Any, None]
 Disturbance = Callable[["Scenario"], Process]
@@ -204,14 +215,15 @@
 def test_rows_refused_by_a_full_disk_are_stored_once_it_has_room() -> None:
     """A replica that gathers while its disk is full is complete once all gathered rows are on its disk."""
     made = store({})
-    made.add_gathered(1.0, {"o": Operation("a", 0.0).to_row()}, epoch=2)
+    made.add_records(1.0, records("a"))
+    made.mark_known(2)
     batch = made.next_batch()
     assert batch is not None and "o" in batch.rows
     made.synced(batch, ok=False)
     assert not made.complete and made.next_batch() is None  # no immediate retry: it would loop on a full disk
-    made.tick(1.25, epoch=2)
+    made.tick(1.25)
     again = made.next_batch()
-    assert again is not None and again.rows.keys() == {"o", COMPLETE_KEY}
+    assert again is not None and again.rows.keys() == {"o", INTACT_KEY}
     made.synced(again, ok=True)
     assert made.complete
 
@@ -246,7 +258,7 @@
 
     def forgets(self: OperationStore, stored: dict[str, str], *more: Any) -> None:
         init(self, stored, *more)
-        self.complete = True
+        self.knowledge = Knowledge(True, EVERY_EPOCH)
 
     monkeypatch.setattr(OperationStore, "__init__", forgets)
     scenario = Scenario(2)
@@ -279,6 +291,10 @@
 # ---- one replica -------------------------------------------------------------------------------------
 
 
+def records(attempt: str, age: float = 1.0) -> Records:
+    return Records(3, "", {"o": Operation(attempt, 0.0).to_row()}, (age,), last=True, known_before=2)
+
+
 def store(rows: dict[str, str], now: float = 0.0) -> OperationStore:
     return OperationStore(rows, False, WINDOW_S, now)
 
@@ -287,39 +303,52 @@
     empty = store({})
     [reply] = empty.claim(1.0, "via", Claim("o", "a", 2), 2)
     assert reply.message["v"] == "no"
-    empty.tick(WINDOW_S + WINDOW_MARGIN_S + 1.0, epoch=2)
+    empty.on_core_change(1.0, 2, joint=False)
+    empty.tick(WINDOW_S + WINDOW_MARGIN_S + 2.0)
     batch = empty.next_batch()
-    assert batch is not None and batch.rows == {COMPLETE_KEY: "2"} and not empty.complete
+    assert batch is not None and batch.rows == {INTACT_KEY: "1"} and not empty.complete
     empty.synced(batch, ok=True)
     assert empty.complete
 
 
 def test_a_replica_outside_the_core_does_not_become_complete_by_waiting() -> None:
-    out = store({COMPLETE_KEY: "2"})
-    out.on_core_change(1.0, 4, remains_member=False)
+    """By waiting it knows what was granted before the last core that it knows, not before a later one."""
+    out = store({INTACT_KEY: "2"})
+    out.on_core_change(1.0, 4, joint=False)
     for at in range(2, 200, 5):
-        out.tick(float(at), epoch=0)
-    out.on_core_change(200.0, 6, remains_member=False)
-    out.tick(201.0, epoch=6)
-    assert not out.complete
-    batch = out.next_batch()
-    assert batch is not None and batch.drop == {COMPLETE_KEY} and not batch.marks_complete
+        out.tick(float(at))
+        while (batch := out.next_batch()) is not None:
+            out.synced(batch, ok=True)
+    assert out.knowledge == Knowledge(True, 3)
+    out.on_core_change(200.0, 6, joint=False)
+    out.tick(201.0)
+    assert not out.complete and out.next_batch() is None
+    [reply] = out.claim(201.0, "via", Claim("o", "a", 6), 6)
+    assert reply.message["v"] == "no"
 
 
 @pytest.mark.parametrize(
-    ("epoch", "remains_member", "complete"),
-    [(2, True, True), (3, True, True), (4, True, True), (5, True, False), (4, False, False)],
+    ("epoch", "joint", "complete"),
+    [
+        (2, False, True),
+        (3, True, True),
+        (3, False, True),
+        (4, True, True),
+        (4, False, False),
+        (5, True, False),
+    ],
 )
-def test_the_mark_of_a_disk_holds_for_cores_that_follow_without_a_gap(
-    epoch: int, remains_member: bool, complete: bool
+def test_a_replica_grants_under_cores_that_share_members_with_those_that_it_knows(
+    epoch: int, joint: bool, complete: bool
 ) -> None:
-    made = store({COMPLETE_KEY: "2"})
-    made.on_core_change(1.0, epoch, remains_member)
+    """Guards against review/1: a member of two cores counted as complete without what was claimed before."""
+    made = store({INTACT_KEY: "2"})
+    made.on_core_change(1.0, epoch, joint)
     assert made.complete is complete
 
 
 def test_a_claim_is_granted_once_it_is_synced_and_not_by_a_disk_that_refuses() -> None:
-    made = store({COMPLETE_KEY: "1"})
+    made = store({INTACT_KEY: "1"})
     assert made.claim(1.0, "via", Claim("o", "a", 2), 2) == []
     batch = made.next_batch()
     assert batch is not None
@@ -329,24 +358,80 @@
 
 
 def test_a_claim_for_another_epoch_is_not_granted() -> None:
-    [reply] = store({COMPLETE_KEY: "1"}).claim(1.0, "via", Claim("o", "a", 3), 2)
+    [reply] = store({INTACT_KEY: "1"}).claim(1.0, "via", Claim("o", "a", 3), 2)
     assert reply.message["v"] == "no"
 
 
+def synced(made: OperationStore) -> list[Reply]:
+    batch = made.next_batch()
+    assert batch is not None
+    return made.synced(batch, ok=True)
+
+
+def test_what_another_replica_granted_is_kept_beside_a_claim_that_is_withdrawn_later() -> None:
+    """Guards against a gathered claim that a minority's claim hides, and that is forgotten with it."""
+    made = store({INTACT_KEY: "2"})
+    made.on_core_change(0.0, 3, joint=True)
+    made.claim(1.0, "via", Claim("o", "minority", 3), 3)
+    made.add_records(1.1, records("majority"))
+    synced(made)
+    made.withdraw(1.2, Withdraw("o", "minority"))
+    batch = made.next_batch()
+    assert batch is not None and Operation.from_row(batch.rows["o"], 0.0).attempt == "majority"
+    [reply] = made.claim(1.3, "via", Claim("o", "other", 3), 3)
+    assert ClaimReply.from_wire(reply.message).verdict is Verdict.CONFLICT
+
+
+def test_a_claim_withdrawn_before_the_records_with_it_arrive_is_not_kept() -> None:
+    """Its key may run: a repeat would else be refused for the whole window."""
+    made = store({INTACT_KEY: "2"})
+    made.on_core_change(0.0, 3, joint=True)
+    made.withdraw(1.0, Withdraw("o", "withdrawn"))
+    made.add_records(1.1, records("withdrawn"))
+    assert made.claim(1.2, "via", Claim("o", "other", 3), 3) == []
+
+
+def test_a_gathered_claim_is_kept_until_the_end_of_its_own_window() -> None:
+    made = store({INTACT_KEY: "2"})
+    made.on_core_change(0.0, 3, joint=True)
+    made.add_records(50.0, records("a", age=40.0))
+    synced(made)
+    ends = 10.0 + WINDOW_S + WINDOW_MARGIN_S
+    [reply] = made.claim(ends - 0.1, "via", Claim("o", "b", 3), 3)
+    assert reply.message["v"] == "had"
+    assert made.claim(ends + 0.1, "via", Claim("o", "b", 3), 3) == []
+
+
+def test_no_mark_is_synced_before_rows_that_the_disk_has_refused() -> None:
+    """Guards against a disk that tells after a crash that it knows claims which it never took."""
+    made = store({INTACT_KEY: "2"})
+    made.on_core_change(0.0, 3, joint=True)
+    made.add_records(1.0, records("a"))
+    refused = made.next_batch()
+    assert refused is not None
+    made.on_core_change(1.1, 5, joint=True)
+    made.mark_known(5)
+    made.synced(refused, ok=False)
+    assert made.next_batch() is None and made.knowledge.known_before == 2
+    made.tick(1.5)
+    batch = made.next_batch()
+    assert batch is not None and batch.rows.keys() == {"o", INTACT_KEY}
+
+
 def test_records_are_sent_in_pages_and_without_answers() -> None:
     answer = StoredAnswer(200, (), b"private")
     kept = {
         f"{number:04d}": Operation("a", 0.0, answer=answer).to_row() for number in range(PAGE_RECORDS + 5)
     }
-    full, after, found = store({COMPLETE_KEY: "1", **kept}), "", dict[str, str]()
+    full, after, found = store({INTACT_KEY: "1", **kept}), "", dict[str, str]()
     for last in (False, True):
-        records = full.page(Gather(2, after), 2)
-        assert records is not None and records.last is last
-        found |= records.rows
-        after = max(records.rows)
+        page = full.page(9.0, Gather(2, after), 2)
+        assert page is not None and page.last is last
+        found |= page.rows
+        after = max(page.rows)
     assert found.keys() == kept.keys()
     assert all(Operation.from_row(row, 0.0).answer is None for row in found.values())
-    assert store({}).page(Gather(2), 2) is None
+    assert store({}).page(9.0, Gather(2), 2) is None
 
 
 # ---- where answers are stored ------------------------------------------------------------------------
