Transport: tell an envelope from a message that has a key "z" itself

Cause: a page of records has a field "z", and each object with such a key was taken for a compressed message; a page below 600 bytes is sent as it is.

The simulated fleets encode and decode all messages as the transport does from now on, which would have shown it.

--- a/millfront/transport/connections.py
+++ b/millfront/transport/connections.py
@@ -1,7 +1,8 @@
 """Messages between the system's own processes: JSON lines on persistent connections, and JSON datagrams.
 
-A long message is compressed: ``{"z": base64 of zlib}``. A malformed datagram is dropped, a malformed line
-ends its connection. Sizes are derived in docs/design/catching-up.md.
+A long message is sent in an envelope, ``{"z": base64 of zlib}``: an object with this key alone. A message
+that has such a key itself is always sent in one, so that no reader takes it for an envelope. A malformed
+datagram is dropped, a malformed line ends its connection. Sizes are derived in docs/design/catching-up.md.
 """
 
 import asyncio
@@ -15,6 +16,7 @@
 from loguru import logger
 
 COMPRESS_FROM_BYTES = 600
+ENVELOPE_KEY = "z"
 MAX_LINE_BYTES = 16 * 1024 * 1024  # uncompressed: a document of 12 MB in a JSON string
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024  # compressed, for one peer that reads nothing
 MAX_QUEUED_MESSAGES = 256  # for one connection that is being opened
@@ -28,12 +30,12 @@
 
 
 def encode_message(message: Message) -> bytes:
-    """Encode a message as JSON without the line end; long ones are compressed."""
+    """Encode a message as JSON without the line end; long ones are sent in an envelope."""
     data = json.dumps(message, separators=(",", ":")).encode()
     if len(data) > MAX_LINE_BYTES:
         logger.warning("transport: a message of {} bytes exceeds the limit of peers", len(data))
-    if len(data) >= COMPRESS_FROM_BYTES:
-        data = b'{"z":"%s"}' % base64.b64encode(zlib.compress(data, 6))
+    if len(data) >= COMPRESS_FROM_BYTES or ENVELOPE_KEY in message:
+        data = b'{"%s":"%s"}' % (ENVELOPE_KEY.encode(), base64.b64encode(zlib.compress(data, 6)))
     return data
 
 
@@ -44,9 +46,9 @@
     """
     try:
         message = json.loads(data)
-        if isinstance(message, dict) and "z" in message:
+        if isinstance(message, dict) and message.keys() == {ENVELOPE_KEY}:
             decompressor = zlib.decompressobj()
-            data = decompressor.decompress(base64.b64decode(message["z"]), MAX_LINE_BYTES)
+            data = decompressor.decompress(base64.b64decode(message[ENVELOPE_KEY]), MAX_LINE_BYTES)
             if decompressor.unconsumed_tail:
                 raise DecodeError(f"line too long: over {MAX_LINE_BYTES} bytes uncompressed")
             message = json.loads(data)
--- a/tests/system_world.py
+++ b/tests/system_world.py
@@ -16,6 +16,7 @@
 from millfront.quotas.requester import Decision
 from millfront.register.replica import PersistRequest
 from millfront.register.values import Value
+from millfront.transport.connections import decode_message, encode_message
 from tests.platform_model import Platform
 
 ZONES = {"aa": "a", "ab": "a", "ba": "b", "bb": "b"}
@@ -277,7 +278,7 @@
         self.by_address = {node.address: node for node in self.nodes}
 
     def deliver(self, sender: Node, address: str, handle: Callable[[Any, Any], None], message: Any) -> None:
-        to, text = self.by_address.get(address), json.dumps(message)
+        to, data = self.by_address.get(address), encode_message(message)
         if to is None or (self.cut(sender, to) and not self.delays_cut_messages):
             return
         incarnation, sender_incarnation = to.incarnation, sender.incarnation
@@ -293,7 +294,7 @@
 
         def arrive() -> None:
             if to.gatekeeper is not None and to.incarnation == incarnation:
-                handle(to, json.loads(text))
+                handle(to, decode_message(data))
 
         if sender.incarnation == sender_incarnation:
             self.env.process(travel())
--- a/tests/test_operation_claims.py
+++ b/tests/test_operation_claims.py
@@ -288,6 +288,20 @@
     violations.clear()
 
 
+@pytest.mark.parametrize("keys", [0, 1, 40])
+def test_a_replica_that_lost_its_disk_grants_again_however_few_records_there_are(keys: int) -> None:
+    """Guards against a short page of records that readers took for a compressed message and refused."""
+    scenario = Scenario(5)
+    if keys:
+        scenario.clients(2.0, keys)
+    node = scenario.world.nodes[1]
+    node.wipe()
+    node.start()
+    scenario.world.run(4.0)
+    assert node.gatekeeper is not None and node.gatekeeper.operations.store is not None
+    assert node.gatekeeper.operations.store.complete
+
+
 # ---- one replica -------------------------------------------------------------------------------------
 
 
--- a/tests/test_system_parts.py
+++ b/tests/test_system_parts.py
@@ -16,6 +16,7 @@
 from millfront.discovery.warm_up import WarmUp
 from millfront.environment import Bounds
 from millfront.node.endings import Ending
+from millfront.operations import messages
 from millfront.register.values import Value
 from millfront.storage.disk import Disk
 from millfront.storage.lmdb_folder import DiskError
@@ -131,6 +132,30 @@
     assert len(data) < 400 and connections.decode_message(data) == message
 
 
+OPERATION_MESSAGES = [
+    messages.Claim("o", "a", 2),
+    messages.ClaimReply("o", "a", messages.Verdict.GRANTED),
+    messages.ClaimReply("o", "a", messages.Verdict.CONFLICT, messages.State.UNKNOWN, 1.5),
+    messages.Withdraw("o", "a"),
+    messages.Finish("o", "a", None),
+    messages.FinishAck("o", "a"),
+    messages.Gather(3, "o"),
+    messages.Records(3, "", {}, (), last=True, known_before=2),
+    messages.Records(3, "", {"o" * 32: "row" * 400}, (1.5,), last=False, known_before=2),
+    messages.CaughtUp(3),
+]
+
+
+@pytest.mark.parametrize("sent", OPERATION_MESSAGES, ids=lambda sent: type(sent).__name__)
+def test_each_message_of_operation_keys_arrives_as_it_was_sent(sent: Any) -> None:
+    """Guards against a short message that is taken for a compressed one, also by the version before."""
+    line = connections.encode_message(sent.to_wire())
+    received = connections.decode_message(line)
+    assert type(sent).from_wire(received) == sent
+    # The version before takes each object with a key "z" for an envelope
+    assert "z" not in json.loads(line) or isinstance(json.loads(line)["z"], str)
+
+
 def test_a_disk_keeps_the_higher_value_and_sets_aside_what_it_can_not_read(tmp_path: Path) -> None:
     disk = Disk(str(tmp_path))
     assert disk.load() == ({}, "")
