HTTP/1 server: a HEAD that was answered no longer decides how later responses are framed

What callers saw: a client sends HEAD, is answered, and goes silent in the middle of a second head.

Cause of the first of two faults: the codec kept "the request is a HEAD" after its answer, so the 408 for the second head announced a length and had no body, which h11 refuses with an exception.

Change: the note is dropped when the exchange has ended.

Evidence: test_a_refusal_in_a_head_that_follows_an_answered_head_request_... and a state machine of the codec (all orders of methods, partial requests, answers whole and in parts, refusals and time-outs) failed before, both with this exception.

--- a/millfront/node/http1.py
+++ b/millfront/node/http1.py
@@ -285,6 +285,7 @@
         if connection.our_state is not h11.DONE or connection.their_state is not h11.DONE:
             return False
         self._h11, self._buffer = None, connection.trailing_data[0]  # the next message may be canonical
+        self._is_head_request = False
         return True
 
     # A streamed response: encode_head(), encode_body() for each part, encode_end().
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -7,6 +7,7 @@
 import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
 from millfront.node.endings import ExchangeError
 from millfront.node.http import MAX_HEAD_BYTES, Message
@@ -176,3 +177,116 @@
 
 def test_a_head_without_end_is_refused() -> None:
     assert parse_requests(ServerCodec(), [b"GET / HTTP/1.1\r\nX: ", b"y" * MAX_HEAD_BYTES, b"y" * 9]) == [431]
+
+
+def test_a_refusal_in_a_head_that_follows_an_answered_head_request_is_a_whole_response() -> None:
+    """Guards against issue 65, 1: the request before, a HEAD, decided how a later refusal is framed."""
+    codec = ServerCodec()
+    codec.feed(b"HEAD / HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert codec.next_request() is not None
+    answered, reusable = codec.encode_response(Message(200, [], [], b"page"), close=False)
+    assert answered.endswith(b"\r\n\r\n") and reusable
+    codec.feed(b"HEAD /second HTTP/1.1\r\nHost:")
+    assert codec.next_request() is None
+    refused, reusable = codec.encode_response(Message(408, [], [], b"too late"), close=True)
+    assert refused.endswith(b"\r\n\r\ntoo late") and not reusable
+
+
+METHODS = [b"GET", b"HEAD", b"POST", b"PUT", b"DELETE"]
+
+
+class ServerCodecMachine(RuleBasedStateMachine):
+    """One server connection through all orders of methods, partial requests, answers and refusals."""
+
+    @initialize()
+    def connect(self) -> None:
+        self.codec = ServerCodec()
+        self.asked: bytes | None = None  # method of the request that is to be answered
+        self.rest = b""  # of a request that has come in part
+        self.open = True
+
+    @precondition(lambda self: self.open and self.asked is None and not self.rest)
+    @rule(
+        method=st.sampled_from(METHODS),
+        body=st.binary(max_size=9),
+        share=st.floats(0.0, 1.0),
+        odd=st.booleans(),
+    )
+    def request(self, method: bytes, body: bytes, share: float, odd: bool) -> None:
+        """A request arrives, whole or in part; with an odd field it is none for the fast path."""
+        field = b"X-Odd:  tab\t\r\n" if odd else b""
+        head = b"%s /p HTTP/1.1\r\nHost: a\r\n%sContent-Length: %d\r\n\r\n" % (method, field, len(body))
+        data = head + body
+        cut = int(share * len(data))
+        self.codec.feed(data[:cut])
+        self.rest, self.method = data[cut:], method
+        self.take()
+
+    @precondition(lambda self: self.open and self.rest)
+    @rule()
+    def the_rest_arrives(self) -> None:
+        data, self.rest = self.rest, b""
+        self.codec.feed(data)
+        self.take()
+
+    def take(self) -> None:
+        message = self.codec.next_request()
+        assert (message is None) == bool(self.rest)
+        if message is not None:
+            assert isinstance(message.start, tuple) and message.start[0] == self.method
+            self.asked = self.method
+
+    @precondition(lambda self: self.open and self.asked is not None)
+    @rule(status=st.sampled_from([200, 404, 503]), close=st.booleans())
+    def answer(self, status: int, close: bool) -> None:
+        assert self.asked is not None
+        data, reusable = self.codec.encode_response(Message(status, [], [], b"some text"), close)
+        self.check(self.asked, data, status)
+        assert reusable == (not close)
+        self.asked, self.open = None, reusable
+
+    @precondition(lambda self: self.open and self.asked is not None)
+    @rule(parts=st.lists(st.binary(max_size=9), max_size=3))
+    def answer_in_parts(self, parts: list[bytes]) -> None:
+        assert self.asked is not None
+        if self.asked == b"HEAD":  # a response without a body is never streamed
+            return
+        data = self.codec.encode_head(Message(200, [], [], b"", length=None), close=False)
+        data += b"".join(self.codec.encode_body(part) for part in parts)
+        end, reusable = self.codec.encode_end()
+        self.check(self.asked, data + end, 200)
+        assert reusable
+        self.asked = None
+
+    @precondition(lambda self: self.open and self.asked is None)
+    @rule()
+    def time_out(self) -> None:
+        """The rest of a request does not come in time."""
+        known = self.method if self.codec.in_body else b"GET"  # a head in part names no method yet
+        data, reusable = self.codec.encode_response(Message(408, [], [], b"too late"), close=True)
+        self.check(known, data, 408)
+        assert not reusable
+        self.open = False
+
+    @precondition(lambda self: not self.open)
+    @rule()
+    def connect_again(self) -> None:
+        self.connect()
+
+    @staticmethod
+    def check(method: bytes, data: bytes, status: int) -> None:
+        """A client that sent this method reads one whole response and nothing more."""
+        client = h11.Connection(h11.CLIENT)
+        client.send(h11.Request(method=method, target="/p", headers=[("Host", "a")]))
+        client.send(h11.EndOfMessage())
+        client.receive_data(data)
+        head = client.next_event()
+        assert isinstance(head, h11.Response) and head.status_code == status
+        while isinstance(event := client.next_event(), h11.Data):
+            pass
+        assert isinstance(event, h11.EndOfMessage)
+        assert client.trailing_data[0] == b""
+
+
+TestServerCodecMachine = ServerCodecMachine.TestCase
+TestServerCodecMachine.settings = settings(max_examples=200, deadline=None)
