Contain a fault of one client connection; end a process whose listener has ended

The servers, the connections to servers and the periodic work are parts of a process: when one ends by itself, the process is not ready, shuts down and exits with 1.

--- a/millfront/gatekeeper/metrics.py
+++ b/millfront/gatekeeper/metrics.py
@@ -36,6 +36,7 @@
     yield "configuration_version", float(configuration.version if configuration is not None else 0)
     yield "lease_seconds", round(max(0.0, gatekeeper.subscriber.lease_until() - now), 3)
     yield "evacuated_zones", float(len(gatekeeper.evacuated))
+    yield "connection_faults_total", float(gatekeeper.connection_faults)
 
 
 def _membership(gatekeeper: Gatekeeper) -> Iterator[tuple[str, float]]:
--- a/millfront/gatekeeper/node.py
+++ b/millfront/gatekeeper/node.py
@@ -105,6 +105,7 @@
         self.hinted_handoff = HintedHandoff()
         self.directory = Directory(self.membership, settings, self.invariants)
         self.disk_ok = True  # as of the last sync
+        self.connection_faults = 0  # exceptions out of single client connections, each of which was closed
         self._noted_liveness: dict[str, str] = {}  # of other members, as last written to the event log
         rows = (stored_operations or {}) if self.replica is not None else None
         self.operations = Operations(self, rows, incarnation_name)
@@ -133,6 +134,10 @@
     def _report_violation(self, invariant: Invariant, detail: str) -> None:
         self.note("invariant", f"{invariant.value} violated: {detail}")
 
+    def count_connection_fault(self) -> None:
+        """An exception out of one client connection has ended that connection."""
+        self.connection_faults += 1
+
     # ---- what is in force ------------------------------------------------------------------------
 
     def trusted(self, now: float) -> bool:
--- a/millfront/gatekeeper/process.py
+++ b/millfront/gatekeeper/process.py
@@ -72,6 +72,7 @@
         self.ending = asyncio.Event()
         self.settings_modified_ns = settings_modified_ns  # modification time of the file as last read
         self.tasks: set[asyncio.Task[None]] = set()
+        self.failed_part = ""  # the part of this process that has ended by itself
 
     def now(self) -> float:
         """Seconds on the monotonic clock."""
@@ -123,6 +124,21 @@
         if not task.cancelled() and (error := task.exception()) is not None:
             logger.opt(exception=error).error("gatekeeper: background task failed")
 
+    def start_part(self, name: str, work: Any) -> None:
+        """Run a coroutine that this process can't serve without: when it ends, the process shuts down."""
+
+        def ended(task: "asyncio.Task[None]") -> None:
+            if task.cancelled() or self.ending.is_set():
+                return
+            logger.error("gatekeeper: {} has ended: this process shuts down", name)
+            self.failed_part = name
+            self.ending.set()
+
+        task = self.loop.create_task(work, name=name)
+        self.tasks.add(task)
+        task.add_done_callback(ended)
+        task.add_done_callback(self._task_done)
+
     async def _persist(self, persist: PersistRequest) -> None:
         from millfront.storage.lmdb_folder import DiskError
 
@@ -171,9 +187,10 @@
 
     # ---- lifecycle ---------------------------------------------------------------------------------
 
-    async def run(self) -> None:
+    async def run(self) -> int:
         """Listen, serve until SIGTERM or SIGINT, then shut down within the grace period.
 
+        :returns: the exit code: 1 if a part of the process has ended by itself, else 0
         :raises OSError: an address to listen at is not available
         """
         settings = self.settings
@@ -186,16 +203,17 @@
         if "plain" in settings.bindings:
             self.proxy.server.listen(Address.parse(settings.bindings["plain"], "plain"))
         for server in (self.proxy.server, *(c.server for c in self.control_apis)):
-            self.start_task(server.sweep())
-        self.start_task(self.proxy.members.run())
+            server.on_fault = self.gatekeeper.count_connection_fault
+            self.start_part(f"the server at {server.address}", server.sweep())
+        self.start_part("the connections to servers", self.proxy.members.run())
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.ending.set)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         logger.info("gatekeeper: {} serves {}", settings.name, " ".join(settings.serves))
-        ticking = self.loop.create_task(self._tick_loop())
+        self.start_part("the periodic work", self._tick_loop())
         await self.ending.wait()
         await self._shut_down()
-        ticking.cancel()
+        return 1 if self.failed_part else 0
 
     def _listen_for_metrics(self) -> None:
         """Serve metrics on their own port; if it is not available the process runs without."""
@@ -305,7 +323,8 @@
 
 
 def run(environment: Mapping[str, str], metrics_port: int = 0) -> int:
-    """Serve until SIGTERM. Returns exit code 0 after a shutdown, 2 if the settings are invalid.
+    """Serve until SIGTERM. Returns exit code 0 after a shutdown, 1 if a part of the process ended by itself,
+    2 if the settings are invalid.
 
     :param metrics_port: an additional port for metrics besides ``ctl``; 0: none
     """
@@ -323,8 +342,8 @@
     gc.collect()
     gc.freeze()
 
-    async def serve() -> None:
-        await GatekeeperProcess(
+    async def serve() -> int:
+        return await GatekeeperProcess(
             settings,
             disks.stored,
             disks.register,
@@ -334,5 +353,4 @@
             settings_modified_ns,
         ).run()
 
-    asyncio.run(serve())
-    return 0
+    return asyncio.run(serve())
--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -52,6 +52,7 @@
     finished_us: int
     idle_since_us: int
     ending: Ending
+    link: Link
 
     @property
     def busy(self) -> bool: ...
@@ -437,7 +438,8 @@
             if not self.closed:
                 self.take_next_request()
         except Exception:  # a fault in one connection must not affect others
-            log.exception("client connection handler failed; connection closed")
+            self.server.on_fault()
+            log.exception("client connection handler failed; connection closed", peer=self.link.peer)
             self.end(Ending.BROKEN)
 
     def write(self, data: bytes) -> bool:
@@ -489,6 +491,7 @@
         self.preface = b""  # the first bytes of another protocol on this port; empty: none
         self.on_preface: Callable[[ClientConnection, bytes], None]  # takes over such a connection
         self.endings: Counter[Ending] = Counter()  # of client connections
+        self.on_fault: Callable[[], None] = lambda: None  # an exception out of one connection ended it
         self.closing = False  # responses say `Connection: close`
         self.request_read_timeout_us, self.idle_timeout_us = REQUEST_READ_TIMEOUT_US, IDLE_TIMEOUT_US
         self.max_body = MAX_STREAMED_BODY_BYTES
@@ -518,15 +521,39 @@
             while self._listener is not None or self._connections:
                 stopping = self._listener is None
                 await asyncio.sleep(0.05 if stopping else SWEEP_INTERVAL_S)
-                now = self.clock.now()
-                for connection in list(self._connections):
-                    connection.check_timeouts(
-                        now, STOPPING_REQUEST_READ_TIMEOUT_US if stopping else self.request_read_timeout_us
-                    )
+                self._check_timeouts(
+                    STOPPING_REQUEST_READ_TIMEOUT_US if stopping else self.request_read_timeout_us
+                )
         finally:
             self.stop_accepting()
-            for connection in list(self._connections):
-                connection.close()
+            self._for_each(lambda connection: connection.close())
+
+    def _check_timeouts(self, read_timeout_us: int) -> None:
+        now_us = self.clock.now()
+        self._for_each(lambda connection: connection.check_timeouts(now_us, read_timeout_us))
+
+    def _for_each(self, step: Callable[[Connection], None]) -> None:
+        """Do something with each connection; a fault of one closes that one."""
+        for connection in list(self._connections):
+            self._contain(connection, step)
+
+    def _contain(self, connection: Connection, step: Callable[[Connection], None]) -> None:
+        try:
+            step(connection)
+        except Exception:
+            self.on_fault()
+            log.exception("client connection handler failed; connection closed", peer=connection.link.peer)
+            self._discard(connection)
+
+    def _discard(self, connection: Connection) -> None:
+        """Close a connection that is in an unknown state: whatever its parts raise, it is gone."""
+        connection.ending = Ending.BROKEN
+        try:
+            connection.close()
+        except Exception:
+            log.exception("client connection could not be closed in order")
+            connection.link.close()
+        self._connections.pop(connection, None)
 
     def _on_acceptable(self) -> None:
         for _ in range(MAX_ACCEPTS_PER_TURN):
@@ -549,10 +576,16 @@
                 self._pause_accepting(ACCEPT_RETRY_S)
                 return False
             return True
-        connection = self.make_connection(self, sock)
+        try:
+            connection = self.make_connection(self, sock)
+        except Exception:
+            self.on_fault()
+            log.exception("client connection could not be set up")
+            sock.close()
+            return True
         self._connections[connection] = None
         if self.closing:
-            connection.drain()
+            self._contain(connection, lambda connection: connection.drain())
         return True
 
     def _make_room(self) -> bool:
@@ -589,7 +622,7 @@
             elif connection.is_idle() and connection.idle_since_us < now - MIN_IDLE_BEFORE_EVICTION_US:
                 (idle if connection.had_request else silent).append(connection)
         for connection in [*finished, *silent, *idle][:count]:
-            connection.close()
+            self._contain(connection, lambda connection: connection.close())
 
     def health(self) -> Message:
         """The response to a health check of the load balancer in front."""
@@ -617,8 +650,7 @@
     def set_closing(self, closing: bool) -> None:
         """Set whether clients are asked to go elsewhere."""
         if closing and not self.closing:
-            for connection in list(self._connections):
-                connection.drain()
+            self._for_each(lambda connection: connection.drain())
         self.closing = closing
 
     def stop_accepting(self) -> None:
@@ -635,8 +667,7 @@
             self._listener = None
 
     def close_idle(self) -> None:
-        for connection in list(self._connections):
-            connection.close_if_idle()
+        self._for_each(lambda connection: connection.close_if_idle())
 
     def connection_count(self) -> int:
         return len(self._connections)
--- a/millfront/node/link.py
+++ b/millfront/node/link.py
@@ -99,6 +99,14 @@
     def sock(self) -> socket.socket:
         return self._sock
 
+    @property
+    def peer(self) -> str:
+        """The peer's address, for a log line; empty if the connection has ended."""
+        try:
+            return str(self._sock.getpeername())
+        except OSError:
+            return ""
+
     @property
     def unsent(self) -> int:
         """Bytes that the kernel has not taken yet."""
--- a/tests/test_gatekeeper_calls.py
+++ b/tests/test_gatekeeper_calls.py
@@ -53,7 +53,7 @@
 
     def __init__(self) -> None:
         self.service: GatekeeperProcess
-        self.running: asyncio.Task[None]
+        self.running: asyncio.Task[int]
         self.seen: list[tuple[int, bytes, bytes]] = []  # server, head, body
         self.scripts: list[Script] = []
         self.instances: dict[str, Any] = {}
@@ -838,3 +838,79 @@
     server_list.poll_failed(2.0)
     assert server_list.servers["i-1"].phase.name == "READY"  # the list known before stays
     assert not server_list.due(2.1, lambda: 0) and server_list.due(2.6, lambda: 0)  # the next poll waits
+
+
+HALF_A_HEAD = b"HEAD /other/a2 HTTP/1.1\r\nHost: a.example\r\nCookie: "
+
+
+def test_a_client_that_goes_silent_in_a_second_head_ends_its_own_connection_alone(tmp_path: Path) -> None:
+    """Guards against issue 65, 1: its time-out closed the listener and all connections of the process."""
+
+    async def scenario() -> None:
+        async with running_gatekeeper(tmp_path, [serves]) as system:
+            for address, path in ((system.plain, "/p/a1"), (system.ctl, "/v1/readiness")):
+                other_reader, other_writer = await connect(address)
+                await exchange(other_reader, other_writer, "GET", path, b"", KEY)
+                reader, writer = await connect(address)
+                writer.write(b"HEAD /other/a1 HTTP/1.1\r\nHost: a.example\r\n\r\n")
+                assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 404 ")
+                writer.write(HALF_A_HEAD)
+                for server in (system.service.proxy.server, system.service.control_apis[0].server):
+                    server.request_read_timeout_us = 100_000
+                async with asyncio.timeout(5):
+                    refused = await reader.read()
+                assert refused.startswith(b"HTTP/1.1 408 ") and refused.endswith(b"in time\n")
+                for server in (system.service.proxy.server, system.service.control_apis[0].server):
+                    server.request_read_timeout_us = 5_000_000
+                status, _, _ = await exchange(other_reader, other_writer, "GET", path, b"", KEY)
+                assert status == 200
+                assert (await system.ask("GET", path, b"", address, KEY))[0] == 200
+                writer.close()
+                other_writer.close()
+
+    run_scenario(scenario)
+
+
+def test_a_fault_of_one_connection_ends_that_connection_and_is_counted(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against issue 65, 1: whatever a connection raises in a sweep reaches no other one."""
+
+    async def scenario() -> None:
+        async with running_gatekeeper(tmp_path, [serves]) as system:
+            other_reader, other_writer = await connect(system.plain)
+            reader, writer = await connect(system.plain)
+            server = system.service.proxy.server
+            await system.until(lambda: server.connection_count() == 2)
+            *_, faulty = server._connections
+            monkeypatch.setattr(
+                clients.ClientConnection,
+                "check_timeouts",
+                lambda self, now_us, read_timeout_us: 1 / 0 if self is faulty else None,
+            )
+            async with asyncio.timeout(5):
+                assert await reader.read() == b""
+            status, _, _ = await exchange(other_reader, other_writer, "GET", "/p/a1", b"", KEY)
+            assert status == 200
+            assert (await system.ask("GET", "/p/a2", more=KEY))[0] == 200
+            text = (await system.ask("GET", "/v1/metrics", b"", system.ctl))[2]
+            assert b"millfront_connection_faults_total 1\n" in text
+            writer.close()
+            other_writer.close()
+
+    run_scenario(scenario)
+
+
+def test_a_process_whose_listener_has_ended_is_not_ready_and_ends_with_an_error(tmp_path: Path) -> None:
+    """Guards against issue 65, 1: a process that served nobody answered its readiness check with 200."""
+
+    async def scenario() -> None:
+        bounds = Bounds(grace_period=1.0)
+        async with running_gatekeeper(tmp_path, [serves], bounds=bounds) as system:
+            system.service.proxy.server.clock = None  # type: ignore[assignment]
+            async with asyncio.timeout(5):
+                assert await system.running == 1
+            assert system.service.failed_part.startswith("the server at")
+            assert not system.service.gatekeeper.ready(system.service.now())
+
+    run_scenario(scenario)
