--- a/millfront/gatekeeper/operations.py
+++ b/millfront/gatekeeper/operations.py
@@ -29,7 +29,8 @@
     Records,
     Withdraw,
 )
-from millfront.operations.store import Batch, OperationStore, Reply
+from millfront.operations.rows import Batch, Reply
+from millfront.operations.store import OperationStore
 from millfront.register.recovery import SELF
 from millfront.register.values import CORE, Core
 
--- a/millfront/gatekeeper/process.py
+++ b/millfront/gatekeeper/process.py
@@ -23,7 +23,7 @@
 from millfront.gatekeeper.node import TICK_S, Gatekeeper
 from millfront.gatekeeper.shutdown import ShutdownSchedule
 from millfront.node.config import Address
-from millfront.operations.store import Batch
+from millfront.operations.rows import Batch
 from millfront.register.replica import PersistRequest
 from millfront.register.values import Value
 from millfront.transport.connections import Connection, Message, Transport
--- a/millfront/operations/store.py
+++ b/millfront/operations/store.py
@@ -17,7 +17,6 @@
 import bisect
 import itertools
 import json
-from dataclasses import dataclass, field
 from typing import Any
 
 from millfront.operations.gathering import Knowledge
@@ -27,17 +26,14 @@
     Finish,
     FinishAck,
     Gather,
-    Message,
     Records,
     State,
-    StoredAnswer,
     Verdict,
     Withdraw,
 )
+from millfront.operations.rows import INTACT_KEY, NO_EPOCH, Batch, Operation, Reply
 from millfront.register.values import FIRST_AGREED_EPOCH
 
-INTACT_KEY = "complete"  # key of the row that marks an intact disk; its value is `known_before`
-NO_EPOCH = 0  # before the first core is known
 WINDOW_MARGIN_S = 5.0  # added to the window: a request is claimed a moment after it was sent
 PAGE_RECORDS = 500  # records per page sent to a gathering replica
 WITHDRAWN_KEPT_S = 10.0  # records with a withdrawn claim may arrive so long after the withdrawal
@@ -45,89 +41,6 @@
 SWEEP_INTERVAL_S = 5.0
 
 
-@dataclass(slots=True)
-class Operation:
-    """One operation that was claimed at this replica, or at one whose records were gathered.
-
-    ``rivals``: further attempts that other replicas have granted, with the times of their claims. At most one
-    of all attempts was granted by a majority, so all are kept until they are withdrawn or past the window."""
-
-    attempt: str
-    claimed_at: float  # time of the claim at this replica
-    state: State = State.RUNNING
-    answer: StoredAnswer | None = None
-    exact_age: bool = True  # False: it was claimed before `claimed_at`
-    rivals: dict[str, float] = field(default_factory=dict)
-
-    def to_row(self) -> str:
-        """The row as stored on disk: ``[attempt, state, answer]``, and the rivals' attempts if any."""
-        answer = self.answer.to_wire() if self.answer is not None else None
-        rivals = [list(self.rivals)] if self.rivals else []
-        return json.dumps([self.attempt, self.state.value, answer, *rivals], separators=(",", ":"))
-
-    @classmethod
-    def from_row(cls, row: str, now: float) -> "Operation":
-        """Parse a row; its window starts now."""
-        attempt, state, fields, *rest = json.loads(row)
-        answer = StoredAnswer.from_wire(fields) if fields is not None else None
-        rivals = dict.fromkeys(rest[0], now) if rest else {}
-        return cls(attempt, now, State(state), answer, exact_age=False, rivals=rivals)
-
-    def is_same_row(self, row: str) -> bool:
-        """Whether a row tells of this attempt only."""
-        return row.startswith(f'["{self.attempt}",') and row.endswith(",null]")
-
-    def latest_rival(self) -> "Operation | None":
-        """The operation as claimed by the rival that came last; None without one."""
-        if not self.rivals:
-            return None
-        attempt = max(self.rivals, key=lambda rival: self.rivals[rival])
-        others = {rival: at for rival, at in self.rivals.items() if rival != attempt}
-        return Operation(attempt, self.rivals[attempt], exact_age=False, rivals=others)
-
-
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """A message to the peer at the other end of ``via``."""
-
-    via: Any
-    message: Message
-
-
-@dataclass(slots=True)
-class Batch:
-    """Rows to sync together; afterwards `OperationStore.synced` is called with the batch."""
-
-    rows: dict[str, str] = field(default_factory=dict)
-    drop: set[str] = field(default_factory=set)
-    grants: list[tuple[Any, Claim]] = field(default_factory=list)
-    replies: list[Reply] = field(default_factory=list)
-    known_before: int | None = None  # what this replica knows once this is synced; None: as before
-
-    def __bool__(self) -> bool:
-        return bool(self.rows or self.drop)
-
-    def put(self, name: str, row: str) -> None:
-        """Store a row."""
-        self.rows[name] = row
-        self.drop.discard(name)
-
-    def remove(self, name: str) -> None:
-        """Delete a row."""
-        self.rows.pop(name, None)
-        self.drop.add(name)
-
-    def mark_intact(self, known_before: int) -> None:
-        """Mark the disk as intact, and as knowing every claim granted before this epoch."""
-        self.known_before = max(known_before, self.known_before or NO_EPOCH)
-        self.put(INTACT_KEY, str(self.known_before))
-
-    def remove_mark(self) -> None:
-        """Leave the mark on the disk as it is."""
-        self.rows.pop(INTACT_KEY, None)
-        self.known_before = None
-
-
 class OperationStore:
     """The operations held by one replica."""
 
--- a/tests/claim_chains.py
+++ b/tests/claim_chains.py
@@ -14,7 +14,7 @@
 from millfront.gatekeeper.operations import Operations
 from millfront.invariants import Invariants
 from millfront.operations.messages import GATHER, Claim, Message, Verdict
-from millfront.operations.store import Batch
+from millfront.operations.rows import Batch
 from millfront.register.values import CORE, FIRST_AGREED_EPOCH, Core, write_quorum
 
 TICK_S = 0.25
--- a/tests/system_world.py
+++ b/tests/system_world.py
@@ -12,7 +12,7 @@
 from millfront.gatekeeper.node import TICK_S, Gatekeeper
 from millfront.gatekeeper.process import IDLE_CHECK_S, IDLE_CHECKS
 from millfront.gatekeeper.shutdown import ShutdownSchedule
-from millfront.operations.store import Batch
+from millfront.operations.rows import Batch
 from millfront.quotas.requester import Decision
 from millfront.register.replica import PersistRequest
 from millfront.register.values import Value
--- a/tests/test_operation_claims.py
+++ b/tests/test_operation_claims.py
@@ -21,14 +21,8 @@
     Withdraw,
     operation_id,
 )
-from millfront.operations.store import (
-    INTACT_KEY,
-    PAGE_RECORDS,
-    WINDOW_MARGIN_S,
-    Operation,
-    OperationStore,
-    Reply,
-)
+from millfront.operations.rows import INTACT_KEY, Operation, Reply
+from millfront.operations.store import PAGE_RECORDS, WINDOW_MARGIN_S, OperationStore
 from tests.system_world import Node, World, document
 
 WIDEN_S, EXPIRE_S = 0.1, 0.26
