Operation keys: keep another replica's claim also beside a run that is still held

Cause: a gathered attempt was left out where the one held here had run, as no other one could in its window. But a restart, or a copy from a member, lengthens a window here; the attempt left out may be a newer one, which others granted after theirs.

Change: it is kept as a rival, as all others are.

Evidence: test_a_key_claimed_anew_after_its_window_is_kept_beside_the_run_... failed before.

--- a/millfront/operations/store.py
+++ b/millfront/operations/store.py
@@ -262,7 +262,7 @@
             if held is None:
                 state = received.state if attempt == received.attempt else State.RUNNING
                 held = self.operations[name] = Operation(attempt, claimed_at, state, exact_age=False)
-            elif held.state is State.RUNNING:  # else it has run, and no other attempt ever will
+            else:
                 held.rivals[attempt] = max(claimed_at, held.rivals.get(attempt, claimed_at))
             self._pending_batch.put(name, held.to_row())
 
--- a/tests/test_operation_claims.py
+++ b/tests/test_operation_claims.py
@@ -16,6 +16,7 @@
     ClaimReply,
     Gather,
     Records,
+    State,
     StoredAnswer,
     Verdict,
     Withdraw,
@@ -390,6 +391,18 @@
     assert ClaimReply.from_wire(reply.message).verdict is Verdict.CONFLICT
 
 
+def test_a_key_claimed_anew_after_its_window_is_kept_beside_the_run_that_is_still_held_here() -> None:
+    """A restart lengthens a window here: what others granted meanwhile must not be forgotten with it."""
+    ran = Operation("first", 0.0, State.UNKNOWN)
+    made = store({INTACT_KEY: "2", "o": ran.to_row()})  # its window begins anew now
+    made.on_core_change(0.0, 3, joint=True)
+    made.add_records(50.0, records("second"))
+    synced(made)
+    ends = WINDOW_S + WINDOW_MARGIN_S
+    [reply] = made.claim(ends + 1.0, "via", Claim("o", "third", 3), 3)
+    assert ClaimReply.from_wire(reply.message).verdict is Verdict.CONFLICT
+
+
 def test_a_claim_withdrawn_before_the_records_with_it_arrive_is_not_kept() -> None:
     """Its key may run: a repeat would else be refused for the whole window."""
     made = store({INTACT_KEY: "2"})
