--- a/millfront/gatekeeper/process.py
+++ b/millfront/gatekeeper/process.py
@@ -113,11 +113,12 @@
         """Call `then` after that many seconds."""
         self.loop.call_later(seconds, then)
 
-    def start_task(self, work: Any) -> None:
+    def start_task(self, work: Any) -> "asyncio.Task[None]":
         """Run a coroutine as a task; its exception is logged and affects nothing else."""
         task = self.loop.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self._task_done)
+        return task
 
     def _task_done(self, task: "asyncio.Task[None]") -> None:
         self.tasks.discard(task)
@@ -134,10 +135,7 @@
             self.failed_part = name
             self.ending.set()
 
-        task = self.loop.create_task(work, name=name)
-        self.tasks.add(task)
-        task.add_done_callback(ended)
-        task.add_done_callback(self._task_done)
+        self.start_task(work).add_done_callback(ended)
 
     async def _persist(self, persist: PersistRequest) -> None:
         from millfront.storage.lmdb_folder import DiskError
--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -434,13 +434,8 @@
             self.server.loop.call_soon(self.take_pipelined)
 
     def take_pipelined(self) -> None:
-        try:
-            if not self.closed:
-                self.take_next_request()
-        except Exception:  # a fault in one connection must not affect others
-            self.server.on_fault()
-            log.exception("client connection handler failed; connection closed", peer=self.link.peer)
-            self.end(Ending.BROKEN)
+        if not self.closed:
+            self.server.contain(self, lambda _: self.take_next_request())
 
     def write(self, data: bytes) -> bool:
         try:
@@ -535,9 +530,10 @@
     def _for_each(self, step: Callable[[Connection], None]) -> None:
         """Do something with each connection; a fault of one closes that one."""
         for connection in list(self._connections):
-            self._contain(connection, step)
+            self.contain(connection, step)
 
-    def _contain(self, connection: Connection, step: Callable[[Connection], None]) -> None:
+    def contain(self, connection: Connection, step: Callable[[Connection], None]) -> None:
+        """Do something with one connection; its fault closes it, and reaches no other."""
         try:
             step(connection)
         except Exception:
@@ -585,7 +581,7 @@
             return True
         self._connections[connection] = None
         if self.closing:
-            self._contain(connection, lambda connection: connection.drain())
+            self.contain(connection, lambda connection: connection.drain())
         return True
 
     def _make_room(self) -> bool:
@@ -622,7 +618,7 @@
             elif connection.is_idle() and connection.idle_since_us < now - MIN_IDLE_BEFORE_EVICTION_US:
                 (idle if connection.had_request else silent).append(connection)
         for connection in [*finished, *silent, *idle][:count]:
-            self._contain(connection, lambda connection: connection.close())
+            self.contain(connection, lambda connection: connection.close())
 
     def health(self) -> Message:
         """The response to a health check of the load balancer in front."""
--- a/millfront/operations/gathering.py
+++ b/millfront/operations/gathering.py
@@ -50,8 +50,8 @@
 
     def is_caught_up(self, core: Core) -> bool:
         """Whether a replica that knows this may grant now, and once this core's change is completed."""
-        wanted = core.epoch if core.old_members else core.epoch - 1
-        return self.intact and self.known_before >= wanted
+        completed_epoch = core.epoch + 1 if core.old_members else core.epoch
+        return self.may_grant(completed_epoch, joint=False)
 
 
 @dataclass(slots=True)
@@ -71,7 +71,7 @@
 
     def __init__(self, name: str, now: float) -> None:
         self.name, self.started_at = name, now
-        self._core: Core | None = None
+        self._epoch = 0
         self._by_member: dict[str, MemberRecords] = {}
 
     def tick(
@@ -83,8 +83,8 @@
         """
         if not own.intact and now - self.started_at < START_DELAY_S:
             return []
-        if self._core is None or core.epoch != self._core.epoch:
-            self._core, self._by_member = core, {}
+        if core.epoch != self._epoch:
+            self._epoch, self._by_member = core.epoch, {}
         self._ask_more(now, core, own, nearest)
         requests = []
         for name, progress in self._by_member.items():
@@ -129,7 +129,7 @@
     def handle_records(self, now: float, sender: str, records: Records) -> Message | None:
         """Take a page of records; returns the request for the sender's next page, or None."""
         progress = self._by_member.get(sender)
-        if progress is None or self._core is None or records.epoch != self._core.epoch or progress.complete:
+        if progress is None or records.epoch != self._epoch or progress.complete:
             return None
         if records.after not in (None, progress.after):
             return None  # a page that was requested twice
@@ -145,7 +145,7 @@
     def known_before(self, core: Core, own: Knowledge) -> int | None:
         """The epoch before which all granted claims are known here now; None if too few members have sent all
         of their records."""
-        if self._core is None or core.epoch != self._core.epoch:
+        if core.epoch != self._epoch:
             return None
         complete = {name: progress for name, progress in self._by_member.items() if progress.complete}
         told = max((progress.known_before or 0 for progress in complete.values()), default=0)
--- a/millfront/operations/rows.py
+++ b/millfront/operations/rows.py
@@ -29,8 +29,15 @@
     def to_row(self) -> str:
         """The row as stored on disk: ``[attempt, state, answer]``, and the rivals' attempts if any."""
         answer = self.answer.to_wire() if self.answer is not None else None
+        return self._row(self.state, answer)
+
+    def to_row_without_answer(self) -> str:
+        """The row as sent to another replica, which may be in a region where the answer may not be stored."""
+        return self._row(State.UNKNOWN if self.state is State.ANSWERED else self.state, None)
+
+    def _row(self, state: State, answer: list[Any] | None) -> str:
         rivals = [list(self.rivals)] if self.rivals else []
-        return json.dumps([self.attempt, self.state.value, answer, *rivals], separators=(",", ":"))
+        return json.dumps([self.attempt, state.value, answer, *rivals], separators=(",", ":"))
 
     @classmethod
     def from_row(cls, row: str, now: float) -> "Operation":
@@ -69,7 +76,6 @@
     drop: set[str] = field(default_factory=set)
     grants: list[tuple[Any, Claim]] = field(default_factory=list)
     replies: list[Reply] = field(default_factory=list)
-    known_before: int | None = None  # what this replica knows once this is synced; None: as before
 
     def __bool__(self) -> bool:
         return bool(self.rows or self.drop)
@@ -86,10 +92,14 @@
 
     def mark_intact(self, known_before: int) -> None:
         """Mark the disk as intact, and as knowing every claim granted before this epoch."""
-        self.known_before = max(known_before, self.known_before or NO_EPOCH)
-        self.put(INTACT_KEY, str(self.known_before))
+        self.put(INTACT_KEY, str(max(known_before, self.known_before or NO_EPOCH)))
 
     def remove_mark(self) -> None:
         """Leave the mark on the disk as it is."""
         self.rows.pop(INTACT_KEY, None)
-        self.known_before = None
+
+    @property
+    def known_before(self) -> int | None:
+        """What this replica knows once this is synced; None: as before."""
+        row = self.rows.get(INTACT_KEY)
+        return int(row) if row is not None else None
--- a/millfront/operations/store.py
+++ b/millfront/operations/store.py
@@ -16,7 +16,6 @@
 
 import bisect
 import itertools
-import json
 from typing import Any
 
 from millfront.operations.gathering import Knowledge
@@ -119,12 +118,16 @@
         """Release the claim of a request that was not and will not be sent: another one may claim it."""
         self._withdrawn[withdraw.attempt] = now
         held = self.operations.get(withdraw.operation)
-        if held is None:
-            return
-        if held.rivals.pop(withdraw.attempt, None) is not None:
+        if held is not None and held.rivals.pop(withdraw.attempt, None) is not None:
             self._pending_batch.put(withdraw.operation, held.to_row())
-        elif held.attempt == withdraw.attempt and held.state is State.RUNNING:
-            self._release(withdraw.operation)
+        else:
+            self._release_attempt(withdraw.operation, withdraw.attempt)
+
+    def _release_attempt(self, name: str, attempt: str) -> None:
+        """Forget this attempt if it is the one held here and has no result."""
+        held = self.operations.get(name)
+        if held is not None and held.attempt == attempt and held.state is State.RUNNING:
+            self._release(name)
 
     def _release(self, name: str) -> None:
         """The attempt held here has ended without a result: forget it, but not its rivals."""
@@ -136,9 +139,13 @@
             self.operations[name] = rival
             self._pending_batch.put(name, rival.to_row())
 
+    def _window_start(self, now: float) -> float:
+        """What was claimed before this time is past the window."""
+        return now - self.window - WINDOW_MARGIN_S
+
     def _expire(self, now: float, name: str) -> None:
         """Forget what is past the window."""
-        oldest = now - self.window - WINDOW_MARGIN_S
+        oldest = self._window_start(now)
         while (held := self.operations.get(name)) is not None and held.claimed_at < oldest:
             self._release(name)
 
@@ -175,16 +182,10 @@
         held = (name for name in self._page_names[start:] if name in self.operations)
         names = list(itertools.islice(held, PAGE_RECORDS + 1))
         last, names = len(names) <= PAGE_RECORDS, names[:PAGE_RECORDS]
-        rows = {name: self._row_without_answer(name) for name in names}
+        rows = {name: self.operations[name].to_row_without_answer() for name in names}
         ages = tuple(now - self.operations[name].claimed_at for name in names)
         return Records(epoch, gather.after, rows, ages, last, self.knowledge.known_before)
 
-    def _row_without_answer(self, name: str) -> str:
-        held = self.operations[name]
-        state = State.UNKNOWN if held.state is State.ANSWERED else held.state
-        rivals = [list(held.rivals)] if held.rivals else []
-        return json.dumps([held.attempt, state.value, None, *rivals], separators=(",", ":"))
-
     # ---- the disk ----------------------------------------------------------------------------------
 
     def next_batch(self) -> Batch | None:
@@ -204,9 +205,7 @@
                 self.knowledge = Knowledge(True, max(batch.known_before, self.knowledge.known_before))
             return replies + batch.replies
         for _, claim in batch.grants:
-            held = self.operations.get(claim.operation)
-            if held is not None and held.attempt == claim.attempt and held.state is State.RUNNING:
-                self._release(claim.operation)
+            self._release_attempt(claim.operation, claim.attempt)
             batch.rows.pop(claim.operation, None)
         self._refused.drop |= batch.drop
         self._refused.rows |= batch.rows
@@ -235,7 +234,7 @@
         if now - self._last_sweep < SWEEP_INTERVAL_S:
             return
         self._last_sweep = now
-        oldest = now - self.window - WINDOW_MARGIN_S
+        oldest = self._window_start(now)
         for name in [name for name, held in self.operations.items() if held.claimed_at < oldest]:
             self._expire(now, name)
         self._withdrawn = {
