Tests of operation keys: one client and one fleet in service in place of copies

The client that claims a key and waits as the proxy does, and a simulated fleet in service, stood in two test files; a joining process in two of the searches. No assertion changes.

--- a/tests/claim_chains.py
+++ b/tests/claim_chains.py
@@ -214,9 +214,7 @@
         if kind in ("leave", "replace"):
             del members[name]
         if kind in ("join", "replace"):
-            joiner = self._name(self.joined)
-            self.joined += 1
-            self.members[joiner] = Member(self, joiner, False)
+            joiner = self._start_joiner()
             members[joiner] = joiner
             self.run(CATCH_UP_TICKS // 2)
         if len(members) < SMALLEST_CORE:
@@ -231,6 +229,13 @@
         self.run(CATCH_UP_TICKS)
         return True
 
+    def _start_joiner(self) -> str:
+        """Start a further process without anything on its disk; returns its name."""
+        joiner = self._name(self.joined)
+        self.joined += 1
+        self.members[joiner] = Member(self, joiner, False)
+        return joiner
+
     def _claim_across(self, core: Core) -> None:
         """The core changes between the claim of a key at some members and its sync; then at the others."""
         group = sorted(self.core.all_members)
--- a/tests/claim_orders.py
+++ b/tests/claim_orders.py
@@ -136,9 +136,7 @@
         if kind != "join":
             del members[self.chance.choice(sorted(members))]
         if kind != "leave":
-            joiner = self._name(self.joined)
-            self.joined += 1
-            self.members[joiner] = Member(self, joiner, False)
+            joiner = self._start_joiner()
             members[joiner] = joiner
         if len(members) >= SMALLEST_CORE:
             self._begin_core(Core(core.epoch + 1, members, core.members))
--- a/tests/test_claim_refusals.py
+++ b/tests/test_claim_refusals.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from millfront.operations.claims import Outcome, PendingClaim
-from millfront.operations.messages import StoredAnswer, operation_id
-from tests.system_world import ZONES, Node, World, document
-from tests.test_operation_claims import EXPIRE_S, WIDEN_S, Process
+from millfront.operations.claims import Outcome
+from millfront.operations.messages import StoredAnswer
+from tests.claim_clients import EXPIRE_S, Process, begin_claim, world_in_service
+from tests.system_world import ZONES, Node
 
 DISKS, MACHINES, SPARES = 7, 11, 3
 HOME, ELSEWHERE = "a", "b"  # regions: four of seven disks are in the first one
@@ -29,9 +29,7 @@
 
     def __init__(self, seed: int) -> None:
         self.random = random.Random(seed)
-        self.world = World(MACHINES, DISKS, seed, spares=SPARES).start().run(6.0)
-        self.world.put(5, document(1))
-        self.world.run(3.0)
+        self.world = world_in_service(MACHINES, DISKS, seed, SPARES)
         self.tries: dict[str, int] = {}  # of each key
         self.runs: dict[str, int] = {}
         self.given_up: list[str] = []
@@ -42,7 +40,6 @@
         node = self.random.choice(ready)
         gatekeeper, incarnation = node.gatekeeper, node.incarnation
         assert gatekeeper is not None
-        gatekeeper.now = node.now()
         claims, pending = gatekeeper.operations.claims, None
         self.tries[key] = self.tries.get(key, 0) + 1
 
@@ -65,17 +62,7 @@
             yield self.world.env.timeout(RETRY_AFTER_S)
             self.send(key, region)
 
-        def wait(claim: PendingClaim) -> Process:
-            yield self.world.env.timeout(WIDEN_S)
-            if node.incarnation == incarnation:
-                claims.widen(claim)
-            yield self.world.env.timeout(EXPIRE_S - WIDEN_S)
-            if node.incarnation == incarnation:
-                claims.expire(claim)
-
-        pending = claims.begin(operation_id("t", key), 4.0, on_decision)
-        if pending is not None:
-            self.world.env.process(wait(pending))
+        pending = begin_claim(self.world, node, key, on_decision)
 
     @staticmethod
     def _serves(node: Node) -> bool:
--- a/tests/test_operation_claims.py
+++ b/tests/test_operation_claims.py
@@ -3,13 +3,13 @@
 the first run's answer. Each checker must find a planted fault."""
 
 import random
-from collections.abc import Callable, Generator
+from collections.abc import Callable
 from typing import Any
 
 import pytest
 
 from millfront.invariants import Invariant
-from millfront.operations.claims import Outcome, PendingClaim
+from millfront.operations.claims import Outcome
 from millfront.operations.gathering import Knowledge
 from millfront.operations.messages import (
     Claim,
@@ -24,12 +24,11 @@
 )
 from millfront.operations.rows import INTACT_KEY, Operation, Reply
 from millfront.operations.store import PAGE_RECORDS, WINDOW_MARGIN_S, OperationStore
-from tests.system_world import Node, World, document
+from tests.claim_clients import Process, begin_claim, world_in_service
+from tests.system_world import Node
 
-WIDEN_S, EXPIRE_S = 0.1, 0.26
 EVERY_EPOCH = 1_000_000
 WINDOW_S = 60.0
-Process = Generator[Any, Any, None]
 Disturbance = Callable[["Scenario"], Process]
 
 
@@ -38,9 +37,7 @@
 
     def __init__(self, seed: int, n: int = 11, disks: int = 4) -> None:
         self.random = random.Random(seed)
-        self.world = World(n, disks, seed).start().run(6.0)
-        self.world.put(5, document(1))
-        self.world.run(3.0)
+        self.world = world_in_service(n, disks, seed)
         self.runs: dict[str, list[str]] = {}  # key: attempts that were sent to a server
         self.wrong_answers: list[str] = []
         self.outcomes = dict.fromkeys(Outcome, 0)
@@ -50,7 +47,6 @@
         gatekeeper, incarnation = node.gatekeeper, node.incarnation
         if gatekeeper is None or node.backlog is not None:
             return
-        gatekeeper.now = node.now()
         claims, pending = gatekeeper.operations.claims, None
 
         def on_decision(outcome: Outcome, answer: StoredAnswer | None) -> None:
@@ -74,17 +70,7 @@
                 stored = StoredAnswer(200, (), pending.attempt.encode())
                 claims.finish(pending, stored, frozenset(), lambda: None)
 
-        def wait(claim: PendingClaim) -> Process:
-            yield self.world.env.timeout(WIDEN_S)
-            if node.incarnation == incarnation:
-                claims.widen(claim)
-            yield self.world.env.timeout(EXPIRE_S - WIDEN_S)
-            if node.incarnation == incarnation:
-                claims.expire(claim)
-
-        pending = claims.begin(operation_id("t", key), 4.0, on_decision)
-        if pending is not None:
-            self.world.env.process(wait(pending))
+        pending = begin_claim(self.world, node, key, on_decision)
 
     def clients(self, seconds: float, keys: int) -> None:
         """Requests at random gatekeepers, each key several times within the window."""
