Operation keys: a majority that comes after 0.9 s does not count

What callers could have seen: one key run twice beside a lost disk.

Cause: a replica that lost its disk gathers one second after its start, since every claim that it granted before is decided by then. Requests on routes with a target time above 4.5 s wait longer (0.22 of it), and a process that was frozen counts replies after its time. The late grants and the one of before the loss make a majority for one attempt, the replica that has gathered is one of a majority for another.

Change: OperationClaims counts a majority only within DECISION_TIMEOUT_S of the claim's begin, by the clock at the reply; the wait of a request is within it, and gathering after a lost disk begins 0.1 s after it.

--- a/millfront/dataplane/keyed_requests.py
+++ b/millfront/dataplane/keyed_requests.py
@@ -11,7 +11,7 @@
 
 from millfront.dataplane.client_request import ATTEMPT_ID, ClientRequest
 from millfront.node.http import Fields, Message
-from millfront.operations.claims import OperationClaims, Outcome, PendingClaim
+from millfront.operations.claims import DECISION_TIMEOUT_S, OperationClaims, Outcome, PendingClaim
 from millfront.operations.messages import StoredAnswer, operation_id
 
 if TYPE_CHECKING:
@@ -20,7 +20,7 @@
 OPERATION_KEY = b"millfront-operation-key"
 KEYED_KIND = "keyed"  # kind of routes whose requests carry a key
 WIDEN_AFTER_S = 0.1  # two trips to another region and a disk sync; then all core members are asked
-CLAIM_SHARE = 0.22  # of the target time: the longest wait for a majority
+CLAIM_SHARE = 0.22  # of the target time: the longest wait for a majority, within DECISION_TIMEOUT_S
 STORE_WAIT_S = 0.15  # longest time an answer waits until the key's owner and successor have stored it
 RUNNING_MARGIN_S = 1.0  # time beyond the route's deadline that a claimed request may still be running
 RETRY_AFTER_S = 0.3  # for a repeat that comes while the first request is running
@@ -42,7 +42,8 @@
         pending = self.claims.begin(operation, running_s, partial(self._on_claim_decision, request))
         if pending is not None and not request.finished:
             request.claim = pending
-            loop, wait = asyncio.get_running_loop(), CLAIM_SHARE * request.route.target_time
+            loop = asyncio.get_running_loop()
+            wait = min(CLAIM_SHARE * request.route.target_time, DECISION_TIMEOUT_S)
             loop.call_later(min(WIDEN_AFTER_S, wait / 2), self.claims.widen, pending)
             loop.call_later(wait, self.claims.expire, pending)
 
--- a/millfront/gatekeeper/operations.py
+++ b/millfront/gatekeeper/operations.py
@@ -63,6 +63,10 @@
 
     # ---- Peers ---------------------------------------------------------------------------------------
 
+    def now(self) -> float:
+        """The present time in seconds on the monotonic clock."""
+        return self.gatekeeper.io.now()
+
     def core(self) -> Core | None:
         """The core in force."""
         return self.gatekeeper.subscriber.core
--- a/millfront/operations/claims.py
+++ b/millfront/operations/claims.py
@@ -3,9 +3,11 @@
 
 A request may be sent once a majority of the core has granted its claim: two majorities share a member, and a
 member grants a key to one request only. The nearest majority is asked first, the other members if that does
-not suffice. Everything else is refused early, with a promise that it has not run. The answer is stored by the
-key's owner and its successor: the first two by rendezvous hashing among the core members in regions where it
-may be stored.
+not suffice. Everything else is refused early, with a promise that it has not run. A majority that comes later
+than `DECISION_TIMEOUT_S` does not count: a replica that lost its disk relies on it.
+
+The answer is stored by the key's owner and its successor: the first two by rendezvous hashing among the core
+members in regions where it may be stored.
 """
 
 from collections.abc import Callable
@@ -29,6 +31,7 @@
 from millfront.register.values import Core, digest_of
 
 ANSWER_COPIES = 2  # one at the key's owner, one at its successor
+DECISION_TIMEOUT_S = 0.9  # a claim that no majority has granted by then is refused, whoever grants it later
 
 
 class Outcome(Enum):
@@ -46,6 +49,9 @@
 
     name: str
 
+    def now(self) -> float:
+        """The present time in seconds on the monotonic clock."""
+
     def core(self) -> Core | None:
         """The core in force."""
 
@@ -72,6 +78,7 @@
     operation: str
     attempt: str
     core: Core
+    begun_at: float
     max_running_s: float  # longest time that another request with this key may be running
     on_decision: DecisionCallback | None
     asked: set[str] = field(default_factory=set)
@@ -109,7 +116,7 @@
             return None
         self._count += 1
         attempt = f"{self.incarnation}.{self._count:x}"
-        pending = PendingClaim(operation, attempt, core, max_running_s, on_decision)
+        pending = PendingClaim(operation, attempt, core, self.peers.now(), max_running_s, on_decision)
         self._pending[attempt] = pending
         self._ask(pending, self._nearest_majority(core))
         return pending
@@ -157,6 +164,9 @@
             self._evaluate(pending)
 
     def _evaluate(self, pending: PendingClaim) -> None:
+        if self.peers.now() - pending.begun_at > DECISION_TIMEOUT_S:
+            self._decide_without_majority(pending)
+            return
         if pending.core.is_write_quorum(pending.granted):
             self._grant(pending)
             return
--- a/millfront/operations/gathering.py
+++ b/millfront/operations/gathering.py
@@ -14,12 +14,13 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from millfront.operations.claims import DECISION_TIMEOUT_S
 from millfront.operations.messages import Gather, Message, Records
 from millfront.register.values import Core, read_quorum
 
 RESEND_S = 0.24  # a page that has not arrived is requested again on the next tick
 STALLED_S = 0.5  # a member that has sent nothing for so long is not waited for: another one is asked
-START_DELAY_S = 1.0  # after a start without a disk; by then all claims made before it are decided
+START_DELAY_S = DECISION_TIMEOUT_S + 0.1  # after a start without a disk: claims made before it are decided
 
 
 def required_knowledge(epoch: int, joint: bool) -> int:
--- a/tests/claim_orders.py
+++ b/tests/claim_orders.py
@@ -8,13 +8,13 @@
 import random
 from dataclasses import dataclass, field
 
+from millfront.operations.claims import DECISION_TIMEOUT_S
 from millfront.operations.messages import CLAIM_REPLY, Claim, ClaimReply, Message, Verdict, Withdraw
 from millfront.register.values import Core
 from tests.claim_chains import CLIENT, SMALLEST_CORE, ClaimFleet, Member
 
 KEYS = 12
 STEP_S = 0.002
-CLAIM_S = 0.26  # a request waits so long for a majority
 DECISIVE_S = 1.2  # a disk that was lost gathers after a second: claims made before are decided by then
 LOST_SHARE = 0.03
 CHECK_STEPS = 20
@@ -91,7 +91,7 @@
         if core is None:
             return
         name = f"a{len(self.attempts)}"
-        attempt = Attempt(f"k{self.chance.randrange(KEYS)}", name, core, self.now + CLAIM_S)
+        attempt = Attempt(f"k{self.chance.randrange(KEYS)}", name, core, self.now + DECISION_TIMEOUT_S)
         self.attempts[name] = attempt
         for member in core.all_members:
             if self.chance.random() < 0.8:
