Connections: count faults of reads and writes, and tell the owner after a failed write

Cause: the link contained both, but told its owner of the first alone, and nobody counted.

Change: both end the connection the same way: logged with the peer, the owner is told INTERNAL_ERROR, and client connections count it in millfront_connection_faults_total.

Evidence: test_a_fault_while_a_request_is_read_is_counted and test_the_owner_of_a_connection_is_told_of_a_fault_after_a_write failed before.

--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -17,7 +17,7 @@
 from millfront.node.host import Clock
 from millfront.node.http import MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES, MAX_STREAMED_BODY_BYTES, Message
 from millfront.node.http1 import ServerCodec
-from millfront.node.link import RESOURCE_ERRNOS, Link, accept, create_listener
+from millfront.node.link import INTERNAL_ERROR, RESOURCE_ERRNOS, Link, accept, create_listener
 from millfront.node.stages import relay
 from millfront.node.stages.take_in import RequestRejected
 
@@ -189,7 +189,9 @@
             self.link.pause()  # bounds the buffer for a client that never stops sending
 
     def ended(self, why: str) -> None:
-        """The client has closed or broken the connection."""
+        """The client has closed or broken the connection, or a callback has failed."""
+        if why == INTERNAL_ERROR:
+            self.server.on_fault()
         if why and not self.input_closed:
             self.ending = Ending.BROKEN
         self.close()
--- a/millfront/node/link.py
+++ b/millfront/node/link.py
@@ -22,6 +22,7 @@
 log = Log(__name__)
 
 READ_SIZE = 64 * 1024
+INTERNAL_ERROR = "internal error"  # why a connection has ended of which a callback raised an exception
 RESOURCE_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
 
@@ -30,7 +31,8 @@
 
     def received(self, data: bytes) -> None: ...
     def ended(self, why: str) -> None:
-        """The peer has finished sending (`why` is empty) or the connection has broken."""
+        """The peer has finished sending (`why` is empty) or the connection has broken: `INTERNAL_ERROR`
+        if a callback of this owner raised an exception."""
 
     def drained(self) -> None:
         """The kernel has taken all that was written."""
@@ -64,10 +66,14 @@
             return
         try:
             self.owner.received(data)
-        except Exception:  # a fault in one connection must not affect others
-            log.exception("connection handler failed; connection closed")
-            self.close()
-            self._notify_ended("internal error")
+        except Exception:
+            self._contain_fault()
+
+    def _contain_fault(self) -> None:
+        """A callback has raised an exception: it ends this connection and affects no other."""
+        log.exception("connection handler failed; connection closed", peer=self.peer)
+        self.close()
+        self._notify_ended(INTERNAL_ERROR)
 
     def _notify_ended(self, why: str) -> None:
         """Stop reading, then tell the owner: the loop would keep calling for a socket that has ended."""
@@ -154,8 +160,7 @@
             try:
                 self.owner.drained()
             except Exception:
-                log.exception("connection handler failed; connection closed")
-                self.close()
+                self._contain_fault()
 
     def nothing_to_read(self) -> bool:
         """Whether the connection is up and has no unread bytes."""
--- a/tests/test_gatekeeper_calls.py
+++ b/tests/test_gatekeeper_calls.py
@@ -18,6 +18,7 @@
 from millfront.environment import Bounds, Settings
 from millfront.gatekeeper.process import GatekeeperProcess
 from millfront.node import clients
+from millfront.node.link import INTERNAL_ERROR, Link
 from millfront.register import reconfiguration
 from tests.system_world import document
 
@@ -914,3 +915,58 @@
             assert not system.service.gatekeeper.ready(system.service.now())
 
     run_scenario(scenario)
+
+
+def test_a_fault_while_a_request_is_read_is_counted(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against faults of connections that no metric shows."""
+
+    async def scenario() -> None:
+        async with running_gatekeeper(tmp_path, [serves]) as system:
+            reader, writer = await connect(system.plain)
+            with monkeypatch.context() as patched:
+                patched.setattr(clients.ClientConnection, "received", lambda self, data: 1 / 0)
+                writer.write(b"GET /p/a1 HTTP/1.1\r\n\r\n")
+                async with asyncio.timeout(5):
+                    assert await reader.read() == b""
+            text = (await system.ask("GET", "/v1/metrics", b"", system.ctl))[2]
+            assert b"millfront_connection_faults_total 1\n" in text
+            assert system.service.proxy.server.connection_count() == 0
+            writer.close()
+
+    run_scenario(scenario)
+
+
+class FaultyOwner:
+    """The owner of a connection: it fails once all that was written is taken."""
+
+    def __init__(self) -> None:
+        self.ended_why: list[str] = []
+
+    def received(self, data: bytes) -> None:
+        raise AssertionError("the peer sends nothing")
+
+    def ended(self, why: str) -> None:
+        self.ended_why.append(why)
+
+    def drained(self) -> None:
+        raise ZeroDivisionError
+
+
+def test_the_owner_of_a_connection_is_told_of_a_fault_after_a_write() -> None:
+    """Guards against connections that stay in the table once a callback after a write has failed."""
+
+    async def scenario() -> None:
+        loop, owner = asyncio.get_running_loop(), FaultyOwner()
+        near, far = socket.socketpair()
+        near.setblocking(False)
+        far.setblocking(False)
+        link = Link(near, owner, loop)
+        link.write(b"x" * (4 * 1024 * 1024))  # more than the sockets' buffers take
+        assert link.unsent
+        async with asyncio.timeout(5):
+            while await loop.sock_recv(far, STREAM_LIMIT):
+                pass
+        assert link.closed and owner.ended_why == [INTERNAL_ERROR]
+        far.close()
+
+    run_scenario(scenario)
