HTTP/1 server: refuse CONNECT with 501

What callers saw: a client that sent CONNECT had its connection closed without a response, after a server had run the request.

Cause: the method was passed on like any other; after a 2xx to CONNECT h11 takes the connection for a tunnel and raises an exception for the body of the answer.

Change: the codec refuses it; the connection is closed after the 501.

Evidence: test_a_connect_request_is_refused_and_reaches_no_server failed before.

--- a/millfront/node/http1.py
+++ b/millfront/node/http1.py
@@ -216,6 +216,8 @@
 
     def _handle_event(self, event: Any) -> Message | None:
         if isinstance(event, h11.Request):
+            if event.method == b"CONNECT":  # what follows a success would be a tunnel, and no response
+                raise RequestRejected(501, "CONNECT is not supported")
             self._request = event
             self._is_head_request = event.method == b"HEAD"
             framing = {name: value for name, value in event.headers if name in FRAMING}
--- a/tests/test_gatekeeper_calls.py
+++ b/tests/test_gatekeeper_calls.py
@@ -970,3 +970,21 @@
         far.close()
 
     run_scenario(scenario)
+
+
+def test_a_connect_request_is_refused_and_reaches_no_server(tmp_path: Path) -> None:
+    """Guards against a server's 200 to CONNECT: the client got no answer, as what follows one is a tunnel."""
+
+    async def scenario() -> None:
+        async with running_gatekeeper(tmp_path, [serves]) as system:
+            for address in (system.plain, system.ctl):
+                reader, writer = await connect(address)
+                status, _, _ = await exchange(reader, writer, "CONNECT", "a.example:80", b"", KEY)
+                assert status == 501
+                async with asyncio.timeout(5):
+                    assert await reader.read() == b""
+                writer.close()
+                assert (await system.ask("CONNECT", "/p/a1", more=KEY))[0] == 501
+            assert system.seen == []
+
+    run_scenario(scenario)
