--- a/benchmarks/connection_fuzz.py
+++ b/benchmarks/connection_fuzz.py
@@ -14,7 +14,7 @@
 
 from loguru import logger
 
-from millfront.register import reconfiguration
+from millfront.register import bootstrap
 from tests.connection_fuzz import first_fault
 
 CONNECTIONS = 100_000
@@ -25,7 +25,7 @@
     """What one seed shows; empty if all held."""
     logger.remove()
     # A core of one does not need to wait for others
-    reconfiguration.BOOTSTRAP_MIN_S = reconfiguration.BOOTSTRAP_SETTLE_S = 0.0
+    bootstrap.MIN_UPTIME_S = bootstrap.SETTLE_S = 0.0
     with tempfile.TemporaryDirectory() as folder:
         return asyncio.run(first_fault(Path(folder), seed, connections))
 
--- a/millfront/gatekeeper/node.py
+++ b/millfront/gatekeeper/node.py
@@ -437,7 +437,7 @@
         if kind == "no":
             self._on_fenced(now, sender, message)
         if kind == "agreed":
-            self.reconfiguration.handle_agreement(now, sender, message["r"])
+            self.reconfiguration.bootstrap.handle_agreement(now, sender, message["r"])
         elif kind == "found" and message["r"].startswith(("lives ", "heir ")):
             self.reconfiguration.recovery.handle_answer(now, sender, message)
         elif kind in ("found", "piece") and str(message["r"]).startswith(FETCH_REF_PREFIX):
--- a/millfront/register/reconfiguration.py
+++ b/millfront/register/reconfiguration.py
@@ -1,6 +1,6 @@
 """Reconfiguration: which processes are members of the register. No I/O, no clock.
 
-At the first start the core is *bootstrapped* from all processes with a disk. Later it *changes* through the
+At the first start the core is *bootstrapped* (bootstrap.py). Later it *changes* through the
 register itself: a machine with a disk that has joined is added, one that is lost for good is removed. A
 change passes through a core that holds both member sets, in which both must agree to everything:
 
@@ -16,7 +16,6 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum
 from typing import Any, Protocol
 
@@ -24,6 +23,7 @@
 from millfront.environment import Settings
 from millfront.membership.gossip import SUSPECT_TICKS, TICK_S, Membership, owners
 from millfront.membership.record import Liveness
+from millfront.register.bootstrap import Bootstrap
 from millfront.register.coordinator import Coordinator, Phase, Round
 from millfront.register.placement import Choice, Seat, choose_members, min_members
 from millfront.register.recovery import SELF, Recovery
@@ -31,17 +31,12 @@
 from millfront.register.values import (
     BALLOTS_PER_EPOCH,
     CORE,
-    FIRST_AGREED_EPOCH,
     PROMISED,
     Core,
     Value,
     write_quorum,
 )
 
-BOOTSTRAP_SETTLE_S = 1.2  # the core is bootstrapped once the known processes were unchanged for so long
-BOOTSTRAP_MIN_S = 1.6  # minimum time from the start: processes start together, but not equally fast
-BOOTSTRAP_MISSING_SEED_S = 4.0  # the same minimum while a seed is missing
-RESEND_S = 0.7  # of the bootstrap proposal to a member that has not agreed
 JOIN_DELAY_S = 1.0  # a machine with a disk that was up for so long is added where that gains a vote
 NO_GAIN_JOIN_DELAY_S = 5.0  # and after so long where it does not gain one
 REMOVAL_DELAY_S = 120.0  # a member that was unreachable for so long is lost for good
@@ -118,23 +113,13 @@
     CLOSING = "closing: the new core is written"
 
 
-@dataclass(slots=True)
-class Bootstrap:
-    """The proposal of the first core: addresses of its members by name, who agreed, when it was last sent."""
-
-    core: Value
-    members: dict[str, str]
-    agreed: set[str]
-    last_sent: float = -1e9
-
-
 class Reconfiguration:
     """The part of one process in choosing the members of the register."""
 
     def __init__(self, gatekeeper: GatekeeperContext) -> None:
         self.gatekeeper = gatekeeper
         self.change = Change.NONE
-        self.bootstrap: Bootstrap | None = None
+        self.bootstrap = Bootstrap(gatekeeper, self._broadcast_core)
         self._failed_at = -1e9  # when the last change failed
         self._catching_up: Core | None = None  # the core whose change waits for its members to catch up
         self._catching_up_since = -1e9
@@ -146,8 +131,6 @@
         self._ballot = 0  # number of the highest ballot seen
         self._up_since: dict[str, float] = {}  # processes with a disk, and since when they are up
         self._missing_since: dict[str, float] = {}  # members, and since when they are unreachable
-        self._peers: frozenset[str] = frozenset()
-        self._peers_since = gatekeeper.started_at
         self.recovery = Recovery(gatekeeper)
 
     def tick(self, now: float) -> None:
@@ -170,14 +153,10 @@
                 self._note_own_wait(now, core)
 
     def gossip_tick(self, now: float) -> None:
-        """Called on every gossip tick, about 1 s: note the known processes, and ask the seeds for the core
-        while it is unknown or this process has no lease."""
+        """Called on every gossip tick, about 1 s: ask the seeds for the core while it is unknown or this
+        process has no lease."""
         gatekeeper = self.gatekeeper
-        peers = frozenset(
-            record.name for record in gatekeeper.membership.others() if record.identity is not None
-        )
-        if peers != self._peers:
-            self._peers, self._peers_since = peers, now
+        self.bootstrap.gossip_tick(now)
         if gatekeeper.subscriber.core is None or not gatekeeper.trusted(now):
             for seed in gatekeeper.membership.seeds:
                 if seed != gatekeeper.post_address:
@@ -187,7 +166,7 @@
 
     def core_changed(self) -> None:
         """Another core is in force here: what was gathered for the previous one does not count."""
-        self.bootstrap = None
+        self.bootstrap.core_changed()
         self._core_since = self.gatekeeper.now
         if self.change is Change.CATCHING_UP and self.gatekeeper.subscriber.core != self._catching_up:
             self._enter(Change.NONE)  # another process has completed the change
@@ -453,71 +432,10 @@
         """Bring a replica to vote: bootstrap the core, or recover the values of a lost disk."""
         gatekeeper, core = self.gatekeeper, self.gatekeeper.subscriber.core
         if replica.state is ReplicaState.NEW and core is None:
-            self._bootstrap_core(now)
+            self.bootstrap.tick(now)
         elif core is not None and gatekeeper.name in core.all_members:
             if replica.state is ReplicaState.NEW:  # it never answered a call: it has only missed values
                 value = gatekeeper.subscriber.values[CORE]
                 gatekeeper.io.persist(PersistRequest({CORE: value}, (SELF, {"t": "stored", "r": ""})))
                 return
             self.recovery.tick(now, core)
-
-    def _bootstrap_core(self, now: float) -> None:
-        gatekeeper = self.gatekeeper
-        seeds = gatekeeper.seeds_ctl
-        records = [c for c in gatekeeper.membership.live() if c.identity is not None and c.identity["core"]]
-
-        def rank(record: Any) -> tuple[int, str]:
-            ctl = record.identity["ctl"]
-            return (seeds.index(ctl) if ctl in seeds else len(seeds), record.name)
-
-        first = min(records, key=rank)
-        heard = {
-            record.identity["ctl"] for record in gatekeeper.membership.live() if record.identity is not None
-        }
-        known = len(heard.intersection(seeds))
-        if first is not gatekeeper.membership.own_record or 2 * known <= len(seeds):
-            return  # of two partitions at most one sees a majority of the seeds
-        if known < len(seeds) and now - gatekeeper.started_at < BOOTSTRAP_MISSING_SEED_S:
-            return
-        bootstrap = self.bootstrap
-        if bootstrap is None:
-            if now - self._peers_since < BOOTSTRAP_SETTLE_S or now - gatekeeper.started_at < BOOTSTRAP_MIN_S:
-                return
-            members = {
-                record.name: record.identity["post"] for record in records if record.identity is not None
-            }
-            core = Core(FIRST_AGREED_EPOCH - 1, members)
-            bootstrap = self.bootstrap = Bootstrap(
-                core.to_value(f"{99 - rank(first)[0]:02d}"), members, set()
-            )
-            gatekeeper.note("register", f"founds a core of {len(members)}")
-        if now - bootstrap.last_sent < RESEND_S:
-            return
-        bootstrap.last_sent = now
-        for name, address in bootstrap.members.items():
-            if name not in bootstrap.agreed:
-                message = {
-                    "t": "found?",
-                    "r": f"found {gatekeeper.coordinator.name}",
-                    "v": bootstrap.core.to_wire(),
-                }
-                gatekeeper.send_to_replica(now, name, address, message)
-
-    def handle_agreement(self, now: float, sender: str, ref: str) -> None:
-        """A process agrees to the first core that this one proposes."""
-        bootstrap, gatekeeper = self.bootstrap, self.gatekeeper
-        if bootstrap is None or ref != f"found {gatekeeper.coordinator.name}":
-            return
-        bootstrap.agreed.add(sender)
-        if bootstrap.agreed >= set(bootstrap.members) and gatekeeper.subscriber.core is None:
-            self.bootstrap = None
-            core = Core(FIRST_AGREED_EPOCH, bootstrap.members)
-            gatekeeper.start(
-                now,
-                gatekeeper.coordinator.write(now, core, {CORE: core.to_value()}, 10.0),
-                self._bootstrapped,
-            )
-
-    def _bootstrapped(self, round: Round) -> None:
-        if round.phase is Phase.DONE:
-            self._broadcast_core(round.values[CORE])
--- a/tests/test_call_once.py
+++ b/tests/test_call_once.py
@@ -30,7 +30,7 @@
 from millfront.node.link import Link
 from millfront.node.members import IdleReuseStats, MemberConnection
 from millfront.node.stages import send
-from millfront.register import reconfiguration
+from millfront.register import bootstrap
 from tests import test_gatekeeper_calls as calls
 from tests.system_world import document
 
@@ -285,8 +285,8 @@
 @pytest.fixture(autouse=True)
 def short_timeouts(monkeypatch: pytest.MonkeyPatch) -> None:
     """Shorten timeouts that otherwise take seconds."""
-    for name in ("BOOTSTRAP_MIN_S", "BOOTSTRAP_SETTLE_S"):
-        monkeypatch.setattr(reconfiguration, name, 0.0)
+    for name in ("MIN_UPTIME_S", "SETTLE_S"):
+        monkeypatch.setattr(bootstrap, name, 0.0)
     monkeypatch.setattr(load_balancer, "FULL_PAUSE_S", 0.0)
     monkeypatch.setattr(send, "STALL_CHECK_INTERVAL_S", 0.05)
     monkeypatch.setattr(send, "BODY_STALL_TIMEOUT_US", 100_000)
--- a/tests/test_control_calls.py
+++ b/tests/test_control_calls.py
@@ -9,8 +9,8 @@
 
 from millfront.control.delivery import LEASE_SHARE
 from millfront.gatekeeper.node import Gatekeeper
+from millfront.register.bootstrap import Proposal
 from millfront.register.coordinator import Coordinator, Phase, Round
-from millfront.register.reconfiguration import Bootstrap
 from millfront.register.replica import ReplicaState
 from millfront.register.values import CONFIG, CORE, Core, Value
 from tests.system_world import Node, World, document
@@ -329,9 +329,10 @@
     _, node = settled()
     gatekeeper = node.gatekeeper
     assert gatekeeper is not None
-    gatekeeper.reconfiguration.bootstrap = Bootstrap(OLD.to_value(), dict.fromkeys("abc", ""), set())
+    bootstrap = gatekeeper.reconfiguration.bootstrap
+    bootstrap.proposal = Proposal(OLD.to_value(), dict.fromkeys("abc", ""), set())
     for ref in ("found", "found another.1.2"):
         deliver(node, "a", {"t": "agreed", "r": ref})
-    assert gatekeeper.reconfiguration.bootstrap.agreed == set()
+    assert bootstrap.proposal.agreed == set()
     deliver(node, "a", {"t": "agreed", "r": f"found {gatekeeper.coordinator.name}"})
-    assert gatekeeper.reconfiguration.bootstrap.agreed == {"a"}
+    assert bootstrap.proposal.agreed == {"a"}
--- a/tests/test_gatekeeper_calls.py
+++ b/tests/test_gatekeeper_calls.py
@@ -19,7 +19,7 @@
 from millfront.gatekeeper.process import GatekeeperProcess
 from millfront.node import clients
 from millfront.node.link import INTERNAL_ERROR, Link
-from millfront.register import reconfiguration
+from millfront.register import bootstrap
 from tests.system_world import document
 
 OPENAPI = Path(__file__).parent.parent / "docs" / "openapi" / "gatekeeper.json"
@@ -191,8 +191,8 @@
 @pytest.fixture(autouse=True)
 def quick(monkeypatch: pytest.MonkeyPatch) -> None:
     """A core of one does not need to wait for others."""
-    monkeypatch.setattr(reconfiguration, "BOOTSTRAP_MIN_S", 0.0)
-    monkeypatch.setattr(reconfiguration, "BOOTSTRAP_SETTLE_S", 0.0)
+    monkeypatch.setattr(bootstrap, "MIN_UPTIME_S", 0.0)
+    monkeypatch.setattr(bootstrap, "SETTLE_S", 0.0)
 
 
 async def serves(head: bytes, writer: asyncio.StreamWriter, _: int) -> None:
