--- a/millfront/gatekeeper/operations.py
+++ b/millfront/gatekeeper/operations.py
@@ -143,7 +143,7 @@
         if value is not None and value.version > store.epoch:
             core = Core.from_value(value)
             store.on_core_change(now, core.epoch, bool(core.old_members))
-            self.transfer.core_changed(core, store.answered())
+            self.transfer.core_changed(core, store.answered)
 
     def caught_up_members(self, core: Core) -> set[str]:
         """The members of a joint core's new member set that know every claim granted before it."""
@@ -207,7 +207,7 @@
             if result is None:  # past its window
                 continue
             for receiver in self.transfer.receivers(answer, result.regions):
-                self.send(receiver, result.to_wire() | {"m": self.name})
+                self.send(receiver, result.to_wire())
 
     def _catch_up(self, now: float, core: Core, store: OperationStore) -> None:
         """Gather the claims that this replica lacks under this core, or tell the members that it has them."""
--- a/millfront/http2/clients.py
+++ b/millfront/http2/clients.py
@@ -31,7 +31,7 @@
 from millfront.node.endings import Ending
 from millfront.node.host import OpenRequest
 from millfront.node.http import HOP_BY_HOP, MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES, Fields, Message
-from millfront.node.link import INTERNAL_ERROR, Link
+from millfront.node.link import Link
 from millfront.node.stages import relay
 from millfront.node.stages.take_in import RequestRejected
 
@@ -300,11 +300,7 @@
             self.server.host.client_left(open_request)
 
     def ended(self, why: str) -> None:
-        if why == INTERNAL_ERROR:
-            self.server.on_fault()
-        if why and not self.input_closed:
-            self.ending = Ending.BROKEN
-        self.close()
+        self.server.connection_ended(self, why)
 
     # ---- out ---------------------------------------------------------------------------------
 
--- a/millfront/node/clients.py
+++ b/millfront/node/clients.py
@@ -190,11 +190,7 @@
 
     def ended(self, why: str) -> None:
         """The client has closed or broken the connection, or a callback has failed."""
-        if why == INTERNAL_ERROR:
-            self.server.on_fault()
-        if why and not self.input_closed:
-            self.ending = Ending.BROKEN
-        self.close()
+        self.server.connection_ended(self, why)
 
     def drained(self) -> None:
         self.stalled_since_us = 0
@@ -630,6 +626,14 @@
             else relay.own_response(503, b"not ready\n")
         )
 
+    def connection_ended(self, connection: Connection, why: str) -> None:
+        """Close a connection whose link has ended, and count it if one of its callbacks has failed."""
+        if why == INTERNAL_ERROR:
+            self.on_fault()
+        if why and not connection.input_closed:
+            connection.ending = Ending.BROKEN
+        connection.close()
+
     def connection_closed(self, connection: Connection) -> None:
         self.endings[connection.ending] += 1
         self._connections.pop(connection, None)
--- a/millfront/operations/answer_transfer.py
+++ b/millfront/operations/answer_transfer.py
@@ -48,18 +48,19 @@
         self._core: Core | None = None
         self._waiting: dict[str, WaitingAnswer] = {}  # by operation
 
-    def core_changed(self, core: Core, answered: Iterable[str]) -> None:
+    def core_changed(self, core: Core, answered: Callable[[], Iterable[str]]) -> None:
         """This replica has learned of a newer core. What still waits since the one before keeps the members
         of that time.
 
-        :param answered: the operations whose answers are stored here, those to be sent first at the front
+        :param answered: returns the operations whose answers are stored here, those to be sent first at the
+            front; called only if some may have to be sent
         """
         known, self._core = self._core, core
         joint_core_missed = known is not None and not core.old_members and known.members != core.members
         if not core.old_members and not joint_core_missed:
             return
         waiting, chosen_among = self._waiting, frozenset(core.old_members)
-        begun = (waiting.get(name) or WaitingAnswer(name, chosen_among) for name in answered)
+        begun = (waiting.get(name) or WaitingAnswer(name, chosen_among) for name in answered())
         self._waiting = {answer.operation: answer for answer in begun}
 
     def add(self, operation: str) -> None:
--- a/millfront/operations/store.py
+++ b/millfront/operations/store.py
@@ -166,22 +166,25 @@
             self.operations[finish.operation] = held
         if held.attempt != finish.attempt:
             return False
-        answer_known = held.answer is not None
-        self._set_result(held, finish)
+        stored = self._set_result(held, finish)
         self._pending_batch.put(finish.operation, held.to_row())
         self._pending_batch.replies.append(Reply(via, FinishAck(finish.operation, finish.attempt).to_wire()))
-        return held.answer is not None and not answer_known
+        return stored
 
-    def _set_result(self, held: Operation, finish: Finish) -> None:
-        """An answer also takes the place of a result that is unknown here: records are gathered without."""
+    def _set_result(self, held: Operation, finish: Finish) -> bool:
+        """An answer also takes the place of a result that is unknown here: records are gathered without.
+
+        :returns: whether an answer was stored
+        """
         answer = finish.answer
         if answer is not None and self.answers_bytes + answer.size > MAX_ANSWERS_BYTES:
             answer = None
         if held.state is State.ANSWERED or (held.state is State.UNKNOWN and answer is None):
-            return
+            return False
         held.state = State.ANSWERED if answer is not None else State.UNKNOWN
         held.answer, held.regions = answer, finish.regions if answer is not None else ()
         self.answers_bytes += self._size(held)
+        return answer is not None
 
     def answered(self) -> list[str]:
         """The operations whose answers are stored here, the one that was claimed last first."""
--- a/millfront/register/reconfiguration.py
+++ b/millfront/register/reconfiguration.py
@@ -1,8 +1,8 @@
 """Reconfiguration: which processes are members of the register. No I/O, no clock.
 
-At the first start the core is *bootstrapped* (bootstrap.py). Later it *changes* through the
-register itself: a machine with a disk that has joined is added, one that is lost for good is removed. A
-change passes through a core that holds both member sets, in which both must agree to everything:
+At the first start the core is *bootstrapped* (bootstrap.py). Later it *changes* through the register itself:
+a machine with a disk that has joined is added, one that is lost for good is removed. A change passes through
+a core that holds both member sets, in which both must agree to everything:
 
     core e ──decide──> core e+1 (new, old) ──carry over, catch up──> core e+2 (new)
 
--- a/tests/test_answer_transfer.py
+++ b/tests/test_answer_transfer.py
@@ -1,6 +1,7 @@
 """Stored answers while members of the core leave in order and others join: repeats are still given them."""
 
 import random
+from functools import partial
 
 import pytest
 
@@ -73,7 +74,7 @@
         """:param skipping: the share of the members that learn of the next core only"""
         for name in core.all_members:
             if name not in core.members or self.random.random() >= skipping:
-                self.transfers[name].core_changed(core, sorted(self.held[name]))
+                self.transfers[name].core_changed(core, partial(sorted, self.held[name]))
 
     def tick(self) -> None:
         for transfer in self.transfers.values():
