--- a/benchmarks/claim_chains.py
+++ b/benchmarks/claim_chains.py
@@ -10,35 +10,53 @@
 """
 
 import itertools
-import os
 import random
 import sys
 from collections.abc import Iterator
 from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
 
-from tests.claim_chains import Step, chains, first_key_granted_twice
+from benchmarks import PARALLEL_PLAYS
+from tests.claim_chains import KINDS, chains, first_key_granted_twice
 from tests.test_claim_refusals import DISKS, MACHINES, play
 
 SIZES = range(3, 9)
 LOSSES = ((0.0,), (1.0, 0.0))
-PROCESSES = max(1, (os.cpu_count() or 2) - 2)
-KINDS = ("leave", "join", "replace", "wipe")
-Search = tuple[int, tuple[Step, ...], tuple[float, ...], int]
-Play = tuple[str, list[tuple[str, int]], int]
 
 
-def search_one(search: Search) -> str:
-    """What a chain shows; empty if no key was granted twice."""
-    size, chain, losses, seed = search
-    return first_key_granted_twice(size, chain, losses, seed)
+@dataclass(frozen=True, slots=True)
+class Row:
+    """What clients saw of one play, or of several."""
+
+    keys: int = 0
+    refused: int = 0
+    refused_afterwards: int = 0  # those of them that were sent after the chain had ended
+    given_up: int = 0
+    run_twice: int = 0
+    longest_wait_s: float = 0.0
+
+    def __add__(self, other: "Row") -> "Row":
+        return Row(
+            self.keys + other.keys,
+            self.refused + other.refused,
+            self.refused_afterwards + other.refused_afterwards,
+            self.given_up + other.given_up,
+            self.run_twice + other.run_twice,
+            max(self.longest_wait_s, other.longest_wait_s),
+        )
+
+    def __str__(self) -> str:
+        counts = (self.keys, self.refused, self.refused_afterwards, self.given_up, self.run_twice)
+        return f"{' | '.join(map(str, counts))} | {self.longest_wait_s:.2f} s"
 
 
 def search(length: int, seeds: int) -> None:
     """Play every chain of that length."""
-    with ProcessPoolExecutor(PROCESSES) as pool:
+    with ProcessPoolExecutor(PARALLEL_PLAYS) as pool:
         for losses in LOSSES:
             searches = list(itertools.product(SIZES, chains(length), [losses], range(1, seeds + 1)))
-            found = [fault for fault in pool.map(search_one, searches, chunksize=16) if fault]
+            played = pool.map(first_key_granted_twice, *zip(*searches, strict=True), chunksize=16)
+            found = [fault for fault in played if fault]
             print(f"{len(searches)} plays of chains of {length}, requests for records lost {losses}: {found}")
 
 
@@ -66,36 +84,27 @@
     return chain
 
 
-def play_one(one: Play) -> tuple[str, int, int, int, int, int, float]:
-    """:returns: name, keys, refused, refused afterwards, given up, run twice, the longest wait in seconds"""
-    name, chain, seed = one
-    clients = play(chain, seed)
-    twice = sum(runs > 1 for runs in clients.runs.values())
-    return (
-        name,
-        len(clients.tries),
-        len(clients.refused),
-        len(clients.refused_afterwards),
-        len(clients.given_up),
-        twice,
-        clients.longest_wait_s,
+def play_one(kinds: tuple[str, ...], seed: int) -> Row:
+    """Play one chain of these kinds."""
+    clients = play(fleet_chain(kinds, seed), seed)
+    return Row(
+        keys=len(clients.tries),
+        refused=len(clients.refused),
+        refused_afterwards=len(clients.refused_afterwards),
+        given_up=len(clients.given_up),
+        run_twice=sum(runs > 1 for runs in clients.runs.values()),
+        longest_wait_s=clients.longest_wait_s,
     )
 
 
 def refusals(seeds: int) -> None:
     """Print a row for each chain, summed over the seeds."""
-    plays = [
-        ("+".join(kinds), fleet_chain(kinds, seed), seed)
-        for kinds in kinds_of_chains()
-        for seed in range(1, seeds + 1)
-    ]
+    plays = list(itertools.product(kinds_of_chains(), range(1, seeds + 1)))
     print("chain | keys | refused at first | after the chain | given up | run twice | longest wait")
-    with ProcessPoolExecutor(PROCESSES) as pool:
-        rows = pool.map(play_one, plays)
-        for name, group in itertools.groupby(rows, key=lambda row: row[0]):
-            _, *columns, waits = zip(*group, strict=True)
-            counts = " | ".join(str(sum(column)) for column in columns)
-            print(f"{name} | {counts} | {max(waits):.2f} s", flush=True)
+    with ProcessPoolExecutor(PARALLEL_PLAYS) as pool:
+        rows = zip(plays, pool.map(play_one, *zip(*plays, strict=True)), strict=True)
+        for kinds, group in itertools.groupby(rows, key=lambda row: row[0][0]):
+            print(f"{'+'.join(kinds)} | {sum((row for _, row in group), Row())}", flush=True)
 
 
 def main(arguments: list[str]) -> None:
--- a/benchmarks/connection_fuzz.py
+++ b/benchmarks/connection_fuzz.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import os
 import sys
 import tempfile
 from concurrent.futures import ProcessPoolExecutor
@@ -14,11 +13,11 @@
 
 from loguru import logger
 
+from benchmarks import PARALLEL_PLAYS
 from millfront.register import bootstrap
 from tests.connection_fuzz import first_fault
 
 CONNECTIONS = 100_000
-PROCESSES = max(1, (os.cpu_count() or 2) - 2)
 
 
 def play(seed: int, connections: int) -> str:
@@ -33,10 +32,10 @@
 def main(arguments: list[str]) -> None:
     """Play the seeds, and fail if one of them shows a fault."""
     connections, first_seed = [*map(int, arguments), *(CONNECTIONS, 1)[len(arguments) :]]
-    share = -(-connections // PROCESSES)
-    seeds = range(first_seed, first_seed + PROCESSES)
-    with ProcessPoolExecutor(PROCESSES) as pool:
-        found = dict(zip(seeds, pool.map(play, seeds, [share] * PROCESSES), strict=True))
+    share = -(-connections // PARALLEL_PLAYS)
+    seeds = range(first_seed, first_seed + PARALLEL_PLAYS)
+    with ProcessPoolExecutor(PARALLEL_PLAYS) as pool:
+        found = dict(zip(seeds, pool.map(play, seeds, [share] * PARALLEL_PLAYS), strict=True))
     for seed, fault in found.items():
         print(f"seed {seed}, {share} connections: {fault or 'held'}")
     sys.exit(1 if any(found.values()) else 0)
--- a/tests/connection_fuzz.py
+++ b/tests/connection_fuzz.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 from tests.system_world import document
-from tests.test_gatekeeper_calls import KEY, connect, exchange, running_gatekeeper, serves
+from tests.test_gatekeeper_calls import KEY, RunningGatekeeper, connect, running_gatekeeper, serves
 
 METHODS = (
     b"GET",
@@ -43,7 +43,7 @@
     b"Content-Length: 99999999999999999999", b"Transfer-Encoding: chunked", b"Transfer-Encoding: gzip",
     b"Millfront-Operation-Key: k-1",
 )  # fmt: skip
-USUAL_FIELDS = 3  # of the list above
+USUAL_FIELDS = 2  # the first ones of the list above
 BODIES = (
     b"",
     b"12345",
@@ -93,7 +93,7 @@
     method = chance.choice(METHODS[:4] if usual else METHODS)
     target = chance.choice(TARGETS[:3] if usual else TARGETS)
     version = VERSIONS[0] if usual else chance.choice(VERSIONS)
-    fields = [*FIELDS[: USUAL_FIELDS - 1], *chance.sample(FIELDS, k=chance.randrange(4))]
+    fields = [*FIELDS[:USUAL_FIELDS], *chance.sample(FIELDS, k=chance.randrange(4))]
     body = chance.choice(BODIES)
     if usual and body and not any(field.startswith((b"Content-Length", b"Transfer")) for field in fields):
         fields.append(b"Content-Length: %d" % len(body))
@@ -162,6 +162,25 @@
         self.faults.append(f"{record.getMessage()}: {error!r}")
 
 
+async def fault_of_batch(
+    system: RunningGatekeeper, log: FaultLog, drawn: list[Beginning], addresses: list[str]
+) -> str:
+    """Play connections side by side, then an ordinary client at each listener; empty if all held."""
+    answers = await asyncio.gather(*map(play_beginning, addresses, drawn))
+    if log.faults:
+        return f"{log.faults[0]}: {drawn}"
+    for beginning, answer in zip(drawn, answers, strict=True):
+        if answer is None:
+            return f"not ended in {ANSWER_LIMIT_S} s: {beginning}"
+        if answer and not b"HTTP/1.1 ".startswith(answer[:9]):
+            return f"{answer[:80]!r} to {beginning}"
+    for address, path in ((system.plain, "/p/a1"), (system.ctl, "/v1/readiness")):
+        status, _, _ = await system.ask("GET", path, b"", address, KEY)
+        if status != 200:
+            return f"an ordinary client got {status}: {drawn}"
+    return "" if not system.running.done() else "the process has ended"
+
+
 async def first_fault(folder: Path, seed: int, connections: int) -> str:
     """Play that many drawn connections at the listeners for clients and for operators; empty if all held."""
     chance, log = random.Random(seed), FaultLog()
@@ -175,20 +194,8 @@
             for number in range(0, connections, PARALLEL):
                 drawn = [draw_beginning(chance) for _ in range(PARALLEL)]
                 addresses = [chance.choice((system.plain, system.plain, system.ctl)) for _ in drawn]
-                answers = await asyncio.gather(*map(play_beginning, addresses, drawn))
-                if log.faults:
-                    return f"connections from {number}: {log.faults[0]}: {drawn}"
-                for beginning, answer in zip(drawn, answers, strict=True):
-                    if answer is None:
-                        return f"connections from {number}: not ended in {ANSWER_LIMIT_S} s: {beginning}"
-                    if answer and not b"HTTP/1.1 ".startswith(answer[:9]):
-                        return f"connections from {number}: {answer[:80]!r} to {beginning}"
-                for address, path in ((system.plain, "/p/a1"), (system.ctl, "/v1/readiness")):
-                    reader, writer = await connect(address)
-                    status, _, _ = await exchange(reader, writer, "GET", path, b"", KEY)
-                    writer.close()
-                    if status != 200:
-                        return f"connections from {number}: an ordinary client got {status}: {drawn}"
-            return "" if not system.running.done() else "the process has ended"
+                if fault := await fault_of_batch(system, log, drawn, addresses):
+                    return f"connections from {number}: {fault}"
+            return ""
     finally:
         logging.getLogger("millfront").removeHandler(log)
